--- /dev/null
+++ b/src/main/java/org/astershift/Main.java
@@ -0,0 +1,153 @@
+package org.astershift;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.HelpFormatter;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.astershift.api.PublicApi;
+import org.astershift.config.BadConfig;
+import org.astershift.config.Constants;
+import org.astershift.config.Operator;
+import org.astershift.config.Settings;
+import org.astershift.core.Policy;
+import org.astershift.http.HttpServer;
+import org.astershift.leader.Director;
+import org.astershift.peer.JobAnswer;
+import org.astershift.peer.PeerClient;
+import org.astershift.peer.PeerServer;
+import org.astershift.store.Mirror;
+import org.astershift.store.StoreClient;
+
+/** Command line and wiring. */
+public final class Main {
+  private Main() {}
+
+  /** Entry point; ends only for bad usage, bad settings, or an address that cannot be had. */
+  public static void main(String[] args) {
+    int code = run(args, System.out, System.err);
+    if (code >= 0) {
+      System.exit(code);
+    }
+  }
+
+  /** The exit code, or -1 if the service now runs on its own threads. */
+  static int run(String[] args, PrintStream out, PrintStream err) {
+    Options options = new Options();
+    options.addOption(
+        Option.builder().longOpt("config").hasArg().argName("FILE").desc("settings (TOML)").build());
+    options.addOption(
+        Option.builder().longOpt("ini").hasArg().argName("FILE")
+            .desc("operators' own settings (INI); default: $ASTERSHIFT_INI").build());
+    options.addOption(null, "check", false, "check the settings and exit");
+    options.addOption(null, "help", false, "print this and exit");
+    options.addOption(null, "version", false, "print the version and exit");
+    Settings settings;
+    Policy policy;
+    try {
+      CommandLine line = new DefaultParser().parse(options, args);
+      if (line.hasOption("help")) {
+        HelpFormatter f = new HelpFormatter();
+        java.io.PrintWriter w = new java.io.PrintWriter(out, true);
+        f.printHelp(w, 80, "astershift [OPTION...] --config FILE", "", options, 2, 2, "");
+        return 0;
+      }
+      if (line.hasOption("version")) {
+        String version = Main.class.getPackage().getImplementationVersion();
+        out.println("astershift " + (version == null ? "(unpackaged)" : version));
+        return 0;
+      }
+      if (!line.getArgList().isEmpty()) {
+        throw new ParseException("unexpected argument: " + line.getArgList().get(0));
+      }
+      if (!line.hasOption("config")) {
+        throw new ParseException("--config FILE is required");
+      }
+      settings = Settings.load(Path.of(line.getOptionValue("config")));
+      String ini = line.getOptionValue("ini", System.getenv("ASTERSHIFT_INI"));
+      policy = ini == null ? Operator.defaults() : Operator.load(Path.of(ini));
+      logging(System.getenv("LOG_LEVEL"));
+      if (line.hasOption("check")) {
+        out.println("settings are fine");
+        return 0;
+      }
+    } catch (ParseException e) {
+      err.println("astershift: " + e.getMessage() + " (see --help)");
+      return 2;
+    } catch (BadConfig e) {
+      err.println("astershift: " + e.getMessage());
+      return 2;
+    }
+    try {
+      start(settings, policy);
+      return -1;
+    } catch (IOException e) {
+      err.println("astershift: cannot listen: " + e.getMessage());
+      return 1;
+    }
+  }
+
+  private static void logging(String level) throws BadConfig {
+    String l = level == null || level.isEmpty() ? "info" : level.toLowerCase(Locale.ROOT);
+    if (!Set.of("error", "info", "debug").contains(l)) {
+      throw new BadConfig("LOG_LEVEL is not error, info or debug: " + level);
+    }
+    System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", l);
+    System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
+    System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
+  }
+
+  private static void start(Settings settings, Policy policy) throws IOException {
+    StoreClient store = new StoreClient(settings);
+    Director director = new Director(settings, policy, store, new Mirror(store));
+    Map<String, Director.Asker> askers = new HashMap<>();
+    for (Settings.Peer p : settings.peers()) {
+      PeerClient client = new PeerClient(p.endpoint());
+      askers.put(p.node(), client::ask);
+    }
+    director.peers(askers);
+    PeerServer peers =
+        new PeerServer(
+            settings.peerListen().host(),
+            settings.peerListen().port(),
+            (op, job) ->
+                switch (op) {
+                  case "poll" -> director.poll(job, false);
+                  case "cancel" -> director.cancel(job, false);
+                  default -> JobAnswer.UNDECIDED;
+                });
+    int most =
+        Math.min(
+            Constants.INCOMING_MAX, (int) (settings.sockets() * Constants.INCOMING_SHARE));
+    HttpServer http =
+        new HttpServer(
+            settings.listen().host(),
+            settings.listen().port(),
+            most,
+            new PublicApi(director, settings.facts().teams()));
+    peers.start();
+    director.start();
+    http.start();
+    Thread keep = new Thread(null, Main::keepAlive, "keep-alive", Constants.STACK_BYTES);
+    keep.start();
+  }
+
+  /** All other threads are daemons: this one keeps the process until it is killed. */
+  private static void keepAlive() {
+    while (true) {
+      try {
+        Thread.sleep(Long.MAX_VALUE);
+      } catch (InterruptedException e) {
+        // nothing to do: only the platform ends the process
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/astershift/api/JobCodec.java
@@ -0,0 +1,115 @@
+package org.astershift.api;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.astershift.core.JobKind;
+import org.astershift.core.JobSpec;
+import org.astershift.core.Priority;
+import org.astershift.http.Json;
+import org.astershift.peer.JobAnswer;
+
+/** The users' words for jobs. */
+public final class JobCodec {
+  private static final int MOST_TASKS = 100_000;
+
+  private JobCodec() {}
+
+  /** Whether this is an id of the form that all jobs have. */
+  public static boolean isId(String id) {
+    return id.matches("wk-[0-9a-z]{1,40}");
+  }
+
+  /** Reads a submission; throws with the first field that is missing or invalid. */
+  public static JobSpec spec(Map<String, Object> m) throws Json.Bad {
+    String id = Json.text(m, "id");
+    if (!isId(id)) {
+      throw new Json.Bad("id is not of the form wk-000000");
+    }
+    long tasks = Json.whole(m, "shards");
+    if (tasks < 1 || tasks > MOST_TASKS) {
+      throw new Json.Bad("shards is out of range");
+    }
+    List<String> types = null;
+    if (m.get("hulls") != null) {
+      types = new ArrayList<>();
+      for (Object o : Json.list(m, "hulls")) {
+        if (!(o instanceof String s)) {
+          throw new Json.Bad("hulls is not a list of texts");
+        }
+        types.add(s);
+      }
+    }
+    Double deadline = Json.numberOrNull(m, "due_s");
+    if (deadline != null && deadline < 0) {
+      throw new Json.Bad("due_s is out of range");
+    }
+    return new JobSpec(
+        id,
+        named(m, "berth_class"),
+        named(m, "crew"),
+        kind(Json.text(m, "shape")),
+        priority(Json.text(m, "rank")),
+        (int) tasks,
+        amount(m, "vcpus"),
+        amount(m, "gpus"),
+        amount(m, "mem_gb"),
+        named(m, "payload"),
+        amount(m, "image_gb"),
+        types,
+        Json.textOrNull(m, "harbor"),
+        Json.flagOr(m, "one_zone", false),
+        Json.flagOr(m, "apart", false),
+        Json.flagOr(m, "ebbtide", false),
+        amount(m, "expect_s"),
+        amount(m, "anchor_s"),
+        amount(m, "stow_s"),
+        deadline);
+  }
+
+  private static String named(Map<String, Object> m, String name) throws Json.Bad {
+    String s = Json.text(m, name);
+    if (s.isEmpty() || s.length() > 200) {
+      throw new Json.Bad(name + " is empty or too long");
+    }
+    return s;
+  }
+
+  private static double amount(Map<String, Object> m, String name) throws Json.Bad {
+    double d = Json.number(m, name);
+    if (d < 0 || d > 1e9) {
+      throw new Json.Bad(name + " is out of range");
+    }
+    return d;
+  }
+
+  private static JobKind kind(String word) throws Json.Bad {
+    return switch (word) {
+      case "sweep" -> JobKind.ARRAY;
+      case "gang" -> JobKind.GANG;
+      case "service" -> JobKind.SERVICE;
+      default -> throw new Json.Bad("shape is invalid");
+    };
+  }
+
+  private static Priority priority(String word) throws Json.Bad {
+    return switch (word) {
+      case "critical" -> Priority.PRODUCTION;
+      case "urgent" -> Priority.HIGH;
+      case "standard" -> Priority.NORMAL;
+      case "idle" -> Priority.LOW;
+      default -> throw new Json.Bad("rank is invalid");
+    };
+  }
+
+  /** A job's state as its user reads it. */
+  public static Map<String, Object> state(String id, JobAnswer a) {
+    Map<String, Object> m = new LinkedHashMap<>();
+    m.put("id", id);
+    m.put("phase", a.phase());
+    m.put("done", a.done());
+    m.put("running", a.running());
+    return m;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/astershift/api/PublicApi.java
@@ -0,0 +1,136 @@
+package org.astershift.api;
+
+import java.util.List;
+import java.util.Map;
+import org.astershift.core.JobKind;
+import org.astershift.core.JobSpec;
+import org.astershift.core.MachineType;
+import org.astershift.core.Order;
+import org.astershift.core.Report;
+import org.astershift.core.Team;
+import org.astershift.http.HttpServer.Handler;
+import org.astershift.http.HttpServer.Request;
+import org.astershift.http.HttpServer.Response;
+import org.astershift.http.Json;
+import org.astershift.leader.Director;
+import org.astershift.peer.JobAnswer;
+import org.astershift.worker.WorkerCodec;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The published interface: users, workers and health checks. */
+public final class PublicApi implements Handler {
+  private static final Logger LOG = LoggerFactory.getLogger(PublicApi.class);
+  private static final String JOBS = "/v2/runs";
+  private static final String CANCEL = "/withdraw";
+  private final Director director;
+  private final Map<String, Team> teams;
+
+  public PublicApi(Director director, Map<String, Team> teams) {
+    this.director = director;
+    this.teams = teams;
+  }
+
+  @Override
+  public Response handle(Request r) throws InterruptedException {
+    String path = r.path();
+    if (path.equals("/agent/beat")) {
+      return r.method().equals("POST") ? report(r) : wrongMethod();
+    }
+    if (path.equals("/ready")) {
+      if (!r.method().equals("GET")) {
+        return wrongMethod();
+      }
+      return director.ready()
+          ? Response.of(200, Map.of("ready", true))
+          : Response.error(503, "starting");
+    }
+    if (path.equals(JOBS)) {
+      return r.method().equals("POST") ? submit(r) : wrongMethod();
+    }
+    if (path.startsWith(JOBS + "/")) {
+      String rest = path.substring(JOBS.length() + 1);
+      boolean cancel = rest.endsWith(CANCEL);
+      String id = cancel ? rest.substring(0, rest.length() - CANCEL.length()) : rest;
+      if (id.contains("/")) {
+        return Response.error(404, "no such path");
+      }
+      if (!r.method().equals(cancel ? "POST" : "GET")) {
+        return wrongMethod();
+      }
+      if (!JobCodec.isId(id)) {
+        return Response.error(400, "not a job's id");
+      }
+      return answer(id, cancel ? director.cancel(id, true) : director.poll(id, true));
+    }
+    return Response.error(404, "no such path");
+  }
+
+  private static Response wrongMethod() {
+    return Response.error(405, "wrong method");
+  }
+
+  private static Response answer(String id, JobAnswer a) {
+    return switch (a.status()) {
+      case 200 -> Response.of(200, JobCodec.state(id, a));
+      case 404 -> Response.error(404, "no such job");
+      default -> Response.error(503, "cannot be decided now");
+    };
+  }
+
+  private Response submit(Request r) throws InterruptedException {
+    JobSpec spec;
+    try {
+      spec = JobCodec.spec(Json.object(r.body()));
+    } catch (Json.Bad e) {
+      return Response.error(400, e.getMessage());
+    }
+    Map<String, MachineType> types = director.types();
+    if (types.isEmpty()) {
+      return Response.error(503, "machine types are not known yet");
+    }
+    String never = neverRuns(spec, types);
+    Director.Submitted s = director.submit(spec, never != null);
+    return switch (s.status()) {
+      case 200, 201 -> Response.of(s.status(), JobCodec.state(spec.id(), s.known()));
+      case 422 -> Response.error(422, never);
+      default -> Response.error(503, "cannot be accepted now");
+    };
+  }
+
+  /** Why the job can never run, or null. */
+  private String neverRuns(JobSpec spec, Map<String, MachineType> types) {
+    Team team = teams.get(spec.team());
+    if (team == null) {
+      return "unknown team";
+    }
+    boolean fits = false;
+    for (MachineType t : types.values()) {
+      fits |= spec.fits(t);
+    }
+    if (!fits) {
+      return "a task fits no allowed machine type";
+    }
+    int together = spec.kind() == JobKind.ARRAY ? 1 : spec.tasks();
+    return team.allows(together * spec.cpus(), together * spec.gpus())
+        ? null
+        : "more than the team's limit";
+  }
+
+  private Response report(Request r) {
+    Report report;
+    try {
+      report = WorkerCodec.report(Json.object(r.body()));
+    } catch (Json.Bad e) {
+      LOG.info("a report that makes no sense: {}", e.getMessage());
+      return Response.error(400, e.getMessage());
+    }
+    long token = director.token();
+    List<Order> orders = director.report(report, token);
+    if (orders == null) {
+      String leader = director.otherLeader();
+      return Response.of(421, leader == null ? Map.of() : Map.of("harbormaster", leader));
+    }
+    return Response.of(200, Map.of("helm", token, "orders", WorkerCodec.orders(orders)));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/astershift/cloud/CloudClient.java
@@ -0,0 +1,157 @@
+package org.astershift.cloud;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.astershift.config.Constants;
+import org.astershift.config.Settings;
+import org.astershift.core.Decision;
+import org.astershift.core.MachineType;
+import org.astershift.core.Scheduler.Listed;
+import org.astershift.http.HttpClient;
+import org.astershift.http.Json;
+import org.astershift.store.RateBudget;
+
+/** Speaks the cloud's protocol, within its limit of calls. */
+public final class CloudClient {
+  private final HttpClient http;
+  private final RateBudget calls;
+
+  public CloudClient(Settings settings) {
+    this.http = new HttpClient(settings.cloud().host(), settings.cloud().port(), 3);
+    this.calls = new RateBudget(settings.cloudRps(), Constants.CLOUD_BUDGET);
+  }
+
+  /** The cloud refused: nothing was done. {@code noCapacity}: there is none of what was asked. */
+  public static final class Refused extends IOException {
+    private static final long serialVersionUID = 1L;
+    private final boolean noCapacity;
+
+    Refused(String message, boolean noCapacity) {
+      super(message);
+      this.noCapacity = noCapacity;
+    }
+
+    public boolean noCapacity() {
+      return noCapacity;
+    }
+  }
+
+  public Map<String, MachineType> types() throws IOException {
+    try {
+      Map<String, MachineType> out = new LinkedHashMap<>();
+      for (Object o : Json.list(Json.object(call("GET", "/flavors", null)), "hulls")) {
+        Map<String, Object> m = Json.object(o, "type");
+        List<String> zones = new ArrayList<>();
+        for (Object z : Json.list(m, "harbors")) {
+          zones.add(String.valueOf(z));
+        }
+        Double gpus = Json.numberOrNull(m, "gpus");
+        String name = Json.text(m, "name");
+        out.put(
+            name,
+            new MachineType(
+                name,
+                Json.number(m, "vcpus"),
+                gpus == null ? 0 : gpus,
+                Json.number(m, "mem_gb"),
+                Json.number(m, "local_gb"),
+                Json.number(m, "pull_gb_per_s"),
+                Json.number(m, "hourly"),
+                Json.number(m, "low_price"),
+                Json.number(m, "ready_s"),
+                zones));
+      }
+      return out;
+    } catch (Json.Bad e) {
+      throw new IOException("machine types: " + e.getMessage());
+    }
+  }
+
+  /** Rents under a name of its own; repeating the name repeats the answer. */
+  public List<String> rent(String name, Decision.Rent r) throws IOException {
+    Map<String, Object> body = new LinkedHashMap<>();
+    body.put("charter", name);
+    body.put("hull", r.type());
+    body.put("harbor", r.zone());
+    body.put("ebbtide", r.spot());
+    body.put("number", r.count());
+    try {
+      List<String> names = new ArrayList<>();
+      for (Object o : Json.list(Json.object(call("POST", "/hosts", body)), "vessels")) {
+        names.add(String.valueOf(o));
+      }
+      return names;
+    } catch (Json.Bad e) {
+      throw new IOException("rental: " + e.getMessage());
+    }
+  }
+
+  public void giveBack(List<String> names) throws IOException {
+    call("POST", "/hosts/return", Map.of("vessels", names));
+  }
+
+  /** The whole list, page by page. */
+  public List<Listed> list() throws IOException {
+    List<Listed> out = new ArrayList<>();
+    String after = "";
+    boolean more = true;
+    try {
+      while (more) {
+        String path = "/hosts?limit=500" + (after.isEmpty() ? "" : "&from=" + after);
+        Map<String, Object> m = Json.object(call("GET", path, null));
+        List<?> rows = Json.list(m, "vessels");
+        for (Object o : rows) {
+          Map<String, Object> v = Json.object(o, "machine");
+          Double age = Json.numberOrNull(v, "held_s");
+          Listed l =
+              new Listed(
+                  Json.text(v, "id"),
+                  Json.textOrNull(v, "addr"),
+                  Json.text(v, "hull"),
+                  Json.text(v, "harbor"),
+                  Json.flagOr(v, "ebbtide", false),
+                  Json.text(v, "phase"),
+                  age == null ? 0 : age);
+          out.add(l);
+          after = l.name();
+        }
+        more = Json.flagOr(m, "more", false) && !rows.isEmpty();
+      }
+    } catch (Json.Bad e) {
+      throw new IOException("machine list: " + e.getMessage());
+    }
+    return out;
+  }
+
+  private byte[] call(String method, String path, Map<String, Object> body) throws IOException {
+    try {
+      if (!calls.acquire(RateBudget.Use.ACCEPT, 1, Constants.CLOUD_TIMEOUT_MS)) {
+        throw new Refused("over the limit of calls", false);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new Refused("interrupted", false);
+    }
+    HttpClient.Answer a;
+    try {
+      a = http.call(method, path, body == null ? null : Json.bytes(body), Constants.CLOUD_TIMEOUT_MS);
+    } catch (HttpClient.NotSent e) {
+      throw new Refused(e.getMessage(), false);
+    }
+    if (a.status() == 200) {
+      return a.body();
+    }
+    boolean noCapacity = false;
+    if (a.status() == 503) {
+      try {
+        noCapacity = "no capacity".equals(Json.object(a.body()).get("error"));
+      } catch (Json.Bad e) {
+        noCapacity = false;
+      }
+    }
+    throw new Refused("status " + a.status(), noCapacity);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -0,0 +1,196 @@
+package org.astershift.config;
+
+/**
+ * Every constant of the program, with its unit and the reason for its value. What a deployment may
+ * want otherwise is in {@link Operator}; what the platform decides is in {@link Settings}.
+ */
+public final class Constants {
+  private Constants() {}
+
+  // ---- time ----
+
+  /** Largest drift between two steady clocks, as a share: the protocol promises 0.05%. */
+  public static final double CLOCK_DRIFT = 0.0005;
+
+  /** Milliseconds on top of every bound computed from another clock: timers fire in steps. */
+  public static final long CLOCK_MARGIN_MS = 300;
+
+  // ---- leadership ----
+
+  /** Life of the leadership's lease. Shorter means faster takeover, longer survives slow renewals. */
+  public static final long LEADER_LEASE_MS = 3000;
+
+  /** How often the lease is renewed: several tries fit into its life. */
+  public static final long LEADER_RENEW_MS = 800;
+
+  /** Pause between tries to become leader while another holds the lease. */
+  public static final long ELECTION_POLL_MS = 500;
+
+  /** Bits of an attempt number left to the counter within one term; the term's token is above. */
+  public static final int ATTEMPT_BITS = 20;
+
+  // ---- scheduling ----
+
+  /** Tasks of the queue looked at for a machine, as in the paper (section 4). */
+  public static final int WINDOW = 2500;
+
+  /** Utilization from which a machine without a cached image stays free; paper, section 2.2. */
+  public static final double UTILIZATION = 0.9;
+
+  /** Tasks given to one machine in one pass; ours. */
+  public static final int BATCH = 64;
+
+  /** Seconds after which a task takes any machine, where no aim says so; ours. */
+  public static final double WAITING_AGE_S = 5;
+
+  /** Share of an aim's time after which a task takes any machine: the rest is for its start. */
+  public static final double WAITING_AGE_SHARE = 0.2;
+
+  /** Aims on starting up to this many seconds may stop work of lower priority. */
+  public static final double TIGHT_START_S = 5;
+
+  /** Milliseconds between passes when nothing happens. */
+  public static final long PASS_MS = 250;
+
+  /** Milliseconds without new starts on a machine that refused one: its report is on the way. */
+  public static final long REFUSED_HOLD_MS = 1000;
+
+  /** Milliseconds without new starts on a machine where a task failed. */
+  public static final long FAILED_HOLD_MS = 1500;
+
+  /** Failures in a row, without a completed task between, that convict a machine. */
+  public static final int FAILURES_TO_CONDEMN = 2;
+
+  /** First pause of a job that fails everywhere; doubled with each further machine. */
+  public static final long ERROR_PAUSE_MS = 1000;
+
+  /** Milliseconds between tries to make an inherited machine show this leader's token. */
+  public static final long CLAIM_RETRY_MS = 1000;
+
+  // ---- machines ----
+
+  /** Seconds without work after which a machine is returned; paper, section 4.1. */
+  public static final double IDLE_RELEASE_S = 30;
+
+  /** Silence, in report intervals, after which a machine is returned to have proof of its end. */
+  public static final double SILENT_REPORTS = 3.5;
+
+  /** Milliseconds of silence below which no machine is returned, however short the reports. */
+  public static final long SILENT_MIN_MS = 7000;
+
+  /** A boot this many times longer than the type's usual one is given up. */
+  public static final double BOOT_PATIENCE = 2.2;
+
+  /** Milliseconds on top of that: worker start and first report. */
+  public static final long BOOT_PATIENCE_MS = 8000;
+
+  /** Pause of a type, zone and kind that had no capacity. */
+  public static final long NO_CAPACITY_MS = 15_000;
+
+  /** Milliseconds between rent plans. */
+  public static final long RENT_PLAN_MS = 1000;
+
+  // ---- outside ----
+
+  /** Share of the state service's limits that this node allows itself as leader and otherwise. */
+  public static final double LEADER_BUDGET = 0.75;
+
+  public static final double FOLLOWER_BUDGET = 0.2;
+
+  /** Share of the limit of cloud calls that is used: the others are followers and call nothing. */
+  public static final double CLOUD_BUDGET = 0.85;
+
+  /** Deadline of one request to the state service, milliseconds: slow answers take a few hundred. */
+  public static final int STORE_TIMEOUT_MS = 1500;
+
+  /** Deadline of one cloud call, milliseconds: replies take about a hundred. */
+  public static final int CLOUD_TIMEOUT_MS = 5000;
+
+  /** Deadline of one direct order, milliseconds. */
+  public static final int ORDER_TIMEOUT_MS = 2500;
+
+  /** Connections from other controllers: they keep a few each. */
+  public static final int PEER_CONNECTIONS = 32;
+
+  /** Deadline of a request forwarded to the leader, within the user's two seconds for a poll. */
+  public static final int PEER_TIMEOUT_MS = 1500;
+
+  /** Within this many milliseconds a user's request is answered, if only by 503; users wait 5 s. */
+  public static final int USER_TIMEOUT_MS = 4000;
+
+  /** How long a watch of the state service blocks. */
+  public static final int WATCH_BLOCK_MS = 10_000;
+
+  /** Pause after a failed request to the state service or the cloud, milliseconds. */
+  public static final long RETRY_MS = 300;
+
+  /** Seconds that a 503 asks its caller to wait. */
+  public static final int RETRY_AFTER_S = 1;
+
+  /** How long a write may wait for its share of the limits. */
+  public static final long STORE_PATIENCE_MS = 3000;
+
+  /** Pause before a cloud call is repeated, milliseconds. */
+  public static final long CLOUD_RETRY_MS = 1000;
+
+  /** How long a cancellation waits until it can be kept, within the peer's deadline. */
+  public static final long CANCEL_PATIENCE_MS = 1200;
+
+  /** Milliseconds between looks whether it can. */
+  public static final long CANCEL_LOOK_MS = 40;
+
+  /** Milliseconds between summaries in the log. */
+  public static final long SUMMARY_MS = 10_000;
+
+  /** Milliseconds between machine lists. */
+  public static final long LIST_MS = 2500;
+
+  /** Milliseconds between looks at the machine types once they are known: prices move. */
+  public static final long TYPES_MS = 60_000;
+
+  /** Milliseconds between saves of progress. */
+  public static final long SAVE_MS = 4000;
+
+  // ---- http ----
+
+  /** Largest request body, bytes; the protocol's. */
+  public static final int BODY_BYTES = 64 * 1024;
+
+  /** Largest response taken from the state service or the cloud, bytes. A watch has no size limit. */
+  public static final int RESPONSE_BYTES = 16 * 1024 * 1024;
+
+  /** Largest request line and headers together, bytes. */
+  public static final int HEAD_BYTES = 16 * 1024;
+
+  /** An idle connection of a user or worker is closed after this many milliseconds. */
+  public static final int IDLE_TIMEOUT_MS = 60_000;
+
+  /** A started request has to arrive whole within this many milliseconds. */
+  public static final int REQUEST_TIMEOUT_MS = 5000;
+
+  /** Share of the sockets allowed that incoming connections may take. */
+  public static final double INCOMING_SHARE = 0.5;
+
+  /** Most incoming connections whatever the limit on sockets: each has a thread. */
+  public static final int INCOMING_MAX = 400;
+
+  /** Stack of a connection's thread, bytes. */
+  public static final long STACK_BYTES = 192 * 1024;
+
+  /** Threads that send direct orders: a machine behind a cut holds one for the deadline. */
+  public static final int ORDER_THREADS = 12;
+
+  /** A kept connection of ours is not used again after this many nanoseconds without use. */
+  public static final long KEEP_CLIENT_NS = 20_000_000_000L;
+
+  // ---- records ----
+
+  /** Tasks in one record of done tasks: as base64 it stays below the smallest value limit. */
+  public static final int SEGMENT_TASKS = 32_768;
+
+  /** Ended jobs kept in memory; others are read from the state service. */
+  public static final int ENDED_KEPT = 50_000;
+
+  /** Rows asked for in one list of the state service. */
+  public static final int LIST_ROWS = 1000;
+}
--- /dev/null
+++ b/src/main/java/org/astershift/core/Decision.java
@@ -0,0 +1,29 @@
+package org.astershift.core;
+
+import java.util.List;
+
+/** What the core wants done outside. Each is repeated by a later pass until its effect is told. */
+public sealed interface Decision {
+
+  /** Record that commands for this job may go out; none goes out before that is durable. */
+  record OpenJob(String job) implements Decision {}
+
+  /** Send these commands straight to the machine. */
+  record Direct(String machine, String addr, long session, List<Order> orders) implements Decision {}
+
+  /** Record that the job is done. */
+  record FinishJob(String job) implements Decision {}
+
+  /** Rent machines. */
+  record Rent(String type, String zone, boolean spot, int count) implements Decision {}
+
+  /** Give machines back. */
+  record Return(List<String> machines) implements Decision {}
+
+  /** Record a machine's name, so that a successor knows it may hold tasks. */
+  record Enrol(String machine, String addr, String type, String zone, boolean spot)
+      implements Decision {}
+
+  /** Drop the record of a machine that is provably gone. */
+  record Strike(String machine, String addr) implements Decision {}
+}
--- /dev/null
+++ b/src/main/java/org/astershift/core/Fleet.java
@@ -0,0 +1,319 @@
+package org.astershift.core;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.astershift.config.Constants;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Which machines to rent and to give back. Renting follows the length of the queue, counted as the
+ * tasks that neither free nor booting machines cover.
+ */
+final class Fleet {
+  private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
+  private final Scheduler s;
+  private final Map<String, Decision.Rent> underWay = new LinkedHashMap<>();
+  private final Map<String, Long> paused = new HashMap<>();
+  private final Set<String> failedNames = new HashSet<>();
+  private long lastPlanMs = Long.MIN_VALUE / 2;
+
+  Fleet(Scheduler s) {
+    this.s = s;
+  }
+
+  void arrived(JobSpec spec, long nowMs) {}
+
+  void renting(String rental, Decision.Rent rent) {
+    underWay.put(rental, rent);
+  }
+
+  void settled(String rental) {
+    underWay.remove(rental);
+  }
+
+  void pause(Decision.Rent rent, long nowMs) {
+    paused.put(pool(rent.type(), rent.zone(), rent.spot()), nowMs + Constants.NO_CAPACITY_MS);
+  }
+
+  /** A failed machine stays listed until it is deleted. */
+  void discard(String name) {
+    failedNames.add(name);
+  }
+
+  void discarded(String name) {
+    failedNames.remove(name);
+  }
+
+  private static String pool(String type, String zone, boolean spot) {
+    return type + "/" + zone + "/" + spot;
+  }
+
+  List<Decision> plan(long nowMs) {
+    List<Decision> out = new ArrayList<>();
+    if (nowMs - lastPlanMs < Constants.RENT_PLAN_MS || s.types.isEmpty()) {
+      return out;
+    }
+    lastPlanMs = nowMs;
+    giveBack(out, nowMs);
+    rent(out, nowMs);
+    return out;
+  }
+
+  // ---- giving back ----
+
+  private void giveBack(List<Decision> out, long nowMs) {
+    List<String> names = new ArrayList<>(failedNames);
+    int silent = 0;
+    int live = 0;
+    for (Machine m : s.machines.values()) {
+      if (m.state != Machine.State.BOOTING) {
+        live++;
+        silent += silent(m, nowMs) ? 1 : 0;
+      }
+    }
+    // If most are silent the trouble is more likely here than there.
+    boolean believe = silent <= Math.max(2, live / 2);
+    for (Machine m : s.machines.values()) {
+      String why = whyReturn(m, believe, nowMs);
+      if (why != null && m.state != Machine.State.RETURNING) {
+        LOG.info("machine {} ({} in {}) is returned: {}", m.name, m.type, m.zone, why);
+        m.state = Machine.State.RETURNING;
+      }
+      if (m.state == Machine.State.RETURNING) {
+        names.add(m.name);
+      }
+    }
+    for (int i = 0; i < names.size(); i += 100) {
+      out.add(new Decision.Return(names.subList(i, Math.min(names.size(), i + 100))));
+    }
+  }
+
+  private boolean silent(Machine m, long nowMs) {
+    long limit =
+        Math.max(
+            Constants.SILENT_MIN_MS, (long) (Constants.SILENT_REPORTS * s.facts.reportS() * 1000));
+    return nowMs - Math.max(m.seenMs, m.heardMs) > limit;
+  }
+
+  private String whyReturn(Machine m, boolean believe, long nowMs) {
+    MachineType t = s.types.get(m.type);
+    switch (m.state) {
+      case BOOTING -> {
+        double limit =
+            t == null ? 60_000 : t.bootS() * 1000 * Constants.BOOT_PATIENCE + Constants.BOOT_PATIENCE_MS;
+        return nowMs - m.knownMs > limit ? "not up after " + (nowMs - m.knownMs) + " ms" : null;
+      }
+      case UNHEARD, LOST -> {
+        return believe && silent(m, nowMs) ? "silent" : null;
+      }
+      case LIVE -> {
+        if (believe && silent(m, nowMs)) {
+          return "silent with " + m.held().size() + " tasks";
+        }
+        if (m.condemned) {
+          for (Run run : m.held()) {
+            Placement.stop(run);
+          }
+          return m.holdsAny() ? null : "faulty";
+        }
+        if (!m.holdsAny() && nowMs - m.idleSinceMs > s.policy.idleReleaseS() * 1000) {
+          return "idle";
+        }
+        return null;
+      }
+      default -> {
+        return null;
+      }
+    }
+  }
+
+  // ---- renting ----
+
+  /** Room that is on its way, by machine. */
+  private static final class Bin {
+    final MachineType type;
+    final String zone;
+    final boolean spot;
+    double cpus;
+    double gpus;
+    double memory;
+
+    Bin(MachineType type, String zone, boolean spot) {
+      this.type = type;
+      this.zone = zone;
+      this.spot = spot;
+      this.cpus = type.cpus();
+      this.gpus = type.gpus();
+      this.memory = type.memoryGb();
+    }
+
+    boolean take(JobSpec spec) {
+      if ((spot && !spec.spot())
+          || (spec.types() != null && !spec.types().contains(type.name()))
+          || (spec.zone() != null && !spec.zone().equals(zone))
+          || (type.gpus() > 0 && spec.gpus() == 0)
+          || cpus + 1e-6 < spec.cpus()
+          || gpus + 1e-6 < spec.gpus()
+          || memory + 1e-6 < spec.memoryGb()) {
+        return false;
+      }
+      cpus -= spec.cpus();
+      gpus -= spec.gpus();
+      memory -= spec.memoryGb();
+      return true;
+    }
+  }
+
+  private void rent(List<Decision> out, long nowMs) {
+    List<Bin> bins = new ArrayList<>();
+    for (Machine m : s.machines.values()) {
+      MachineType t = s.types.get(m.type);
+      if (t != null && m.state == Machine.State.BOOTING) {
+        bins.add(new Bin(t, m.zone, m.spot));
+      }
+    }
+    for (Decision.Rent r : underWay.values()) {
+      MachineType t = s.types.get(r.type());
+      for (int i = 0; t != null && i < r.count(); i++) {
+        bins.add(new Bin(t, r.zone(), r.spot()));
+      }
+    }
+    List<Job> queue = new ArrayList<>();
+    for (Job job : s.jobs.values()) {
+      if (!job.waiting.isEmpty() && !job.cancelWanted && nowMs >= job.pausedUntilMs) {
+        queue.add(job);
+      }
+    }
+    queue.sort(java.util.Comparator.comparing((Job j) -> j.spec.priority()));
+    Map<String, Decision.Rent> wanted = new LinkedHashMap<>();
+    for (Job job : queue) {
+      int uncovered = concurrency(job, nowMs);
+      for (Bin bin : bins) {
+        while (uncovered > 0 && bin.take(job.spec)) {
+          uncovered--;
+        }
+      }
+      int guard = 0;
+      while (uncovered > 0 && guard++ < 20) {
+        Decision.Rent r = cheapest(job, uncovered, wanted, nowMs);
+        if (r == null) {
+          break;
+        }
+        MachineType t = s.types.get(r.type());
+        for (int i = 0; i < r.count(); i++) {
+          Bin bin = new Bin(t, r.zone(), r.spot());
+          while (uncovered > 0 && bin.take(job.spec)) {
+            uncovered--;
+          }
+          bins.add(bin);
+        }
+        wanted.merge(
+            pool(r.type(), r.zone(), r.spot()),
+            r,
+            (a, b) -> new Decision.Rent(a.type(), a.zone(), a.spot(), a.count() + b.count()));
+      }
+    }
+    for (Decision.Rent r : wanted.values()) {
+      for (int left = r.count(); left > 0; left -= s.facts.rentBatch()) {
+        int n = Math.min(left, s.facts.rentBatch());
+        out.add(new Decision.Rent(r.type(), r.zone(), r.spot(), n));
+      }
+      LOG.info("renting {} {} in {}{}", r.count(), r.type(), r.zone(), r.spot() ? ", spot" : "");
+    }
+  }
+
+  /** How many of the waiting tasks should run at once for the job to be in time. */
+  private int concurrency(Job job, long nowMs) {
+    JobSpec spec = job.spec;
+    int n = job.waiting.cardinality();
+    Team team = s.facts.teams().get(spec.team());
+    if (team != null) {
+      double[] use = s.teamUse(team.name());
+      if (team.cpusMax() > 0 && spec.cpus() > 0) {
+        n = (int) Math.min(n, Math.max(0, (team.cpusMax() - use[0]) / spec.cpus() + 1e-6));
+      }
+      if (team.gpusMax() > 0 && spec.gpus() > 0) {
+        n = (int) Math.min(n, Math.max(0, (team.gpusMax() - use[1]) / spec.gpus() + 1e-6));
+      }
+    }
+    if (spec.kind() == JobKind.ARRAY && spec.deadlineS() != null && spec.estimateS() > 0) {
+      double left = spec.deadlineS() - (nowMs - job.submittedMs) / 1000.0 - spec.estimateS() / 2;
+      double rounds = Math.max(1, left / spec.estimateS());
+      n = (int) Math.min(n, Math.ceil(n / rounds));
+    }
+    return n;
+  }
+
+  /** The cheapest machines for this many tasks of the job; null if none can be had now. */
+  private Decision.Rent cheapest(
+      Job job, int tasks, Map<String, Decision.Rent> wanted, long nowMs) {
+    JobSpec spec = job.spec;
+    Decision.Rent best = null;
+    double bestCost = Double.MAX_VALUE;
+    for (MachineType t : s.types.values()) {
+      if (!spec.fits(t) || (t.gpus() > 0 && spec.gpus() == 0 && plainFits(spec))) {
+        continue;
+      }
+      int per = perMachine(spec, t);
+      int count = (tasks + per - 1) / per;
+      for (boolean spot : spec.spot() ? new boolean[] {true, false} : new boolean[] {false}) {
+        for (String zone : t.zones()) {
+          String pool = pool(t.name(), zone, spot);
+          if ((spec.zone() != null && !spec.zone().equals(zone))
+              || paused.getOrDefault(pool, Long.MIN_VALUE) > nowMs
+              || (spec.oneZone() && !job.zoneAllowed(zone))
+              || (spec.spread() && !job.zoneAllowed(zone))
+              || wanted.containsKey(pool)) {
+            continue;
+          }
+          int n = spec.spread() || !spec.oneZone() ? Math.min(count, zoneShare(count, t)) : count;
+          // A tie goes to the zone with the fewest machines, which spreads the fleet.
+          double cost = count * t.price(spot) * (1 + 0.001 * inZone(zone));
+          if (cost < bestCost) {
+            bestCost = cost;
+            best = new Decision.Rent(t.name(), zone, spot, n);
+          }
+        }
+      }
+    }
+    return best;
+  }
+
+  private static int zoneShare(int count, MachineType t) {
+    return Math.max(1, (count + t.zones().size() - 1) / t.zones().size());
+  }
+
+  private int inZone(String zone) {
+    int n = 0;
+    for (Machine m : s.machines.values()) {
+      n += m.zone.equals(zone) ? 1 : 0;
+    }
+    return n;
+  }
+
+  private boolean plainFits(JobSpec spec) {
+    for (MachineType t : s.types.values()) {
+      if (t.gpus() == 0 && spec.fits(t)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static int perMachine(JobSpec spec, MachineType t) {
+    double per = t.memoryGb() / Math.max(spec.memoryGb(), 1e-9);
+    if (spec.cpus() > 0) {
+      per = Math.min(per, t.cpus() / spec.cpus());
+    }
+    if (spec.gpus() > 0) {
+      per = Math.min(per, t.gpus() / spec.gpus());
+    }
+    return Math.max(1, (int) Math.floor(per + 1e-6));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/astershift/core/JobSpec.java
@@ -0,0 +1,44 @@
+package org.astershift.core;
+
+import java.util.List;
+
+/**
+ * A job as its user described it. {@code types} null means any machine type, {@code zone} null any
+ * zone, {@code deadlineS} null no deadline.
+ */
+public record JobSpec(
+    String id,
+    String jobClass,
+    String team,
+    JobKind kind,
+    Priority priority,
+    int tasks,
+    double cpus,
+    double gpus,
+    double memoryGb,
+    String image,
+    double imageGb,
+    List<String> types,
+    String zone,
+    boolean oneZone,
+    boolean spread,
+    boolean spot,
+    double estimateS,
+    double checkpointS,
+    double saveS,
+    Double deadlineS) {
+
+  /** Whether one task could ever run on an empty machine of this type. */
+  public boolean fits(MachineType type) {
+    return (types == null || types.contains(type.name()))
+        && cpus <= type.cpus() + 1e-9
+        && gpus <= type.gpus() + 1e-9
+        && memoryGb <= type.memoryGb() + 1e-9
+        && (zone == null || type.zones().contains(zone));
+  }
+
+  /** How many tasks a spread job may have in one zone: half of them, rounded up. */
+  public int spreadLimit() {
+    return (tasks + 1) / 2;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/astershift/core/Priority.java
@@ -0,0 +1,9 @@
+package org.astershift.core;
+
+/** Priorities, the most urgent first, so that the ordinal sorts the queue. */
+public enum Priority {
+  PRODUCTION,
+  HIGH,
+  NORMAL,
+  LOW
+}
--- /dev/null
+++ b/src/main/java/org/astershift/core/Report.java
@@ -0,0 +1,35 @@
+package org.astershift.core;
+
+import java.util.List;
+
+/** What a worker said of its machine. The larger (session, seq) is the newer one. */
+public record Report(
+    String machine,
+    String addr,
+    String type,
+    String zone,
+    boolean spot,
+    long session,
+    long seq,
+    long token,
+    Double noticeS,
+    List<Item> tasks) {
+
+  /** One task on the machine. */
+  public record Item(
+      String job, int index, long attempt, Phase phase, String cause, boolean saved) {}
+
+  /** States of a task on its machine. */
+  public enum Phase {
+    FETCHING,
+    WAITING,
+    RUNNING,
+    SAVING,
+    EXITED
+  }
+
+  /** Whether this report is newer than the given position. */
+  public boolean newerThan(long otherSession, long otherSeq) {
+    return session > otherSession || (session == otherSession && seq > otherSeq);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/astershift/core/Run.java
@@ -0,0 +1,48 @@
+package org.astershift.core;
+
+/** One attempt of one task on one machine, from the decision to place it until its proof of end. */
+final class Run {
+  final Job job;
+  final int index;
+  final long attempt;
+  final Machine machine;
+  final long placedMs;
+
+  /** What the machine last reported; null while it has not shown the task in this session. */
+  Report.Phase phase;
+
+  /** A start command went out, in whatever way. */
+  boolean ordered;
+
+  /**
+   * A direct order with this start got no answer, so the start may still be executed minutes later
+   * while token and session match. Until the session is over the attempt must not be cleared: that
+   * would make the worker forget it, and the late start would run the task a second time.
+   */
+  boolean doubtful;
+
+  /** Direct orders with this start that are under way now. */
+  boolean inFlight;
+
+  boolean stopping;
+  boolean stopSent;
+  double stopGraceS;
+  String cause;
+  long runningSinceMs = -1;
+
+  Run(Job job, int index, long attempt, Machine machine, long placedMs) {
+    this.job = job;
+    this.index = index;
+    this.attempt = attempt;
+    this.machine = machine;
+    this.placedMs = placedMs;
+  }
+
+  boolean exited() {
+    return phase == Report.Phase.EXITED;
+  }
+
+  String name() {
+    return job.spec.id() + "/" + index;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/astershift/http/HttpClient.java
@@ -0,0 +1,136 @@
+package org.astershift.http;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.astershift.config.Constants;
+
+/**
+ * Requests to one address over kept connections. Every call has a deadline over connecting, sending
+ * and receiving. It never repeats a request by itself: whether that is safe only the caller knows.
+ */
+public final class HttpClient {
+  private final String host;
+  private final int port;
+  private final int keep;
+  private final Deque<Connection> idle = new ArrayDeque<>();
+
+  public HttpClient(String host, int port, int keep) {
+    this.host = host;
+    this.port = port;
+    this.keep = keep;
+  }
+
+  /** Status and body of an answer. */
+  public record Answer(int status, byte[] body) {}
+
+  /** No connection came about, so nothing of the request was sent. */
+  public static final class NotSent extends IOException {
+    private static final long serialVersionUID = 1L;
+
+    NotSent(IOException cause) {
+      super("not sent: " + cause, cause);
+    }
+  }
+
+  private static final class Connection {
+    final Socket socket;
+    final Wire wire;
+    long lastNs;
+
+    Connection(Socket socket) throws IOException {
+      this.socket = socket;
+      this.wire = new Wire(socket);
+    }
+  }
+
+  /** Sends one request. An {@link IOException} other than NotSent leaves its effect unknown. */
+  public Answer call(String method, String path, byte[] body, int timeoutMs) throws IOException {
+    long deadline = System.nanoTime() + timeoutMs * 1_000_000L;
+    Connection c = take();
+    if (c == null) {
+      c = connect(timeoutMs);
+    }
+    boolean ok = false;
+    try {
+      StringBuilder head = new StringBuilder(128);
+      head.append(method).append(' ').append(path).append(" HTTP/1.1\r\nHost: ").append(host);
+      head.append(':').append(port);
+      if (body != null) {
+        head.append("\r\nContent-Type: application/json\r\nContent-Length: ").append(body.length);
+      }
+      head.append("\r\n\r\n");
+      write(c.socket, head.toString(), body == null ? new byte[0] : body);
+      int left = (int) Math.max(1, (deadline - System.nanoTime()) / 1_000_000);
+      Wire.Message m = c.wire.read(left, Constants.RESPONSE_BYTES, false);
+      String[] start = m.start().split(" ", 3);
+      if (start.length < 2 || !start[1].matches("[0-9]{3}")) {
+        throw new IOException("bad status line");
+      }
+      ok = !m.closes();
+      return new Answer(Integer.parseInt(start[1]), m.body());
+    } finally {
+      if (ok) {
+        give(c);
+      } else {
+        c.socket.close();
+      }
+    }
+  }
+
+  private Connection connect(int timeoutMs) throws NotSent {
+    Socket socket = new Socket();
+    try {
+      socket.setTcpNoDelay(true);
+      socket.connect(new InetSocketAddress(InetAddress.getByName(host), port), timeoutMs);
+      return new Connection(socket);
+    } catch (IOException e) {
+      try {
+        socket.close();
+      } catch (IOException again) {
+        e.addSuppressed(again);
+      }
+      throw new NotSent(e);
+    }
+  }
+
+  private synchronized Connection take() {
+    while (!idle.isEmpty()) {
+      Connection c = idle.pollLast();
+      // An old connection may be closed at the other end, and a failure there looks like an unknown.
+      if (System.nanoTime() - c.lastNs < Constants.KEEP_CLIENT_NS) {
+        return c;
+      }
+      closeQuietly(c);
+    }
+    return null;
+  }
+
+  private synchronized void give(Connection c) {
+    c.lastNs = System.nanoTime();
+    if (idle.size() >= keep) {
+      closeQuietly(idle.pollFirst());
+    }
+    idle.addLast(c);
+  }
+
+  private static void closeQuietly(Connection c) {
+    try {
+      c.socket.close();
+    } catch (IOException e) {
+      // it is given up either way
+    }
+  }
+
+  /** One write for head and body: each is a packet and a system call. */
+  static void write(Socket socket, String head, byte[] body) throws IOException {
+    byte[] h = Wire.ascii(head);
+    byte[] all = new byte[h.length + body.length];
+    System.arraycopy(h, 0, all, 0, h.length);
+    System.arraycopy(body, 0, all, h.length, body.length);
+    socket.getOutputStream().write(all);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/astershift/http/HttpException.java
@@ -0,0 +1,18 @@
+package org.astershift.http;
+
+import java.io.IOException;
+
+/** A message that breaks HTTP; {@code status} is the fitting answer to its sender. */
+public final class HttpException extends IOException {
+  private static final long serialVersionUID = 1L;
+  private final int status;
+
+  public HttpException(int status, String message) {
+    super(message);
+    this.status = status;
+  }
+
+  public int status() {
+    return status;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/astershift/http/Json.java
@@ -0,0 +1,104 @@
+package org.astershift.http;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+
+/** JSON as maps and lists, and checked access to their fields. */
+public final class Json {
+  private static final JSON JR = JSON.std;
+
+  private Json() {}
+
+  /** A value that is missing or not of the kind expected. */
+  public static final class Bad extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    public Bad(String message) {
+      super(message);
+    }
+  }
+
+  public static byte[] bytes(Object value) throws IOException {
+    return JR.asBytes(value);
+  }
+
+  /** Parses an object; anything else, and anything after it, is bad. */
+  @SuppressWarnings("unchecked")
+  public static Map<String, Object> object(byte[] text) throws Bad {
+    Object o;
+    try {
+      o = JR.anyFrom(text);
+    } catch (IOException | RuntimeException e) {
+      throw new Bad("not JSON");
+    }
+    if (o instanceof Map<?, ?> m) {
+      return (Map<String, Object>) m;
+    }
+    throw new Bad("not an object");
+  }
+
+  @SuppressWarnings("unchecked")
+  public static Map<String, Object> object(Object value, String what) throws Bad {
+    if (value instanceof Map<?, ?> m) {
+      return (Map<String, Object>) m;
+    }
+    throw new Bad(what + " is not an object");
+  }
+
+  public static List<?> list(Map<String, Object> m, String name) throws Bad {
+    Object v = m.get(name);
+    if (v == null) {
+      return List.of();
+    }
+    if (v instanceof List<?> l) {
+      return l;
+    }
+    throw new Bad(name + " is not a list");
+  }
+
+  public static String text(Map<String, Object> m, String name) throws Bad {
+    if (m.get(name) instanceof String s) {
+      return s;
+    }
+    throw new Bad(name + " is missing or not a text");
+  }
+
+  public static String textOrNull(Map<String, Object> m, String name) throws Bad {
+    return m.get(name) == null ? null : text(m, name);
+  }
+
+  public static double number(Map<String, Object> m, String name) throws Bad {
+    if (m.get(name) instanceof Number n && Double.isFinite(n.doubleValue())) {
+      return n.doubleValue();
+    }
+    throw new Bad(name + " is missing or not a number");
+  }
+
+  public static Double numberOrNull(Map<String, Object> m, String name) throws Bad {
+    return m.get(name) == null ? null : number(m, name);
+  }
+
+  public static long whole(Map<String, Object> m, String name) throws Bad {
+    Object v = m.get(name);
+    if (v instanceof Integer || v instanceof Long) {
+      return ((Number) v).longValue();
+    }
+    if (v instanceof java.math.BigInteger b && b.bitLength() <= 64 && b.signum() >= 0) {
+      return b.longValue();
+    }
+    throw new Bad(name + " is missing or not a whole number");
+  }
+
+  public static boolean flag(Map<String, Object> m, String name) throws Bad {
+    if (m.get(name) instanceof Boolean b) {
+      return b;
+    }
+    throw new Bad(name + " is missing or not true or false");
+  }
+
+  public static boolean flagOr(Map<String, Object> m, String name, boolean otherwise) throws Bad {
+    return m.get(name) == null ? otherwise : flag(m, name);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/astershift/leader/Leadership.java
@@ -0,0 +1,155 @@
+package org.astershift.leader;
+
+import java.io.IOException;
+import org.astershift.config.Constants;
+import org.astershift.store.Mirror;
+import org.astershift.store.RateBudget;
+import org.astershift.store.Records;
+import org.astershift.store.StoreClient;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Who leads: the holder of one key in the state service, on a lease. The token is the revision of the
+ * key's creation, so a later holder always has a higher one. A process never inherits the key of its
+ * predecessor. A leader whose lease may have run out is no longer {@link #valid}, and answers nothing
+ * that another leader could contradict; it leads on until it sees that there is another.
+ */
+public final class Leadership {
+  private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
+  private final String node;
+  private final StoreClient store;
+  private final Mirror mirror;
+  private final Office office;
+  private volatile long token;
+  private volatile long validUntilNs;
+  private long lease;
+  private final Object wake = new Object();
+
+  /** Takes up and lays down the leader's work. */
+  public interface Office {
+    void begin(long token);
+
+    void end(String why);
+  }
+
+  public Leadership(String node, StoreClient store, Mirror mirror, Office office) {
+    this.node = node;
+    this.store = store;
+    this.mirror = mirror;
+    this.office = office;
+  }
+
+  public void start() {
+    Thread t = new Thread(null, this::loop, "leadership", Constants.STACK_BYTES);
+    t.setDaemon(true);
+    t.start();
+  }
+
+  /** 0 if this node does not lead. */
+  public long token() {
+    return token;
+  }
+
+  /** Whether no other node can have become leader yet. */
+  public boolean valid(long ofToken) {
+    return token == ofToken && ofToken != 0 && System.nanoTime() - validUntilNs < 0;
+  }
+
+  /** The node that leads as far as known here, or null. */
+  public String leader() {
+    StoreClient.Row row = mirror.row(Records.LEADER);
+    return row == null ? null : String.valueOf(row.data().get("node"));
+  }
+
+  /** The leader's key has changed, or a worker has shown a higher token. */
+  public void look() {
+    synchronized (wake) {
+      wake.notifyAll();
+    }
+  }
+
+  /** Gives the leadership up: it is certain that another has it. */
+  public void stepDown(long ofToken, String why) {
+    if (token == ofToken && ofToken != 0) {
+      token = 0;
+      office.end(why);
+      look();
+    }
+  }
+
+  private void loop() {
+    while (true) {
+      try {
+        if (token == 0) {
+          contest();
+        } else {
+          renew();
+        }
+        synchronized (wake) {
+          wake.wait(token == 0 ? Constants.ELECTION_POLL_MS : Constants.LEADER_RENEW_MS);
+        }
+      } catch (IOException | RuntimeException e) {
+        LOG.debug("leadership: {}", e.toString());
+        pause();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      }
+    }
+  }
+
+  private static void pause() {
+    try {
+      Thread.sleep(Constants.RETRY_MS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void contest() throws IOException, InterruptedException {
+    if (!mirror.loaded() || mirror.row(Records.LEADER) != null) {
+      return;
+    }
+    long sent = System.nanoTime();
+    long mine = store.grant(Constants.LEADER_LEASE_MS);
+    StoreClient.Txn txn =
+        new StoreClient.Txn().when(Records.LEADER, 0).put(Records.LEADER, Records.leader(node), mine);
+    StoreClient.Outcome outcome = store.commit(txn, RateBudget.Use.ACCEPT, 1000);
+    if (outcome instanceof StoreClient.Outcome.Applied a) {
+      lease = mine;
+      validUntilNs = sent + lifeNs();
+      if (!mirror.reach(a.revision(), Constants.LEADER_LEASE_MS)) {
+        LOG.info("won token {} but could not read up to it: given up", a.revision());
+        store.revoke(mine);
+        return;
+      }
+      token = a.revision();
+      LOG.info("{} leads with token {}", node, token);
+      office.begin(token);
+    } else if (outcome instanceof StoreClient.Outcome.Unknown) {
+      // Whether it was applied is unknown, so the key, if it exists, must not stand for this node.
+      store.revoke(mine);
+    }
+  }
+
+  private void renew() throws IOException {
+    StoreClient.Row row = mirror.row(Records.LEADER);
+    long held = token;
+    if (row == null || row.revision() != held) {
+      stepDown(held, row == null ? "its key is gone" : "another leads");
+      return;
+    }
+    long sent = System.nanoTime();
+    if (store.renew(lease)) {
+      validUntilNs = sent + lifeNs();
+    } else {
+      stepDown(held, "its lease has ended");
+    }
+  }
+
+  private static long lifeNs() {
+    long ms = (long) (Constants.LEADER_LEASE_MS * (1 - 2 * Constants.CLOCK_DRIFT));
+    return (ms - Constants.CLOCK_MARGIN_MS) * 1_000_000;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/astershift/peer/PeerClient.java
@@ -0,0 +1,63 @@
+package org.astershift.peer;
+
+import java.io.BufferedOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.astershift.config.Settings;
+
+/** Asks one other controller, with a deadline. */
+public final class PeerClient {
+  private final Settings.Endpoint endpoint;
+  private final Deque<Socket> idle = new ArrayDeque<>();
+
+  public PeerClient(Settings.Endpoint endpoint) {
+    this.endpoint = endpoint;
+  }
+
+  public JobAnswer ask(String op, String job, int timeoutMs) throws IOException {
+    Socket socket = take();
+    boolean ok = false;
+    try {
+      if (socket == null) {
+        socket = new Socket();
+        socket.setTcpNoDelay(true);
+        socket.connect(
+            new InetSocketAddress(InetAddress.getByName(endpoint.host()), endpoint.port()),
+            timeoutMs);
+      }
+      socket.setSoTimeout(timeoutMs);
+      DataOutputStream out =
+          new DataOutputStream(new BufferedOutputStream(socket.getOutputStream()));
+      PeerWire.write(out, new PeerWire.Ask(op, job));
+      JobAnswer a = PeerWire.answer(new DataInputStream(socket.getInputStream()));
+      ok = true;
+      return a;
+    } catch (RuntimeException e) {
+      throw new IOException("broken answer: " + e, e);
+    } finally {
+      if (ok) {
+        give(socket);
+      } else if (socket != null) {
+        socket.close();
+      }
+    }
+  }
+
+  private synchronized Socket take() {
+    return idle.pollLast();
+  }
+
+  private synchronized void give(Socket socket) throws IOException {
+    if (idle.size() >= 4) {
+      socket.close();
+    } else {
+      idle.addLast(socket);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/astershift/peer/PeerServer.java
@@ -0,0 +1,78 @@
+package org.astershift.peer;
+
+import java.io.BufferedOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.Semaphore;
+import org.astershift.config.Constants;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Answers the other controllers' questions. */
+public final class PeerServer {
+  private static final Logger LOG = LoggerFactory.getLogger(PeerServer.class);
+
+  /** Answers without forwarding again. */
+  public interface Desk {
+    JobAnswer answer(String op, String job) throws InterruptedException;
+  }
+
+  private final ServerSocket server;
+  private final Desk desk;
+  private final Semaphore places = new Semaphore(Constants.PEER_CONNECTIONS);
+
+  public PeerServer(String host, int port, Desk desk) throws IOException {
+    this.desk = desk;
+    this.server = new ServerSocket();
+    server.setReuseAddress(true);
+    server.bind(new InetSocketAddress(InetAddress.getByName(host), port), 16);
+  }
+
+  public void start() {
+    Thread t = new Thread(null, this::acceptLoop, "peer-accept", Constants.STACK_BYTES);
+    t.setDaemon(true);
+    t.start();
+  }
+
+  private void acceptLoop() {
+    while (true) {
+      try {
+        Socket socket = server.accept();
+        if (!places.tryAcquire()) {
+          socket.close();
+          continue;
+        }
+        Thread t = new Thread(null, () -> serve(socket), "peer", Constants.STACK_BYTES);
+        t.setDaemon(true);
+        t.start();
+      } catch (IOException e) {
+        LOG.info("a peer's connection could not be taken: {}", e.toString());
+      }
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (socket) {
+      socket.setTcpNoDelay(true);
+      socket.setSoTimeout(Constants.IDLE_TIMEOUT_MS);
+      DataInputStream in = new DataInputStream(socket.getInputStream());
+      DataOutputStream out =
+          new DataOutputStream(new BufferedOutputStream(socket.getOutputStream()));
+      while (true) {
+        PeerWire.Ask ask = PeerWire.ask(in);
+        PeerWire.write(out, desk.answer(ask.op(), ask.job()));
+      }
+    } catch (IOException | RuntimeException e) {
+      LOG.debug("peer connection: {}", e.toString());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } finally {
+      places.release();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/astershift/store/Mirror.java
@@ -0,0 +1,148 @@
+package org.astershift.store;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.astershift.config.Constants;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Every node's copy of what is live in the state service, kept up by a watch: a node that becomes
+ * leader has to read nothing. It may lag; what must not be old is read from the service itself.
+ */
+public final class Mirror {
+  private static final Logger LOG = LoggerFactory.getLogger(Mirror.class);
+  private final StoreClient store;
+  private final TreeMap<String, StoreClient.Row> rows = new TreeMap<>();
+  private long revision = -1;
+  private Listener listener = changes -> {};
+
+  /** Told of changes, in order, by the thread that applies them. */
+  public interface Listener {
+    void changed(List<StoreClient.Row> changes);
+  }
+
+  public Mirror(StoreClient store) {
+    this.store = store;
+  }
+
+  public void start(Listener l) {
+    this.listener = l;
+    Thread t = new Thread(null, this::loop, "mirror", Constants.STACK_BYTES);
+    t.setDaemon(true);
+    t.start();
+  }
+
+  public synchronized boolean loaded() {
+    return revision >= 0;
+  }
+
+  public synchronized StoreClient.Row row(String key) {
+    return rows.get(key);
+  }
+
+  public synchronized List<StoreClient.Row> below(String prefix) {
+    return new ArrayList<>(rows.subMap(prefix, prefix + Character.MAX_VALUE).values());
+  }
+
+  /** Waits until changes up to this revision are in. */
+  public synchronized boolean reach(long wanted, long timeoutMs) throws InterruptedException {
+    long deadline = System.nanoTime() + timeoutMs * 1_000_000;
+    while (revision < wanted) {
+      long left = (deadline - System.nanoTime()) / 1_000_000;
+      if (left <= 0) {
+        return false;
+      }
+      wait(left);
+    }
+    return true;
+  }
+
+  private void loop() {
+    while (true) {
+      try {
+        if (!loaded()) {
+          load();
+        }
+        StoreClient.Changes c = store.watch(Records.LIVE, revision);
+        if (c.tooOld()) {
+          LOG.info("the watch fell too far behind: reading everything again");
+          load();
+        } else if (c.revision() > revision) {
+          apply(c.rows(), c.revision());
+        }
+      } catch (IOException | RuntimeException e) {
+        LOG.debug("mirror: {}", e.toString());
+        sleep();
+      }
+    }
+  }
+
+  private static void sleep() {
+    try {
+      Thread.sleep(Constants.RETRY_MS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Reads all pages. Later pages may be newer than the first: the watch goes on from the first. */
+  private void load() throws IOException {
+    Map<String, StoreClient.Row> all = new HashMap<>();
+    long first = -1;
+    String after = null;
+    boolean more = true;
+    while (more) {
+      StoreClient.Page page = store.list(Records.LIVE, after);
+      first = first < 0 ? page.revision() : first;
+      for (StoreClient.Row r : page.rows()) {
+        all.put(r.key(), r);
+        after = r.key();
+      }
+      more = page.more() && !page.rows().isEmpty();
+    }
+    List<StoreClient.Row> changes = new ArrayList<>();
+    synchronized (this) {
+      for (StoreClient.Row old : rows.values()) {
+        if (!all.containsKey(old.key())) {
+          changes.add(new StoreClient.Row(old.key(), null, first));
+        }
+      }
+      for (StoreClient.Row r : all.values()) {
+        StoreClient.Row old = rows.get(r.key());
+        if (old == null || old.revision() != r.revision()) {
+          changes.add(r);
+        }
+      }
+      rows.clear();
+      rows.putAll(all);
+      revision = first;
+      notifyAll();
+    }
+    LOG.info("read {} records at revision {}", all.size(), first);
+    listener.changed(changes);
+  }
+
+  private void apply(List<StoreClient.Row> changes, long upTo) {
+    synchronized (this) {
+      for (StoreClient.Row c : changes) {
+        StoreClient.Row old = rows.get(c.key());
+        if (old != null && old.revision() > c.revision()) {
+          continue;
+        }
+        if (c.data() == null) {
+          rows.remove(c.key());
+        } else {
+          rows.put(c.key(), c);
+        }
+      }
+      revision = upTo;
+      notifyAll();
+    }
+    listener.changed(changes);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/astershift/store/Records.java
@@ -0,0 +1,221 @@
+package org.astershift.store;
+
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.BitSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.astershift.config.Constants;
+import org.astershift.core.Decision;
+import org.astershift.core.JobKind;
+import org.astershift.core.JobSpec;
+import org.astershift.core.MachineType;
+import org.astershift.core.Priority;
+import org.astershift.http.Json;
+
+/** Keys and values in the state service. All that is live is below one prefix, which nodes watch. */
+public final class Records {
+  private Records() {}
+
+  public static final String LIVE = "l/";
+  public static final String LEADER = LIVE + "leader";
+  public static final String TYPES = LIVE + "types";
+  public static final String JOB = LIVE + "j/";
+  public static final String PROGRESS = LIVE + "p/";
+  public static final String MACHINE = LIVE + "r/";
+  public static final String RENTAL = LIVE + "i/";
+
+  /** Ended jobs stay for ever, out of the way of a takeover. */
+  public static final String ENDED = "d/";
+
+  public static String progress(String job, int segment) {
+    return PROGRESS + job + "/" + segment;
+  }
+
+  public static Map<String, Object> leader(String node) {
+    return Map.of("node", node);
+  }
+
+  // ---- jobs ----
+
+  /** A job's record; {@code submittedMs} is the time of day of its acceptance. */
+  public record JobRecord(JobSpec spec, boolean opened, long submittedMs) {}
+
+  public static Map<String, Object> job(JobRecord r) {
+    JobSpec s = r.spec();
+    Map<String, Object> m = new LinkedHashMap<>();
+    m.put("c", s.jobClass());
+    m.put("t", s.team());
+    m.put("k", s.kind().ordinal());
+    m.put("p", s.priority().ordinal());
+    m.put("n", s.tasks());
+    m.put("cpu", s.cpus());
+    m.put("gpu", s.gpus());
+    m.put("mem", s.memoryGb());
+    m.put("img", s.image());
+    m.put("gb", s.imageGb());
+    if (s.types() != null) {
+      m.put("types", s.types());
+    }
+    if (s.zone() != null) {
+      m.put("zone", s.zone());
+    }
+    m.put("one", s.oneZone());
+    m.put("apart", s.spread());
+    m.put("spot", s.spot());
+    m.put("est", s.estimateS());
+    m.put("ckpt", s.checkpointS());
+    m.put("save", s.saveS());
+    if (s.deadlineS() != null) {
+      m.put("due", s.deadlineS());
+    }
+    m.put("at", r.submittedMs());
+    if (r.opened()) {
+      m.put("open", true);
+    }
+    return m;
+  }
+
+  public static JobRecord job(String key, Map<String, Object> m) throws Json.Bad {
+    List<String> types = null;
+    if (m.get("types") != null) {
+      types = new ArrayList<>();
+      for (Object o : Json.list(m, "types")) {
+        types.add(String.valueOf(o));
+      }
+    }
+    JobSpec spec =
+        new JobSpec(
+            key.substring(JOB.length()),
+            Json.text(m, "c"),
+            Json.text(m, "t"),
+            JobKind.values()[(int) Json.whole(m, "k")],
+            Priority.values()[(int) Json.whole(m, "p")],
+            (int) Json.whole(m, "n"),
+            Json.number(m, "cpu"),
+            Json.number(m, "gpu"),
+            Json.number(m, "mem"),
+            Json.text(m, "img"),
+            Json.number(m, "gb"),
+            types,
+            Json.textOrNull(m, "zone"),
+            Json.flag(m, "one"),
+            Json.flag(m, "apart"),
+            Json.flag(m, "spot"),
+            Json.number(m, "est"),
+            Json.number(m, "ckpt"),
+            Json.number(m, "save"),
+            Json.numberOrNull(m, "due"));
+    return new JobRecord(spec, Json.flagOr(m, "open", false), Json.whole(m, "at"));
+  }
+
+  /** How a job ended. */
+  public record Ended(boolean cancelled, int done) {}
+
+  public static Map<String, Object> ended(Ended e) {
+    return Map.of("cancelled", e.cancelled(), "done", e.done());
+  }
+
+  public static Ended ended(Map<String, Object> m) throws Json.Bad {
+    return new Ended(Json.flag(m, "cancelled"), (int) Json.whole(m, "done"));
+  }
+
+  // ---- progress: a bit a task, so that any pattern of 100,000 fits ----
+
+  public static int segments(int tasks) {
+    return (tasks + Constants.SEGMENT_TASKS - 1) / Constants.SEGMENT_TASKS;
+  }
+
+  public static Map<String, Object> segment(BitSet done, int segment) {
+    int from = segment * Constants.SEGMENT_TASKS;
+    BitSet part = done.get(from, from + Constants.SEGMENT_TASKS);
+    return Map.of("bits", Base64.getEncoder().encodeToString(part.toByteArray()));
+  }
+
+  public static void merge(BitSet done, int segment, Map<String, Object> m) throws Json.Bad {
+    byte[] bytes;
+    try {
+      bytes = Base64.getDecoder().decode(Json.text(m, "bits"));
+    } catch (IllegalArgumentException e) {
+      throw new Json.Bad("bits are not base64");
+    }
+    BitSet part = BitSet.valueOf(bytes);
+    int from = segment * Constants.SEGMENT_TASKS;
+    for (int i = part.nextSetBit(0); i >= 0; i = part.nextSetBit(i + 1)) {
+      done.set(from + i);
+    }
+  }
+
+  // ---- machines and rentals ----
+
+  public static Map<String, Object> machine(Decision.Enrol e) {
+    Map<String, Object> m = new LinkedHashMap<>();
+    m.put("type", e.type());
+    m.put("zone", e.zone());
+    m.put("spot", e.spot());
+    if (e.addr() != null) {
+      m.put("addr", e.addr());
+    }
+    return m;
+  }
+
+  public static Decision.Enrol machine(String key, Map<String, Object> m) throws Json.Bad {
+    return new Decision.Enrol(
+        key.substring(MACHINE.length()),
+        Json.textOrNull(m, "addr"),
+        Json.text(m, "type"),
+        Json.text(m, "zone"),
+        Json.flag(m, "spot"));
+  }
+
+  public static Map<String, Object> rental(Decision.Rent r) {
+    return Map.of("type", r.type(), "zone", r.zone(), "spot", r.spot(), "count", r.count());
+  }
+
+  public static Decision.Rent rental(Map<String, Object> m) throws Json.Bad {
+    return new Decision.Rent(
+        Json.text(m, "type"),
+        Json.text(m, "zone"),
+        Json.flag(m, "spot"),
+        (int) Json.whole(m, "count"));
+  }
+
+  // ---- machine types ----
+
+  public static Map<String, Object> types(Map<String, MachineType> types) {
+    List<Object> rows = new ArrayList<>();
+    for (MachineType t : types.values()) {
+      Map<String, Object> m = new LinkedHashMap<>();
+      m.put("name", t.name());
+      m.put("n", List.of(t.cpus(), t.gpus(), t.memoryGb(), t.cacheGb(), t.fetchGbPerS(), t.price(),
+          t.spotPrice(), t.bootS()));
+      m.put("zones", t.zones());
+      rows.add(m);
+    }
+    return Map.of("types", rows);
+  }
+
+  public static Map<String, MachineType> readTypes(Map<String, Object> value) throws Json.Bad {
+    Map<String, MachineType> out = new LinkedHashMap<>();
+    for (Object o : Json.list(value, "types")) {
+      Map<String, Object> m = Json.object(o, "type");
+      List<String> zones = new ArrayList<>();
+      for (Object z : Json.list(m, "zones")) {
+        zones.add(String.valueOf(z));
+      }
+      List<?> n = Json.list(m, "n");
+      double[] v = new double[8];
+      for (int i = 0; i < v.length; i++) {
+        if (n.size() <= i || !(n.get(i) instanceof Number x)) {
+          throw new Json.Bad("a machine type lacks its numbers");
+        }
+        v[i] = x.doubleValue();
+      }
+      String name = Json.text(m, "name");
+      out.put(
+          name, new MachineType(name, v[0], v[1], v[2], v[3], v[4], v[5], v[6], v[7], zones));
+    }
+    return out;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/astershift/store/StoreClient.java
@@ -0,0 +1,246 @@
+package org.astershift.store;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.astershift.config.Constants;
+import org.astershift.config.Settings;
+import org.astershift.http.HttpClient;
+import org.astershift.http.Json;
+
+/** Speaks the state service's protocol, within this node's share of its limits. */
+public final class StoreClient {
+  private final HttpClient http;
+  private final HttpClient watching;
+  private final RateBudget requests;
+  private final RateBudget writes;
+
+  public StoreClient(Settings settings) {
+    String host = settings.store().host();
+    int port = settings.store().port();
+    this.http = new HttpClient(host, port, 6);
+    this.watching = new HttpClient(host, port, 1);
+    this.requests = new RateBudget(settings.storeLimits().rps(), Constants.FOLLOWER_BUDGET);
+    this.writes = new RateBudget(settings.storeLimits().writeRps(), Constants.FOLLOWER_BUDGET);
+  }
+
+  /** Whether this node spends as leader or as one of the others. */
+  public void leading(boolean leader) {
+    double share = leader ? Constants.LEADER_BUDGET : Constants.FOLLOWER_BUDGET / 2;
+    requests.share(leader ? 0.6 : Constants.FOLLOWER_BUDGET);
+    writes.share(share);
+  }
+
+  /** One key; {@code data} null if it does not exist. */
+  public record Row(String key, Map<String, Object> data, long revision) {}
+
+  /** Part of the keys below a prefix. */
+  public record Page(List<Row> rows, boolean more, long revision) {}
+
+  /** Changes since a revision; {@code data} null for a removal. {@code tooOld}: read again. */
+  public record Changes(List<Row> rows, long revision, boolean tooOld) {}
+
+  /** The service did not answer as it should; nothing is known of the effect of a change. */
+  public static final class Trouble extends IOException {
+    private static final long serialVersionUID = 1L;
+
+    Trouble(String message) {
+      super(message);
+    }
+  }
+
+  /** What became of a transaction. */
+  public sealed interface Outcome {
+    /** Applied, at this revision. */
+    record Applied(long revision) implements Outcome {}
+
+    /** Not applied: these keys had other revisions. */
+    record Conflict(Set<String> keys) implements Outcome {}
+
+    /** Not applied and never will be: refused, or not even sent. */
+    record Refused(String why) implements Outcome {}
+
+    /** No answer: applied, or not, or applied later. */
+    record Unknown(String why) implements Outcome {}
+  }
+
+  /** A transaction in the making. */
+  public static final class Txn {
+    private final List<Map<String, Object>> conditions = new ArrayList<>();
+    private final List<Map<String, Object>> changes = new ArrayList<>();
+
+    public Txn when(String key, long revision) {
+      Map<String, Object> c = new LinkedHashMap<>();
+      c.put("k", key);
+      c.put("stamp", revision);
+      conditions.add(c);
+      return this;
+    }
+
+    public Txn put(String key, Map<String, Object> value) {
+      return put(key, value, 0);
+    }
+
+    /** A lease of 0 attaches the key to none. */
+    public Txn put(String key, Map<String, Object> value, long lease) {
+      Map<String, Object> p = new LinkedHashMap<>();
+      p.put("set", key);
+      p.put("data", value);
+      if (lease != 0) {
+        p.put("mooring", lease);
+      }
+      changes.add(p);
+      return this;
+    }
+
+    public Txn delete(String key) {
+      changes.add(Map.of("remove", key));
+      return this;
+    }
+
+    public int size() {
+      return changes.size();
+    }
+  }
+
+  public Row get(String key) throws IOException {
+    HttpClient.Answer a = call("GET", "/store/" + key, null);
+    if (a.status() == 404) {
+      return new Row(key, null, 0);
+    }
+    try {
+      Map<String, Object> m = Json.object(expect(a));
+      return new Row(key, Json.object(m.get("data"), "data"), Json.whole(m, "stamp"));
+    } catch (Json.Bad e) {
+      throw new Trouble(e.getMessage());
+    }
+  }
+
+  public Page list(String prefix, String after) throws IOException {
+    String path = "/store?starts=" + prefix + "&limit=" + Constants.LIST_ROWS;
+    if (after != null) {
+      path += "&from=" + after;
+    }
+    try {
+      Map<String, Object> m = Json.object(expect(call("GET", path, null)));
+      List<Row> rows = new ArrayList<>();
+      for (Object o : Json.list(m, "rows")) {
+        Map<String, Object> r = Json.object(o, "row");
+        rows.add(
+            new Row(Json.text(r, "k"), Json.object(r.get("data"), "data"), Json.whole(r, "stamp")));
+      }
+      return new Page(rows, Json.flagOr(m, "more", false), Json.whole(m, "epoch"));
+    } catch (Json.Bad e) {
+      throw new Trouble(e.getMessage());
+    }
+  }
+
+  public Changes watch(String prefix, long after) throws IOException {
+    String path =
+        "/watch?starts=" + prefix + "&from=" + after + "&block_ms=" + Constants.WATCH_BLOCK_MS;
+    acquire(requests, 1);
+    HttpClient.Answer a =
+        watching.call("GET", path, null, Constants.WATCH_BLOCK_MS + Constants.STORE_TIMEOUT_MS);
+    if (a.status() == 410) {
+      return new Changes(List.of(), after, true);
+    }
+    try {
+      Map<String, Object> m = Json.object(expect(a));
+      List<Row> rows = new ArrayList<>();
+      for (Object o : Json.list(m, "news")) {
+        Map<String, Object> r = Json.object(o, "change");
+        String set = Json.textOrNull(r, "set");
+        rows.add(
+            set != null
+                ? new Row(set, Json.object(r.get("data"), "data"), Json.whole(r, "stamp"))
+                : new Row(Json.text(r, "remove"), null, Json.whole(r, "stamp")));
+      }
+      return new Changes(rows, Json.whole(m, "epoch"), false);
+    } catch (Json.Bad e) {
+      throw new Trouble(e.getMessage());
+    }
+  }
+
+  public Outcome commit(Txn txn, RateBudget.Use use, long patienceMs) throws InterruptedException {
+    if (!writes.acquire(use, txn.size(), patienceMs) || !requests.acquire(use, 1, patienceMs)) {
+      return new Outcome.Refused("over this node's share of the limits");
+    }
+    Map<String, Object> body = new LinkedHashMap<>();
+    body.put("if", txn.conditions);
+    body.put("writes", txn.changes);
+    try {
+      HttpClient.Answer a =
+          http.call("POST", "/multi", Json.bytes(body), Constants.STORE_TIMEOUT_MS);
+      switch (a.status()) {
+        case 200 -> {
+          return new Outcome.Applied(Json.whole(Json.object(a.body()), "epoch"));
+        }
+        case 409 -> {
+          Set<String> failed = new TreeSet<>();
+          for (Object k : Json.list(Json.object(a.body()), "failed")) {
+            failed.add(String.valueOf(k));
+          }
+          return new Outcome.Conflict(failed);
+        }
+        default -> {
+          return new Outcome.Refused("status " + a.status());
+        }
+      }
+    } catch (HttpClient.NotSent e) {
+      return new Outcome.Refused(e.getMessage());
+    } catch (IOException | Json.Bad e) {
+      return new Outcome.Unknown(e.toString());
+    }
+  }
+
+  /** A new lease; 0 if the service did not give one. */
+  public long grant(long ttlMs) throws IOException {
+    try {
+      HttpClient.Answer a = call("POST", "/grants", Json.bytes(Map.of("life_ms", ttlMs)));
+      return Json.whole(Json.object(expect(a)), "mooring");
+    } catch (Json.Bad e) {
+      throw new Trouble(e.getMessage());
+    }
+  }
+
+  /** False if the lease is over. */
+  public boolean renew(long lease) throws IOException {
+    HttpClient.Answer a = call("POST", "/grants/" + lease + "/renew", new byte[0]);
+    if (a.status() == 404) {
+      return false;
+    }
+    expect(a);
+    return true;
+  }
+
+  public void revoke(long lease) throws IOException {
+    expect(call("DELETE", "/grants/" + lease, null));
+  }
+
+  private HttpClient.Answer call(String method, String path, byte[] body) throws IOException {
+    acquire(requests, 1);
+    return http.call(method, path, body, Constants.STORE_TIMEOUT_MS);
+  }
+
+  private static void acquire(RateBudget budget, int n) throws IOException {
+    try {
+      if (!budget.acquire(RateBudget.Use.ACCEPT, n, Constants.STORE_TIMEOUT_MS)) {
+        throw new Trouble("over this node's share of the limits");
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new Trouble("interrupted");
+    }
+  }
+
+  private static byte[] expect(HttpClient.Answer a) throws Trouble {
+    if (a.status() != 200) {
+      throw new Trouble("status " + a.status());
+    }
+    return a.body();
+  }
+}
