--- a/src/main/java/org/astershift/core/Fleet.java
+++ b/src/main/java/org/astershift/core/Fleet.java
@@ -185,8 +185,11 @@
       }
     }
     List<Job> queue = new ArrayList<>();
+    boolean unheard = s.unheard();
     for (Job job : s.jobs.values()) {
-      if (!job.waiting.isEmpty() && !job.cancelWanted && nowMs >= job.pausedUntilMs) {
+      // What may run on a machine not heard yet needs no other.
+      boolean hidden = unheard && job.inherited;
+      if (!job.waiting.isEmpty() && !hidden && !job.cancelWanted && nowMs >= job.pausedUntilMs) {
         queue.add(job);
       }
     }
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -680,12 +680,17 @@
   private void expire(long nowMs) {
     long lease = leaseMs();
     for (Machine m : machines.values()) {
-      if (m.state == Machine.State.LIVE && m.claimed && nowMs - m.heardMs > lease) {
-        LOG.info("machine {} was not heard for {} ms: its lease has run out", m.name, nowMs - m.heardMs);
+      boolean counts = m.state == Machine.State.LIVE || m.state == Machine.State.RETURNING;
+      if (counts && m.claimed && nowMs - m.heardMs > lease) {
+        if (m.state == Machine.State.LIVE || !m.runs.isEmpty()) {
+          LOG.info("machine {} was not heard for {} ms: its lease has run out", m.name,
+              nowMs - m.heardMs);
+        }
         for (Run run : new ArrayList<>(m.runs.values())) {
           drop(run);
         }
-        m.state = Machine.State.LOST;
+        // A machine that is being returned is no more to be used, also while the cloud is away.
+        m.state = m.state == Machine.State.LIVE ? Machine.State.LOST : m.state;
       }
     }
   }
--- /dev/null
+++ b/src/test/java/org/astershift/core/TracePlayer.java
@@ -0,0 +1,258 @@
+package org.astershift.core;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.astershift.config.Constants;
+import org.astershift.config.Operator;
+
+/** Turns the lines of a trace into calls of a scheduler, and what it says into lines. */
+final class TracePlayer {
+  private static final long TOKEN = 7;
+  private final Map<String, Team> teams = new LinkedHashMap<>();
+  private final List<Objective> objectives = new ArrayList<>();
+  private final Map<String, MachineType> types = new LinkedHashMap<>();
+  private Policy policy = Operator.defaults();
+  private Scheduler scheduler;
+
+  List<String> event(String line) {
+    String[] words = line.trim().split("\\s+");
+    Map<String, String> named = new HashMap<>();
+    List<String> plain = new ArrayList<>();
+    for (String w : words) {
+      int eq = w.indexOf('=');
+      if (eq > 0) {
+        named.put(w.substring(0, eq), w.substring(eq + 1));
+      } else {
+        plain.add(w);
+      }
+    }
+    Words w = new Words(plain, named);
+    if (Character.isDigit(line.charAt(0))) {
+      return timed((long) (Double.parseDouble(plain.get(0)) * 1000), w);
+    }
+    switch (plain.get(0)) {
+      case "team" ->
+          teams.put(
+              plain.get(1),
+              new Team(
+                  plain.get(1), w.num("cpus", 0), w.num("cpus_max", 0), w.num("gpus", 0),
+                  w.num("gpus_max", 0)));
+      case "aim" ->
+          objectives.add(new Objective("wait", plain.get(1), w.num("within", 1), 0.9));
+      case "policy" ->
+          policy =
+              new Policy(
+                  (int) w.num("window", policy.window()),
+                  w.num("utilization", policy.utilization()),
+                  (int) w.num("batch", policy.batch()),
+                  w.num("age", policy.waitingAgeS()),
+                  w.num("idle", policy.idleReleaseS()));
+      case "type" ->
+          types.put(
+              plain.get(1),
+              new MachineType(
+                  plain.get(1), w.num("cpus", 4), w.num("gpus", 0), w.num("mem", 16),
+                  w.num("cache", 50), 0.5, w.num("price", 1), w.num("spot", 0.3),
+                  w.num("boot", 20), List.of(w.text("zones", "a").split(","))));
+      case "inherit" ->
+          core().inherit(plain.get(1), plain.get(1) + ":1", plain.get(2), plain.get(3), false, 0);
+      default -> throw new IllegalArgumentException("not an event: " + line);
+    }
+    return List.of();
+  }
+
+  private record Words(List<String> plain, Map<String, String> named) {
+    double num(String name, double otherwise) {
+      String v = named.get(name);
+      return v == null ? otherwise : Double.parseDouble(v);
+    }
+
+    String text(String name, String otherwise) {
+      return named.getOrDefault(name, otherwise);
+    }
+
+    boolean flag(String word) {
+      return plain.contains(word);
+    }
+  }
+
+  private Scheduler core() {
+    if (scheduler == null) {
+      teams.putIfAbsent("team", new Team("team", 0, 0, 0, 0));
+      scheduler =
+          new Scheduler(
+              new Facts(teams, objectives, 2, 14, 30, 4, 40, 3, 7), policy, TOKEN);
+      scheduler.types(types);
+    }
+    return scheduler;
+  }
+
+  private List<String> timed(long now, Words w) {
+    List<String> p = w.plain();
+    Scheduler s = core();
+    switch (p.get(1)) {
+      case "job" -> s.addJob(spec(w), w.flag("opened"), new BitSet(), now);
+      case "report" -> {
+        return orders(s.report(report(w), now));
+      }
+      case "answered" -> s.directResult(p.get(2), false, report(w), now);
+      case "unanswered" -> s.directResult(p.get(2), true, null, now);
+      case "unsent" -> s.directResult(p.get(2), false, null, now);
+      case "pass" -> {
+        List<String> out = new ArrayList<>();
+        for (Decision d : s.pass(now)) {
+          out.add(words(d));
+        }
+        return out;
+      }
+      case "opened" -> s.opened(p.get(2));
+      case "enrolled" -> s.enrolled(p.get(2));
+      case "ended" -> s.ended(p.get(2), w.flag("cancelled"));
+      case "cancel" -> {
+        s.cancelWanted(p.get(2));
+        return List.of("keepable " + s.cancelKeepable(p.get(2)));
+      }
+      case "returned" -> s.returned(List.of(p.get(2)), now);
+      case "rented" ->
+          s.rented(
+              "r", List.of(p.get(2)), new Decision.Rent(p.get(3), p.get(4), w.flag("spot"), 1),
+              true, now);
+      case "refused" -> s.notRented("r", new Decision.Rent(p.get(2), p.get(3), w.flag("spot"), 1),
+          true, now);
+      case "saved" -> {
+        BitSet done = new BitSet();
+        done.set((int) w.num("task", 0));
+        s.saved(p.get(2), done);
+      }
+      case "list" -> {
+        List<Scheduler.Listed> listed = new ArrayList<>();
+        for (String name : p.subList(2, p.size())) {
+          listed.add(
+              new Scheduler.Listed(
+                  name, name + ":1", w.text("type", "small"), "a", false,
+                  w.text("state", "running"), 5));
+        }
+        s.list(listed, now, now);
+      }
+      case "show" -> {
+        return List.of(show(s, p.get(2)));
+      }
+      default -> throw new IllegalArgumentException("not an event: " + p);
+    }
+    return List.of();
+  }
+
+  private static String show(Scheduler s, String job) {
+    Job j = s.jobs.get(job);
+    if (j == null) {
+      return job + " is not looked after";
+    }
+    Map<Integer, String> at = new TreeMap<>();
+    j.runs.forEach((i, r) -> at.put(i, r.machine.name));
+    return job + " done " + j.done + " waiting " + j.waiting + " held " + at;
+  }
+
+  private static JobSpec spec(Words w) {
+    List<String> p = w.plain();
+    String types = w.text("types", null);
+    return new JobSpec(
+        p.get(2),
+        w.text("class", "c"),
+        w.text("team", "team"),
+        JobKind.valueOf(p.get(3).toUpperCase(java.util.Locale.ROOT)),
+        Priority.valueOf(w.text("priority", "normal").toUpperCase(java.util.Locale.ROOT)),
+        (int) w.num("tasks", 1),
+        w.num("cpus", 1),
+        w.num("gpus", 0),
+        w.num("mem", 1),
+        w.text("image", "img"),
+        w.num("gb", 1),
+        types == null ? null : List.of(types.split(",")),
+        w.text("zone", null),
+        w.flag("one_zone"),
+        w.flag("spread"),
+        w.flag("spot"),
+        w.num("estimate", 20),
+        w.num("checkpoint", 0),
+        w.num("save", 0),
+        w.named().containsKey("deadline") ? (Double) w.num("deadline", 0) : null);
+  }
+
+  /** Tasks are words of the form job/index@attempt:state[:cause]; a small attempt is this term's. */
+  private static Report report(Words w) {
+    List<String> p = w.plain();
+    List<Report.Item> items = new ArrayList<>();
+    for (String word : p.subList(3, p.size())) {
+      if (!word.contains("@")) {
+        continue;
+      }
+      String[] parts = word.split("[/@:]");
+      long attempt =
+          parts[2].startsWith("old")
+              ? Long.parseLong(parts[2].substring(3))
+              : (TOKEN << Constants.ATTEMPT_BITS) | Long.parseLong(parts[2]);
+      items.add(
+          new Report.Item(
+              parts[0],
+              Integer.parseInt(parts[1]),
+              attempt,
+              Report.Phase.valueOf(parts[3].toUpperCase(java.util.Locale.ROOT)),
+              parts.length > 4 ? parts[4] : null,
+              false));
+    }
+    String name = p.get(2);
+    String notice = w.text("notice", null);
+    return new Report(
+        name,
+        name + ":1",
+        w.text("type", "small"),
+        w.text("zone", "a"),
+        w.flag("spot"),
+        (long) w.num("session", 1),
+        (long) w.num("seq", 1),
+        (long) w.num("token", TOKEN),
+        notice == null ? null : Double.valueOf(notice),
+        items);
+  }
+
+  private static List<String> orders(List<Order> orders) {
+    List<String> out = new ArrayList<>();
+    for (Order o : orders) {
+      out.add(word(o));
+    }
+    return out;
+  }
+
+  private static String word(Order o) {
+    long term = o.attempt() >> Constants.ATTEMPT_BITS;
+    String attempt =
+        term == TOKEN ? "" + (o.attempt() & ((1L << Constants.ATTEMPT_BITS) - 1)) : "old" + o.attempt();
+    String grace = o.op() == Order.Op.STOP ? " grace " + o.graceS() : "";
+    return o.op().name().toLowerCase(java.util.Locale.ROOT) + " " + o.job() + "/" + o.index() + "@"
+        + attempt + grace;
+  }
+
+  private static String words(Decision d) {
+    if (d instanceof Decision.Direct o) {
+      return "send " + o.machine() + " session " + o.session() + " " + orders(o.orders());
+    } else if (d instanceof Decision.OpenJob o) {
+      return "open " + o.job();
+    } else if (d instanceof Decision.FinishJob f) {
+      return "finish " + f.job();
+    } else if (d instanceof Decision.Rent r) {
+      return "rent " + r.count() + " " + r.type() + " in " + r.zone() + (r.spot() ? " spot" : "");
+    } else if (d instanceof Decision.Return r) {
+      return "return " + r.machines();
+    } else if (d instanceof Decision.Enrol e) {
+      return "enrol " + e.machine();
+    } else if (d instanceof Decision.Strike s) {
+      return "strike " + s.machine();
+    }
+    throw new IllegalArgumentException(d.toString());
+  }
+}
