--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -38,6 +38,11 @@
   boolean gangRan;
   int errors;
 
+  /** Runs that ended without completing their task. */
+  int restarts;
+
+  long lastPlacedMs;
+
   /** A task of it has completed, so it is no job that fails everywhere. */
   boolean everRan;
 
@@ -63,6 +68,24 @@
     return spec.kind() != JobKind.SERVICE && done.cardinality() == spec.tasks();
   }
 
+  /** For the log: what became of it and how long that took. */
+  String story(long nowMs) {
+    return spec.jobClass()
+        + ", "
+        + spec.tasks()
+        + " tasks, after "
+        + (nowMs - submittedMs) / 1000
+        + " s (estimate "
+        + Math.round(spec.estimateS())
+        + " s, deadline "
+        + (spec.deadlineS() == null ? "none" : Math.round(spec.deadlineS()) + " s")
+        + "), last start after "
+        + (lastPlacedMs - submittedMs) / 1000
+        + " s, "
+        + restarts
+        + " runs lost";
+  }
+
   int running() {
     int n = 0;
     for (Run r : runs.values()) {
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -122,12 +122,13 @@
   }
 
   /** The job's end is durable. */
-  public void ended(String id, boolean cancelled) {
+  public void ended(String id, boolean cancelled, long nowMs) {
     asked.remove("finish " + id);
     Job job = jobs.remove(id);
     if (job == null) {
       return;
     }
+    LOG.info("job {} is {}: {}", id, cancelled ? "cancelled" : "done", job.story(nowMs));
     job.state = cancelled ? Job.State.CANCELLED : Job.State.DONE;
     for (Run run : new ArrayList<>(job.runs.values())) {
       if (!run.ordered) {
@@ -316,6 +317,9 @@
       return;
     }
     release(run);
+    if (!"done".equals(item.cause())) {
+      job.restarts++;
+    }
     run.phase = Report.Phase.EXITED;
     run.cause = item.cause();
     exited(run, nowMs);
@@ -475,6 +479,7 @@
     m.runs.put(key(run), run);
     job.runs.put(index, run);
     job.waiting.clear(index);
+    job.lastPlacedMs = nowMs;
     use(run, 1);
     return run;
   }
@@ -516,6 +521,7 @@
   void drop(Run run) {
     if (!run.exited()) {
       release(run);
+      run.job.restarts += run.ordered ? 1 : 0;
     }
     run.machine.runs.remove(key(run));
   }
@@ -617,6 +623,7 @@
   public List<Decision> pass(long nowMs) {
     List<Decision> out = new ArrayList<>();
     expire(nowMs);
+    spending.add(machines.values(), types, nowMs);
     placement.pass(nowMs);
     for (Machine m : machines.values()) {
       Decision.Direct direct = direct(m, nowMs);
@@ -771,6 +778,8 @@
     }
   }
 
+  private final Spending spending = new Spending();
+
   /** One line for the log. */
   public String summary() {
     int live = 0;
@@ -784,6 +793,6 @@
       waiting += job.waiting.cardinality();
     }
     return jobs.size() + " jobs, " + waiting + " tasks wait, " + live + " machines live, " + booting
-        + " booting, " + (machines.size() - live - booting) + " other";
+        + " booting, " + (machines.size() - live - booting) + " other; " + spending;
   }
 }
--- a/src/main/java/org/astershift/leader/Term.java
+++ b/src/main/java/org/astershift/leader/Term.java
@@ -100,7 +100,7 @@
 
   synchronized void ended(String id, boolean cancelled) {
     kept.remove(id);
-    scheduler.ended(id, cancelled);
+    scheduler.ended(id, cancelled, nowMs());
   }
 
   /** A name for a rental that no other node, and no other term, uses. */
--- a/src/test/java/org/astershift/core/TracePlayer.java
+++ b/src/test/java/org/astershift/core/TracePlayer.java
@@ -112,7 +112,7 @@
       }
       case "opened" -> s.opened(p.get(2));
       case "enrolled" -> s.enrolled(p.get(2));
-      case "ended" -> s.ended(p.get(2), w.flag("cancelled"));
+      case "ended" -> s.ended(p.get(2), w.flag("cancelled"), now);
       case "cancel" -> {
         s.cancelWanted(p.get(2));
         return List.of("keepable " + s.cancelKeepable(p.get(2)));
