--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -46,6 +46,15 @@
   /** Share of an aim's time after which a task takes any machine: the rest is for its start. */
   public static final double WAITING_AGE_SHARE = 0.2;
 
+  /** Deadline assumed for the queue's order where a job has none, seconds. */
+  public static final double NO_DEADLINE_S = 600;
+
+  /** Share of its estimate by which a job may start too late before it counts as overdue. */
+  public static final double HOPELESS_SHARE = 0.5;
+
+  /** Overdue jobs queue behind all others of their priority: by more than any deadline. */
+  public static final double OVERDUE_BEHIND_MS = 1e9;
+
   /** Aims on starting up to this many seconds may stop work of lower priority. */
   public static final double TIGHT_START_S = 5;
 
--- a/src/main/java/org/astershift/core/Placement.java
+++ b/src/main/java/org/astershift/core/Placement.java
@@ -82,7 +82,7 @@
     queue.sort(
         Comparator.comparing((Job j) -> j.spec.priority())
             .thenComparing(j -> !belowGuarantee(j))
-            .thenComparingDouble(this::urgencyMs)
+            .thenComparingDouble(j -> urgencyMs(j, nowMs))
             .thenComparingLong(j -> j.submittedMs));
     int tasks = 0;
     for (int i = 0; i < queue.size(); i++) {
@@ -111,15 +111,18 @@
         : use[0] + spec.cpus() <= team.cpus() + 1e-9;
   }
 
-  /** When the job should be started or done, on the steady clock; later is less urgent. */
-  private double urgencyMs(Job job) {
+  /** When the job should be started, on the steady clock; later is less urgent. */
+  private double urgencyMs(Job job, long nowMs) {
     JobSpec spec = job.spec;
     Double aim = s.facts.startAim(spec.jobClass());
     if (aim != null) {
       return job.waitingSinceMs + aim * 1000;
     }
-    double deadline = spec.deadlineS() != null ? spec.deadlineS() : 600;
-    return job.submittedMs + (deadline - spec.estimateS()) * 1000;
+    double deadline = spec.deadlineS() != null ? spec.deadlineS() : Constants.NO_DEADLINE_S;
+    double start = job.submittedMs + (deadline - spec.estimateS()) * 1000;
+    // A job that cannot be in time any more must not make others late as well.
+    double hopeless = start + spec.estimateS() * Constants.HOPELESS_SHARE * 1000;
+    return nowMs > hopeless ? start + Constants.OVERDUE_BEHIND_MS : start;
   }
 
   private boolean pastAge(Job job, long nowMs) {
