--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -18,13 +18,13 @@
   // ---- leadership ----
 
   /** Life of the leadership's lease. Shorter means faster takeover, longer survives slow renewals. */
-  public static final long LEADER_LEASE_MS = 3000;
+  public static final long LEADER_LEASE_MS = 2000;
 
   /** How often the lease is renewed: several tries fit into its life. */
-  public static final long LEADER_RENEW_MS = 800;
+  public static final long LEADER_RENEW_MS = 500;
 
   /** Pause between tries to become leader while another holds the lease. */
-  public static final long ELECTION_POLL_MS = 500;
+  public static final long ELECTION_POLL_MS = 300;
 
   /** Bits of an attempt number left to the counter within one term; the term's token is above. */
   public static final int ATTEMPT_BITS = 20;
@@ -82,10 +82,10 @@
   public static final double IDLE_RELEASE_S = 30;
 
   /** Silence, in report intervals, after which a machine is returned to have proof of its end. */
-  public static final double SILENT_REPORTS = 3.5;
+  public static final double SILENT_REPORTS = 2.8;
 
   /** Milliseconds of silence below which no machine is returned, however short the reports. */
-  public static final long SILENT_MIN_MS = 7000;
+  public static final long SILENT_MIN_MS = 5000;
 
   /** A boot this many times longer than the type's usual one is given up. */
   public static final double BOOT_PATIENCE = 2.2;
@@ -96,6 +96,9 @@
   /** Pause of a type, zone and kind that had no capacity. */
   public static final long NO_CAPACITY_MS = 15_000;
 
+  /** Milliseconds of a term in which nothing is rented while machines are still to be heard. */
+  public static final long RENT_AFTER_TAKEOVER_MS = 5000;
+
   /** Milliseconds between rent plans. */
   public static final long RENT_PLAN_MS = 1000;
 
--- a/src/main/java/org/astershift/core/Fleet.java
+++ b/src/main/java/org/astershift/core/Fleet.java
@@ -22,6 +22,7 @@
   private final Map<String, Long> paused = new HashMap<>();
   private final Set<String> failedNames = new HashSet<>();
   private long lastPlanMs = Long.MIN_VALUE / 2;
+  private long firstPlanMs = -1;
 
   Fleet(Scheduler s) {
     this.s = s;
@@ -61,7 +62,11 @@
     }
     lastPlanMs = nowMs;
     giveBack(out, nowMs);
-    rent(out, nowMs);
+    firstPlanMs = firstPlanMs < 0 ? nowMs : firstPlanMs;
+    // What is still to be heard of will take most of the queue, or runs it already.
+    if (!s.unheard() || nowMs - firstPlanMs > Constants.RENT_AFTER_TAKEOVER_MS) {
+      rent(out, nowMs);
+    }
     return out;
   }
 
--- a/src/main/java/org/astershift/leader/Leadership.java
+++ b/src/main/java/org/astershift/leader/Leadership.java
@@ -24,6 +24,10 @@
   private volatile long token;
   private volatile long validUntilNs;
   private long lease;
+
+  /** This process has tried to lead: a key with its node's name may be its own. */
+  private boolean held;
+
   private final Object wake = new Object();
 
   /** Takes up and lays down the leader's work. */
@@ -108,13 +112,24 @@
   }
 
   private void contest() throws IOException, InterruptedException {
-    if (!mirror.loaded() || mirror.row(Records.LEADER) != null) {
+    if (!mirror.loaded()) {
+      return;
+    }
+    StoreClient.Row row = mirror.row(Records.LEADER);
+    if (row != null) {
+      if (!held && node.equals(row.data().get("node"))) {
+        // Left by this node's predecessor, which is dead since this process runs in its place.
+        StoreClient.Txn txn =
+            new StoreClient.Txn().when(Records.LEADER, row.revision()).delete(Records.LEADER);
+        store.commit(txn, RateBudget.Use.ACCEPT, 1000);
+      }
       return;
     }
     long sent = System.nanoTime();
     long mine = store.grant(Constants.LEADER_LEASE_MS);
     StoreClient.Txn txn =
         new StoreClient.Txn().when(Records.LEADER, 0).put(Records.LEADER, Records.leader(node), mine);
+    held = true;
     StoreClient.Outcome outcome = store.commit(txn, RateBudget.Use.ACCEPT, 1000);
     if (outcome instanceof StoreClient.Outcome.Applied a) {
       lease = mine;
