--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -81,6 +81,12 @@
   /** Seconds without work after which a machine is returned; paper, section 4.1. */
   public static final double IDLE_RELEASE_S = 30;
 
+  /** An idle machine is kept for at least this many times its type's boot time. */
+  public static final double IDLE_BOOTS = 1.7;
+
+  /** Idle spot machines are kept this many times longer: what replaces them may be ordinary. */
+  public static final double IDLE_SPOT = 2;
+
   /** Silence, in report intervals, after which a machine is returned to have proof of its end. */
   public static final double SILENT_REPORTS = 2.8;
 
--- a/src/main/java/org/astershift/core/Fleet.java
+++ b/src/main/java/org/astershift/core/Fleet.java
@@ -127,7 +127,7 @@
           }
           return m.holdsAny() ? null : "faulty";
         }
-        if (!m.holdsAny() && nowMs - m.idleSinceMs > s.policy.idleReleaseS() * 1000) {
+        if (!m.holdsAny() && nowMs - m.idleSinceMs > idleReleaseMs(m, t)) {
           return "idle";
         }
         return null;
@@ -138,6 +138,16 @@
     }
   }
 
+  /**
+   * How long an idle machine is kept: about as long as one takes to come back, since that is what
+   * giving it back too early costs; longer where it is spot and its replacement may not be.
+   */
+  private double idleReleaseMs(Machine m, MachineType t) {
+    double boot = t == null ? 0 : t.bootS() * Constants.IDLE_BOOTS;
+    double keep = Math.max(s.policy.idleReleaseS(), boot);
+    return keep * (m.spot ? Constants.IDLE_SPOT : 1) * 1000;
+  }
+
   // ---- renting ----
 
   /** Room that is on its way, by machine. */
