--- a/src/main/java/org/astershift/cloud/CloudClient.java
+++ b/src/main/java/org/astershift/cloud/CloudClient.java
@@ -42,7 +42,7 @@
   public Map<String, MachineType> types() throws IOException {
     try {
       Map<String, MachineType> out = new LinkedHashMap<>();
-      for (Object o : Json.list(Json.object(call("GET", "/flavors", null)), "hulls")) {
+      for (Object o : Json.list(Json.object(call(RateBudget.Use.END, "GET", "/flavors", null)), "hulls")) {
         Map<String, Object> m = Json.object(o, "type");
         List<String> zones = new ArrayList<>();
         for (Object z : Json.list(m, "harbors")) {
@@ -80,7 +80,7 @@
     body.put("number", r.count());
     try {
       List<String> names = new ArrayList<>();
-      for (Object o : Json.list(Json.object(call("POST", "/hosts", body)), "vessels")) {
+      for (Object o : Json.list(Json.object(call(RateBudget.Use.OPEN, "POST", "/hosts", body)), "vessels")) {
         names.add(String.valueOf(o));
       }
       return names;
@@ -89,8 +89,9 @@
     }
   }
 
+  /** Goes before all other calls: the answer frees the tasks that a silent machine may hold. */
   public void giveBack(List<String> names) throws IOException {
-    call("POST", "/hosts/return", Map.of("vessels", names));
+    call(RateBudget.Use.ACCEPT, "POST", "/hosts/return", Map.of("vessels", names));
   }
 
   /** The whole list, page by page. */
@@ -101,7 +102,7 @@
     try {
       while (more) {
         String path = "/hosts?limit=500" + (after.isEmpty() ? "" : "&from=" + after);
-        Map<String, Object> m = Json.object(call("GET", path, null));
+        Map<String, Object> m = Json.object(call(RateBudget.Use.END, "GET", path, null));
         List<?> rows = Json.list(m, "vessels");
         for (Object o : rows) {
           Map<String, Object> v = Json.object(o, "machine");
@@ -126,9 +127,10 @@
     return out;
   }
 
-  private byte[] call(String method, String path, Map<String, Object> body) throws IOException {
+  private byte[] call(RateBudget.Use use, String method, String path, Map<String, Object> body)
+      throws IOException {
     try {
-      if (!calls.acquire(RateBudget.Use.ACCEPT, 1, Constants.CLOUD_TIMEOUT_MS)) {
+      if (!calls.acquire(use, 1, Constants.CLOUD_TIMEOUT_MS)) {
         throw new Refused("over the limit of calls", false);
       }
     } catch (InterruptedException e) {
