--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -87,11 +87,17 @@
   /** Idle spot machines are kept this many times longer: what replaces them may be ordinary. */
   public static final double IDLE_SPOT = 2;
 
-  /** Silence, in report intervals, after which a machine is returned to have proof of its end. */
-  public static final double SILENT_REPORTS = 2.8;
+  /** Reports come this much later than their interval at the most: a quarter. */
+  public static final double REPORT_LATEST = 1.25;
 
-  /** Milliseconds of silence below which no machine is returned, however short the reports. */
-  public static final long SILENT_MIN_MS = 5000;
+  /** Milliseconds after a report was due before the machine is asked directly. */
+  public static final long SUSPECT_MS = 400;
+
+  /** Milliseconds after that until a machine that does not answer is given back. */
+  public static final long SILENT_MS = 1200;
+
+  /** Deadline of the question whether a machine is there, milliseconds. */
+  public static final int PROBE_TIMEOUT_MS = 1000;
 
   /** A boot this many times longer than the type's usual one is given up. */
   public static final double BOOT_PATIENCE = 2.2;
@@ -99,6 +105,14 @@
   /** Milliseconds on top of that: worker start and first report. */
   public static final long BOOT_PATIENCE_MS = 8000;
 
+  /** Room is kept for a class of which this many jobs came within the window. */
+  public static final int RESERVE_JOBS = 3;
+
+  public static final long RESERVE_WINDOW_MS = 240_000;
+
+  /** A machine is kept or rented as reserve if it costs at most this share of the whole fleet. */
+  public static final double RESERVE_SHARE = 0.1;
+
   /** Pause of a type, zone and kind that had no capacity. */
   public static final long NO_CAPACITY_MS = 15_000;
 
--- a/src/main/java/org/astershift/core/Decision.java
+++ b/src/main/java/org/astershift/core/Decision.java
@@ -9,7 +9,8 @@
   record OpenJob(String job) implements Decision {}
 
   /** Send these commands straight to the machine. */
-  record Direct(String machine, String addr, long session, List<Order> orders) implements Decision {}
+  record Direct(String machine, String addr, long session, List<Order> orders, int timeoutMs)
+      implements Decision {}
 
   /** Record that the job is done. */
   record FinishJob(String job) implements Decision {}
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -60,9 +60,7 @@
     }
     Job job = new Job(spec, submittedMs, opened, done);
     job.inherited = opened;
-    if (!opened) {
-      fleet.arrived(spec, submittedMs);
-    }
+    fleet.arrived(spec, submittedMs);
     jobs.put(spec.id(), job);
   }
 
@@ -710,12 +708,22 @@
     return (long) (facts.leaseS() * 1000 * (1 + 2 * Constants.CLOCK_DRIFT)) + Constants.CLOCK_MARGIN_MS;
   }
 
+  /** Silence after which a machine is asked directly: its report is overdue. */
+  long suspectMs() {
+    return (long) (facts.reportS() * 1000 * Constants.REPORT_LATEST) + Constants.SUSPECT_MS;
+  }
+
+  /**
+   * Commands that should not wait for the next report, the claim of an inherited machine, or the
+   * question whether a machine whose report is overdue is still there.
+   */
   private Decision.Direct direct(Machine m, long nowMs) {
     if (m.orderInFlight || m.addr == null || m.state == Machine.State.BOOTING
         || m.state == Machine.State.LOST || m.state == Machine.State.RETURNING) {
       return null;
     }
     boolean claim = !m.claimed && m.inherited;
+    boolean probe = m.session > 0 && nowMs - Math.max(m.seenMs, m.heardMs) > suspectMs();
     List<Order> orders = new ArrayList<>();
     List<Run> starts = new ArrayList<>();
     if (m.session > 0 && m.state == Machine.State.LIVE) {
@@ -731,8 +739,8 @@
         }
       }
     }
-    long wait = claim ? Constants.CLAIM_RETRY_MS : 0;
-    if ((orders.isEmpty() && !claim) || nowMs - m.lastDirectMs < wait) {
+    if (orders.isEmpty()
+        && (!(claim || probe) || nowMs - m.lastDirectMs < Constants.CLAIM_RETRY_MS)) {
       return null;
     }
     for (Run run : starts) {
@@ -741,7 +749,9 @@
     }
     m.orderInFlight = true;
     m.lastDirectMs = nowMs;
-    return new Decision.Direct(m.name, m.addr, Math.max(1, m.session), orders);
+    return new Decision.Direct(
+        m.name, m.addr, Math.max(1, m.session), orders,
+        orders.isEmpty() ? Constants.PROBE_TIMEOUT_MS : Constants.ORDER_TIMEOUT_MS);
   }
 
   // ---- what users and operators see ----
--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -318,7 +318,8 @@
     if (t.over) {
       return;
     }
-    OrderSender.Result result = sender.send(d.addr(), t.token, d.session(), d.orders());
+    OrderSender.Result result = 
+        sender.send(d.addr(), t.token, d.session(), d.orders(), d.timeoutMs());
     boolean deposed;
     synchronized (t) {
       t.scheduler.directResult(d.machine(), result.unknown(), result.report(), Term.nowMs());
--- a/src/main/java/org/astershift/worker/OrderSender.java
+++ b/src/main/java/org/astershift/worker/OrderSender.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import org.astershift.config.Constants;
 import org.astershift.core.Order;
 import org.astershift.core.Report;
 import org.astershift.http.HttpClient;
@@ -21,7 +20,7 @@
   /** What came of an order. {@code unknown}: it may have been executed, or may be later. */
   public record Result(boolean unknown, Report report) {}
 
-  public Result send(String addr, long token, long session, List<Order> orders) {
+  public Result send(String addr, long token, long session, List<Order> orders, int timeoutMs) {
     int colon = addr.lastIndexOf(':');
     if (colon <= 0 || !addr.substring(colon + 1).matches("[0-9]{1,5}")) {
       LOG.info("not a worker's address: {}", addr);
@@ -39,7 +38,7 @@
     body.put("orders", WorkerCodec.orders(orders));
     try {
       HttpClient.Answer a =
-          client.call("POST", "/orders", Json.bytes(body), Constants.ORDER_TIMEOUT_MS);
+          client.call("POST", "/orders", Json.bytes(body), timeoutMs);
       if (a.status() != 200 && a.status() != 409) {
         LOG.info("orders to {} got status {}", addr, a.status());
         return new Result(a.status() != 400, null);
