--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -111,7 +111,7 @@
   public static final long RESERVE_WINDOW_MS = 240_000;
 
   /** A machine is kept or rented as reserve if it costs at most this share of the whole fleet. */
-  public static final double RESERVE_SHARE = 0.1;
+  public static final double RESERVE_SHARE = 0;
 
   /** Pause of a type, zone and kind that had no capacity. */
   public static final long NO_CAPACITY_MS = 15_000;
