--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -105,14 +105,6 @@
   /** Milliseconds on top of that: worker start and first report. */
   public static final long BOOT_PATIENCE_MS = 8000;
 
-  /** Room is kept for a class of which this many jobs came within the window. */
-  public static final int RESERVE_JOBS = 3;
-
-  public static final long RESERVE_WINDOW_MS = 240_000;
-
-  /** A machine is kept or rented as reserve if it costs at most this share of the whole fleet. */
-  public static final double RESERVE_SHARE = 0;
-
   /** Pause of a type, zone and kind that had no capacity. */
   public static final long NO_CAPACITY_MS = 15_000;
 
--- a/src/main/java/org/astershift/core/Fleet.java
+++ b/src/main/java/org/astershift/core/Fleet.java
@@ -1,8 +1,6 @@
 package org.astershift.core;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.BitSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -30,25 +28,6 @@
     this.s = s;
   }
 
-  /** What came of a class lately: when, and what its last job was like. */
-  private static final class Recent {
-    JobSpec last;
-    double tasks;
-    final ArrayDeque<Long> times = new ArrayDeque<>();
-  }
-
-  private final Map<String, Recent> recent = new LinkedHashMap<>();
-
-  void arrived(JobSpec spec, long submittedMs) {
-    Recent r = recent.computeIfAbsent(spec.jobClass(), c -> new Recent());
-    r.tasks = r.last == null ? spec.tasks() : 0.8 * r.tasks + 0.2 * spec.tasks();
-    r.last = spec;
-    r.times.addLast(submittedMs);
-    if (r.times.size() > Constants.RESERVE_JOBS) {
-      r.times.removeFirst();
-    }
-  }
-
   void renting(String rental, Decision.Rent rent) {
     underWay.put(rental, rent);
   }
@@ -145,8 +124,7 @@
           }
           return m.holdsAny() ? null : "faulty";
         }
-        if (!m.holdsAny() && nowMs - m.idleSinceMs > idleReleaseMs(m, t)
-            && !isReserve(m, t, nowMs)) {
+        if (!m.holdsAny() && nowMs - m.idleSinceMs > idleReleaseMs(m, t)) {
           return "idle";
         }
         return null;
@@ -187,20 +165,6 @@
       this.memory = type.memoryGb();
     }
 
-    /** Room on a machine now, with what lower priorities would have to leave. */
-    Bin(Machine m, MachineType type, Priority priority) {
-      this(type, m.zone, m.spot);
-      for (Run run : m.runs.values()) {
-        if (!run.exited()
-            && (run.job.spec.priority().compareTo(priority) <= 0
-                || run.job.spec.kind() == JobKind.SERVICE)) {
-          cpus -= run.job.spec.cpus();
-          gpus -= run.job.spec.gpus();
-          memory -= run.job.spec.memoryGb();
-        }
-      }
-    }
-
     boolean take(JobSpec spec) {
       if ((spot && !spec.spot())
           || (spec.types() != null && !spec.types().contains(type.name()))
@@ -270,7 +234,6 @@
             (a, b) -> new Decision.Rent(a.type(), a.zone(), a.spot(), a.count() + b.count()));
       }
     }
-    reserve(bins, wanted, nowMs);
     for (Decision.Rent r : wanted.values()) {
       for (int left = r.count(); left > 0; left -= s.facts.rentBatch()) {
         int n = Math.min(left, s.facts.rentBatch());
@@ -280,85 +243,6 @@
     }
   }
 
-  /**
-   * Room for the next job of each class that is to start sooner than a machine boots, where that is
-   * cheap beside what the fleet costs anyway.
-   */
-  private void reserve(List<Bin> coming, Map<String, Decision.Rent> wanted, long nowMs) {
-    for (Recent r : recent.values()) {
-      int tasks = reserved(r, nowMs);
-      if (tasks == 0) {
-        continue;
-      }
-      for (Bin bin : coming) {
-        while (tasks > 0 && bin.take(r.last)) {
-          tasks--;
-        }
-      }
-      tasks = uncovered(r.last, tasks, null, nowMs);
-      if (tasks == 0) {
-        continue;
-      }
-      Job next = new Job(r.last, nowMs, false, new BitSet());
-      Decision.Rent rent = cheapest(next, tasks, wanted, nowMs);
-      if (rent != null && affordable(s.types.get(rent.type()), rent.spot())) {
-        LOG.info("a {} is rented as reserve for {}", rent.type(), r.last.jobClass());
-        wanted.put(
-            pool(rent.type(), rent.zone(), rent.spot()),
-            new Decision.Rent(rent.type(), rent.zone(), rent.spot(), 1));
-      }
-    }
-  }
-
-  /** Tasks for which room is to be kept; 0 if the class came too seldom, or has time to wait. */
-  private int reserved(Recent r, long nowMs) {
-    Double aim = s.facts.startAim(r.last.jobClass());
-    if (aim == null || r.times.size() < Constants.RESERVE_JOBS
-        || nowMs - r.times.peekFirst() > Constants.RESERVE_WINDOW_MS) {
-      return 0;
-    }
-    return (int) Math.ceil(r.tasks);
-  }
-
-  /** How many of the tasks would find no room now, leaving one machine out. */
-  private int uncovered(JobSpec spec, int tasks, Machine without, long nowMs) {
-    for (Machine m : s.machines.values()) {
-      MachineType t = s.types.get(m.type);
-      if (m != without && t != null && m.usable(nowMs)) {
-        Bin bin = new Bin(m, t, spec.priority());
-        while (tasks > 0 && bin.take(spec)) {
-          tasks--;
-        }
-      }
-    }
-    return tasks;
-  }
-
-  private boolean affordable(MachineType t, boolean spot) {
-    double fleet = 0;
-    for (Machine m : s.machines.values()) {
-      MachineType other = s.types.get(m.type);
-      fleet += other == null ? 0 : other.price(m.spot);
-    }
-    return t.price(spot) <= Constants.RESERVE_SHARE * fleet;
-  }
-
-  /** Whether an idle machine is the room kept for a class. */
-  private boolean isReserve(Machine m, MachineType t, long nowMs) {
-    if (t == null || !affordable(t, m.spot)) {
-      return false;
-    }
-    for (Recent r : recent.values()) {
-      int tasks = reserved(r, nowMs);
-      if (tasks > 0
-          && new Bin(m, t, r.last.priority()).take(r.last)
-          && uncovered(r.last, tasks, m, nowMs) > 0) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   /** How many of the waiting tasks should run at once for the job to be in time. */
   private int concurrency(Job job, long nowMs) {
     JobSpec spec = job.spec;
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -60,7 +60,6 @@
     }
     Job job = new Job(spec, submittedMs, opened, done);
     job.inherited = opened;
-    fleet.arrived(spec, submittedMs);
     jobs.put(spec.id(), job);
   }
 
@@ -308,6 +307,8 @@
       if (item.phase() == Report.Phase.RUNNING && run.runningSinceMs < 0) {
         run.runningSinceMs = nowMs;
         job.gangRan = true;
+        LOG.debug("task {} runs on {}, {} ms after it was placed", run.name(), m.name,
+            nowMs - run.placedMs);
       }
     }
     if (item.phase() != Report.Phase.EXITED) {
