--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -58,6 +58,9 @@
   /** Aims on starting up to this many seconds may stop work of lower priority. */
   public static final double TIGHT_START_S = 5;
 
+  /** Processor seconds of stopped work that a second of image fetch is worth to a tight aim. */
+  public static final double FETCH_LOSS = 10;
+
   /** Milliseconds between passes when nothing happens. */
   public static final long PASS_MS = 250;
 
--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -34,6 +34,9 @@
   /** Where each task is held; exited attempts are not here. */
   final Map<Integer, Run> runs = new HashMap<>();
 
+  /** Within a pass: waiting tasks for which room is being made. */
+  int covered;
+
   long gangAttempt;
   boolean gangRan;
   int errors;
--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -65,6 +65,11 @@
   /** Images believed to be here, least recently used first: the worker does not report them. */
   final LinkedHashMap<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
 
+  /** Within a pass: room made for tasks that wait for it. */
+  double reservedCpus;
+
+  double reservedGpus;
+  double reservedMemory;
   double usedCpus;
   double usedGpus;
   double usedMemory;
--- a/src/main/java/org/astershift/core/Placement.java
+++ b/src/main/java/org/astershift/core/Placement.java
@@ -40,6 +40,12 @@
         Comparator.comparing((Machine m) -> !m.spot)
             .thenComparing((Machine m) -> -m.usedCpus / s.types.get(m.type).cpus()));
     Map<Machine, Integer> taken = new HashMap<>();
+    Map<Machine, double[]> freeing = new HashMap<>();
+    for (Machine m : free) {
+      m.reservedCpus = 0;
+      m.reservedGpus = 0;
+      m.reservedMemory = 0;
+    }
     for (Priority tier : Priority.values()) {
       List<Job> jobs = new ArrayList<>();
       for (Job job : window) {
@@ -55,13 +61,17 @@
           gang(job, free, nowMs);
         }
       }
-      for (double least : new double[] {1, 0.1, 0}) {
+      for (Machine m : free) {
+        fill(m, jobs, 1, taken, nowMs);
+      }
+      preempt(jobs, free, freeing, true, nowMs);
+      for (double least : new double[] {0.1, 0}) {
         for (Machine m : free) {
           fill(m, jobs, least, taken, nowMs);
         }
       }
+      preempt(jobs, free, freeing, false, nowMs);
     }
-    preempt(window, free, nowMs);
   }
 
   /** The first tasks of the queue that may start now, as jobs. */
@@ -158,7 +168,9 @@
         continue;
       }
       int index = job.waiting.nextSetBit(0);
-      while (index >= 0 && taken.getOrDefault(m, 0) < s.policy.batch() && room(m, job)) {
+      while (index >= 0
+          && (score == 1 || job.waiting.cardinality() > job.covered)
+          && taken.getOrDefault(m, 0) < s.policy.batch() && room(m, job)) {
         if (score == 0 && !pastAge(job, nowMs) && utilization(m) >= s.policy.utilization()) {
           break;
         }
@@ -210,9 +222,9 @@
 
   private boolean room(Machine m, Job job) {
     MachineType t = s.types.get(m.type);
-    return m.usedCpus + job.spec.cpus() <= t.cpus() + 1e-6
-        && m.usedGpus + job.spec.gpus() <= t.gpus() + 1e-6
-        && m.usedMemory + job.spec.memoryGb() <= t.memoryGb() + 1e-6;
+    return m.usedCpus + m.reservedCpus + job.spec.cpus() <= t.cpus() + 1e-6
+        && m.usedGpus + m.reservedGpus + job.spec.gpus() <= t.gpus() + 1e-6
+        && m.usedMemory + m.reservedMemory + job.spec.memoryGb() <= t.memoryGb() + 1e-6;
   }
 
   private boolean teamAllows(Job job) {
@@ -333,32 +345,38 @@
 
   // ---- preemption ----
 
-  /** Stops work of lower priority for tasks with a tight aim that found no room. */
-  private void preempt(List<Job> window, List<Machine> free, long nowMs) {
-    Map<Machine, double[]> freeing = new HashMap<>();
-    for (Job job : window) {
+  /**
+   * Stops work of lower priority for tasks with a tight aim that found no room. First where their
+   * image is: fetching it may take longer than the aim. These tasks then wait for the room made.
+   */
+  private void preempt(
+      List<Job> jobs, List<Machine> free, Map<Machine, double[]> freeing, boolean onlyHits,
+      long nowMs) {
+    for (Job job : jobs) {
+      if (onlyHits) {
+        job.covered = 0;
+      }
       Double aim = s.facts.startAim(job.spec.jobClass());
       if (job.waiting.isEmpty() || aim == null || aim > Constants.TIGHT_START_S
           || job.spec.kind() == JobKind.GANG || !teamAllows(job)) {
         continue;
       }
-      int need = job.waiting.cardinality();
-      for (int i = 0; i < need; i++) {
-        if (!makeRoom(job, free, freeing, nowMs)) {
-          break;
-        }
+      int need = job.waiting.cardinality() - job.covered;
+      for (int i = 0; i < need && makeRoom(job, free, freeing, onlyHits, nowMs); i++) {
+        job.covered++;
       }
     }
   }
 
   private boolean makeRoom(
-      Job job, List<Machine> free, Map<Machine, double[]> freeing, long nowMs) {
+      Job job, List<Machine> free, Map<Machine, double[]> freeing, boolean onlyHits, long nowMs) {
     JobSpec spec = job.spec;
     Machine best = null;
     List<Run> bestVictims = null;
     double bestLoss = Double.MAX_VALUE;
     for (Machine m : free) {
-      if (!allowed(m, job)) {
+      boolean hit = m.images.containsKey(spec.image());
+      if (!allowed(m, job) || (onlyHits && !hit)) {
         continue;
       }
       MachineType t = s.types.get(m.type);
@@ -392,7 +410,7 @@
           || memory + 1e-6 < spec.memoryGb()) {
         continue;
       }
-      loss += m.images.containsKey(spec.image()) ? 0 : 20;
+      loss += hit ? 0 : Constants.FETCH_LOSS * spec.imageGb() / t.fetchGbPerS();
       if (loss < bestLoss) {
         best = m;
         bestVictims = victims;
@@ -406,6 +424,9 @@
     f[0] -= spec.cpus();
     f[1] -= spec.gpus();
     f[2] -= spec.memoryGb();
+    best.reservedCpus += spec.cpus();
+    best.reservedGpus += spec.gpus();
+    best.reservedMemory += spec.memoryGb();
     for (Run run : bestVictims) {
       stop(run);
       LOG.debug("task {} on {} stops for {}", run.name(), best.name, spec.id());
