--- a/src/main/java/org/astershift/http/HttpServer.java
+++ b/src/main/java/org/astershift/http/HttpServer.java
@@ -22,8 +22,8 @@
     Response handle(Request request) throws Exception;
   }
 
-  /** A request; the path is without its query. */
-  public record Request(String method, String path, byte[] body) {}
+  /** A request; the path is without its query, which is empty if there is none. */
+  public record Request(String method, String path, String query, byte[] body) {}
 
   /** A response; {@code body} null for none, {@code retryAfterS} 0 for none. */
   public record Response(int status, Map<String, Object> body, int retryAfterS) {
@@ -166,9 +166,10 @@
     }
     int query = start[1].indexOf('?');
     String path = query < 0 ? start[1] : start[1].substring(0, query);
+    String rest = query < 0 ? "" : start[1].substring(query + 1);
     Response response;
     try {
-      response = handler.handle(new Request(start[0], path, m.body()));
+      response = handler.handle(new Request(start[0], path, rest, m.body()));
     } catch (Exception e) {
       LOG.error("{} {} failed", start[0], path, e);
       response = Response.error(503, "internal error");
--- /dev/null
+++ b/src/test/java/org/astershift/EndToEndTest.java
@@ -0,0 +1,189 @@
+package org.astershift;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.astershift.http.HttpClient;
+import org.astershift.http.Json;
+import org.astershift.standin.StandInCloud;
+import org.astershift.standin.StandInStore;
+import org.astershift.standin.StandInWorker;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Three real controllers on loopback against stand-ins, with the state service down for a while and
+ * controllers killed. It waits for what must come, however slow the machine is.
+ */
+@Timeout(240)
+class EndToEndTest {
+  @TempDir Path dir;
+  private final List<Integer> ports = new ArrayList<>();
+  private final List<Process> nodes = new ArrayList<>();
+  private StandInStore store;
+  private StandInCloud cloud;
+
+  @BeforeEach
+  void start() throws Exception {
+    for (int i = 0; i < 6; i++) {
+      try (ServerSocket s = new ServerSocket(0)) {
+        ports.add(s.getLocalPort());
+      }
+    }
+    store = new StandInStore(0);
+    cloud = new StandInCloud(0, ports.subList(0, 3), 700);
+    for (int i = 0; i < 3; i++) {
+      nodes.add(node(i));
+    }
+    for (int i = 0; i < 3; i++) {
+      await(i, "GET", "/ready", null, "ready");
+    }
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    for (Process p : nodes) {
+      p.destroyForcibly().waitFor();
+    }
+    cloud.close();
+    store.close();
+  }
+
+  private Process node(int i) throws Exception {
+    StringBuilder others = new StringBuilder();
+    for (int j = 0; j < 3; j++) {
+      if (j != i) {
+        others.append("[[others]]\nmember = \"n").append(j).append("\"\ndomain = \"a\"\n");
+        others.append("endpoint = \"127.0.0.1:").append(ports.get(3 + j)).append("\"\n");
+      }
+    }
+    String text =
+        Files.readString(Path.of("src/test/resources/first-job.toml"))
+            .replace("member = \"one\"", "member = \"n" + i + "\"")
+            .replace("127.0.0.1:18080", "127.0.0.1:" + ports.get(i))
+            .replace("127.0.0.1:18081", "127.0.0.1:" + ports.get(3 + i))
+            .replace("127.0.0.1:18443", "127.0.0.1:" + cloud.port())
+            .replace("127.0.0.1:18379", "127.0.0.1:" + store.port())
+            .replace("[external]", others + "[external]");
+    Path file = Files.writeString(dir.resolve("n" + i + ".toml"), text);
+    return new ProcessBuilder(
+            System.getProperty("java.home") + "/bin/java",
+            "-cp",
+            System.getProperty("java.class.path"),
+            "org.astershift.Main",
+            "--config",
+            file.toString())
+        .redirectError(dir.resolve("n" + i + ".log").toFile())
+        .start();
+  }
+
+  private HttpClient.Answer call(int node, String method, String path, String body)
+      throws Exception {
+    HttpClient client = new HttpClient("127.0.0.1", ports.get(node), 1);
+    byte[] bytes = body == null ? null : body.getBytes(StandardCharsets.UTF_8);
+    return client.call(method, path, bytes, 10_000);
+  }
+
+  /** Repeats a request, as users do, until the answer holds the word. */
+  private Map<String, Object> await(int node, String method, String path, String body, String word)
+      throws Exception {
+    while (true) {
+      try {
+        HttpClient.Answer a = call(node, method, path, body);
+        if (a.status() < 400 && new String(a.body(), StandardCharsets.UTF_8).contains(word)) {
+          return Json.object(a.body());
+        }
+      } catch (java.io.IOException e) {
+        // not up, or killed: asked again
+      }
+      synchronized (this) {
+        wait(50);
+      }
+    }
+  }
+
+  private static String job(String id, String shape, int tasks) {
+    return "{\"id\":\"" + id + "\",\"berth_class\":\"c\",\"crew\":\"demo\",\"shape\":\"" + shape
+        + "\",\"rank\":\"standard\",\"shards\":" + tasks + ",\"vcpus\":1,\"gpus\":0,\"mem_gb\":1,"
+        + "\"payload\":\"i\",\"image_gb\":1,\"expect_s\":1,\"anchor_s\":0,\"stow_s\":0}";
+  }
+
+  private List<String> started() {
+    List<String> out = new ArrayList<>();
+    for (StandInWorker w : cloud.workers()) {
+      out.addAll(w.started());
+    }
+    return out;
+  }
+
+  @Test
+  void jobsSurviveAnOutageAndTheLossOfControllers() throws Exception {
+    await(0, "POST", "/v2/runs", job("wk-000001", "sweep", 6), "wk-000001");
+    assertEquals(200, call(1, "POST", "/v2/runs", job("wk-000001", "sweep", 6)).status());
+    await(2, "GET", "/v2/runs/wk-000001", null, "\"done\",");
+    assertEquals(404, call(1, "GET", "/v2/runs/wk-999999", null).status());
+    assertEquals(400, call(1, "POST", "/v2/runs", "{\"id\":7}").status());
+    assertEquals(422, call(1, "POST", "/v2/runs",
+        job("wk-000009", "sweep", 1).replace("\"vcpus\":1", "\"vcpus\":99")).status());
+    assertEquals(405, call(1, "DELETE", "/v2/runs", null).status());
+
+    // Jobs opened before an outage go on in it; their end is told when it can be written.
+    await(1, "POST", "/v2/runs", job("wk-000002", "sweep", 8), "wk-000002");
+    await(1, "GET", "/v2/runs/wk-000002", null, "running\":");
+    store.down(true);
+    assertEquals(503, call(0, "POST", "/v2/runs", job("wk-000003", "sweep", 1)).status());
+    store.down(false);
+    await(0, "GET", "/v2/runs/wk-000002", null, "\"done\",");
+
+    // Every controller in turn is killed and started again.
+    await(0, "POST", "/v2/runs", job("wk-000004", "sweep", 20), "wk-000004");
+    for (int i = 0; i < 3; i++) {
+      nodes.get(i).destroyForcibly().waitFor();
+      nodes.set(i, node(i));
+      await(i, "GET", "/ready", null, "ready");
+    }
+    await(1, "GET", "/v2/runs/wk-000004", null, "\"done\",");
+    await(2, "GET", "/v2/runs/wk-000001", null, "\"done\",");
+
+    await(2, "POST", "/v2/runs/wk-000001/withdraw", null, "\"done\",");
+    List<String> starts = started();
+    Set<String> once = new HashSet<>(starts);
+    assertEquals(once.size(), starts.size(), "a task was started twice: " + starts);
+    assertTrue(once.contains("wk-000004/19"), starts.toString());
+    for (Process p : nodes) {
+      assertTrue(p.isAlive());
+    }
+  }
+
+  @Test
+  void cancelledOnAnyNodeIsGoneAndStaysCancelled() throws Exception {
+    await(0, "POST", "/v2/runs", job("wk-000005", "sweep", 40), "wk-000005");
+    await(1, "GET", "/v2/runs/wk-000005", null, "\"running\",");
+    await(2, "POST", "/v2/runs/wk-000005/withdraw", null, "withdrawn");
+    for (Process p : nodes) {
+      p.destroyForcibly().waitFor();
+    }
+    for (int i = 0; i < 3; i++) {
+      nodes.set(i, node(i));
+    }
+    await(0, "GET", "/v2/runs/wk-000005", null, "withdrawn");
+    await(1, "POST", "/v2/runs", job("wk-000006", "sweep", 1), "wk-000006");
+    await(1, "GET", "/v2/runs/wk-000006", null, "\"done\",");
+    for (StandInWorker w : cloud.workers()) {
+      assertEquals(List.of(), w.running());
+    }
+    assertEquals(200, call(1, "POST", "/v2/runs", job("wk-000005", "sweep", 40)).status());
+  }
+}
--- /dev/null
+++ b/src/test/java/org/astershift/MainTest.java
@@ -0,0 +1,71 @@
+package org.astershift;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Bad usage and bad settings: one line that says what is wrong, and exit code 2. */
+class MainTest {
+  private static final Path GOOD = Path.of("src/test/resources/first-job.toml");
+  @TempDir Path dir;
+
+  private static void expect(int code, String part, String... args) {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    ByteArrayOutputStream err = new ByteArrayOutputStream();
+    assertEquals(code, Main.run(args, new PrintStream(out), new PrintStream(err)));
+    String said = code == 0 ? out.toString() : err.toString();
+    assertTrue(said.contains(part), said);
+    if (code != 0) {
+      assertEquals(1, said.lines().count(), said);
+    }
+  }
+
+  private String file(String name, String text) throws Exception {
+    return Files.writeString(dir.resolve(name), text).toString();
+  }
+
+  @Test
+  void usage() {
+    expect(0, "--config", "--help");
+    expect(0, "astershift", "--version");
+    expect(2, "--config FILE is required");
+    expect(2, "--nonsense", "--nonsense");
+    expect(2, "unexpected argument: more", "--config", GOOD.toString(), "more");
+  }
+
+  @Test
+  void settings() throws Exception {
+    String good = Files.readString(GOOD);
+    expect(0, "settings are fine", "--check", "--config", GOOD.toString());
+    expect(0, "fine", "--check", "--config", file("more.toml", "later = 1\n" + good));
+    expect(2, "cannot be read", "--check", "--config", dir.resolve("none").toString());
+    expect(2, "not TOML", "--check", "--config", file("bad.toml", "= ["));
+    String wrong =
+        good.replace("lease_s = 14.0", "lease_s = -1.0")
+            .replace("member = \"one\"", "")
+            .replace("127.0.0.1:18443", "nowhere");
+    String path = file("wrong.toml", wrong);
+    expect(2, "member is missing", "--check", "--config", path);
+    expect(2, "facts.workers.lease_s is out of range: -1.0", "--check", "--config", path);
+    expect(2, "external.cloud is not host:port: nowhere", "--check", "--config", path);
+  }
+
+  @Test
+  void operatorsFile() throws Exception {
+    String config = GOOD.toString();
+    String good = file("good.ini", "[placement]\nwindow = 100\n[fleet]\nidle_release_s = 5\n");
+    expect(0, "fine", "--check", "--ini", good, "--config", config);
+    String wrong = file("bad.ini", "[placement]\nwindow = x\nwidow = 1\n[flet]\na = 1\n");
+    expect(2, "placement.window is not a number: x", "--check", "--ini", wrong, "--config", config);
+    expect(2, "placement.widow is not a known key", "--check", "--ini", wrong, "--config", config);
+    expect(2, "[flet] is not a known section", "--check", "--ini", wrong, "--config", config);
+    String range = file("range.ini", "[placement]\nutilization = 2\n");
+    expect(2, "out of range: 2", "--check", "--ini", range, "--config", config);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/astershift/standin/StandInCloud.java
@@ -0,0 +1,113 @@
+package org.astershift.standin;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.astershift.http.HttpServer;
+import org.astershift.http.HttpServer.Request;
+import org.astershift.http.HttpServer.Response;
+import org.astershift.http.Json;
+
+/** A cloud of one machine type whose machines boot at once, each with a {@link StandInWorker}. */
+public final class StandInCloud implements AutoCloseable {
+  private final List<Integer> controllers;
+  private final Map<String, List<String>> rentals = new HashMap<>();
+  private final TreeMap<String, StandInWorker> machines = new TreeMap<>();
+  private final long taskMs;
+  private int made;
+  private final HttpServer http;
+
+  public StandInCloud(int port, List<Integer> controllers, long taskMs) throws IOException {
+    this.controllers = controllers;
+    this.taskMs = taskMs;
+    this.http = new HttpServer("127.0.0.1", port, 50, this::handle);
+    http.start();
+  }
+
+  public int port() {
+    return http.port();
+  }
+
+  /** Workers of the machines that there are. */
+  public synchronized List<StandInWorker> workers() {
+    return new ArrayList<>(machines.values());
+  }
+
+  @Override
+  public synchronized void close() throws IOException {
+    http.close();
+    for (StandInWorker w : machines.values()) {
+      w.close();
+    }
+  }
+
+  private synchronized Response handle(Request r) throws Exception {
+    switch (r.path()) {
+      case "/flavors" -> {
+        Map<String, Object> t = new LinkedHashMap<>();
+        t.put("name", "small");
+        t.put("vcpus", 4.0);
+        t.put("gpus", 0.0);
+        t.put("mem_gb", 16.0);
+        t.put("local_gb", 50.0);
+        t.put("pull_gb_per_s", 1.0);
+        t.put("hourly", 0.2);
+        t.put("low_price", 0.1);
+        t.put("ready_s", 1.0);
+        t.put("harbors", List.of("a", "b"));
+        return Response.of(200, Map.of("hulls", List.of(t)));
+      }
+      case "/hosts" -> {
+        return r.method().equals("POST") ? rent(Json.object(r.body())) : list();
+      }
+      case "/hosts/return" -> {
+        for (Object name : Json.list(Json.object(r.body()), "vessels")) {
+          StandInWorker w = machines.remove(String.valueOf(name));
+          if (w != null) {
+            w.close();
+          }
+        }
+        return Response.of(200, Map.of());
+      }
+      default -> {
+        return Response.error(404, "no such path");
+      }
+    }
+  }
+
+  private Response rent(Map<String, Object> m) throws Exception {
+    String rental = Json.text(m, "charter");
+    List<String> names = rentals.get(rental);
+    if (names == null) {
+      names = new ArrayList<>();
+      for (long i = Json.whole(m, "number"); i > 0; i--) {
+        String name = String.format("vm-%06d", ++made);
+        machines.put(
+            name, new StandInWorker(name, Json.text(m, "harbor"), controllers, taskMs));
+        names.add(name);
+      }
+      rentals.put(rental, names);
+    }
+    return Response.of(200, Map.of("vessels", names));
+  }
+
+  private Response list() {
+    List<Object> out = new ArrayList<>();
+    for (StandInWorker w : machines.values()) {
+      Map<String, Object> m = new LinkedHashMap<>();
+      m.put("id", w.name());
+      m.put("addr", w.addr());
+      m.put("hull", "small");
+      m.put("harbor", w.zone());
+      m.put("ebbtide", false);
+      m.put("phase", "running");
+      m.put("held_s", 1.0);
+      out.add(m);
+    }
+    return Response.of(200, Map.of("vessels", out, "more", false));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/astershift/standin/StandInStore.java
@@ -0,0 +1,207 @@
+package org.astershift.standin;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.astershift.http.HttpServer;
+import org.astershift.http.HttpServer.Request;
+import org.astershift.http.HttpServer.Response;
+import org.astershift.http.Json;
+
+/** A state service in memory, by its published protocol; it can be down. */
+public final class StandInStore implements AutoCloseable {
+  private record Value(Object data, long revision, long lease) {}
+
+  private record Event(long revision, Map<String, Object> news, String key) {}
+
+  private final TreeMap<String, Value> rows = new TreeMap<>();
+  private final List<Event> events = new ArrayList<>();
+  private final Map<Long, long[]> leases = new HashMap<>();
+  private long revision;
+  private long lastLease;
+  private boolean down;
+  private final HttpServer http;
+
+  public StandInStore(int port) throws IOException {
+    http = new HttpServer("127.0.0.1", port, 200, this::handle);
+    http.start();
+  }
+
+  public int port() {
+    return http.port();
+  }
+
+  /** While down every request gets 503; afterwards each lease has its full time again. */
+  public synchronized void down(boolean is) {
+    down = is;
+    for (long[] lease : leases.values()) {
+      lease[1] = now() + lease[0];
+    }
+    notifyAll();
+  }
+
+  @Override
+  public void close() throws IOException {
+    http.close();
+  }
+
+  private static long now() {
+    return System.nanoTime() / 1_000_000;
+  }
+
+  private synchronized Response handle(Request r) throws Exception {
+    expire();
+    if (down) {
+      return Response.error(503, "trouble");
+    }
+    Map<String, String> q = new HashMap<>();
+    for (String pair : r.query().split("&")) {
+      int eq = pair.indexOf('=');
+      if (eq > 0) {
+        q.put(pair.substring(0, eq), pair.substring(eq + 1));
+      }
+    }
+    String path = r.path();
+    if (path.equals("/store")) {
+      return list(q);
+    } else if (path.startsWith("/store/")) {
+      String key = path.substring("/store/".length());
+      Value v = rows.get(key);
+      return v == null ? Response.of(404, Map.of("epoch", revision)) : Response.of(200, row(key, v));
+    } else if (path.equals("/multi")) {
+      return multi(Json.object(r.body()));
+    } else if (path.equals("/watch")) {
+      return watch(q);
+    } else if (path.equals("/grants")) {
+      leases.put(++lastLease, new long[] {Json.whole(Json.object(r.body()), "life_ms"), 0});
+      leases.get(lastLease)[1] = now() + leases.get(lastLease)[0];
+      return Response.of(200, Map.of("mooring", lastLease));
+    } else if (path.endsWith("/renew")) {
+      long[] lease = leases.get(Long.parseLong(path.split("/")[2]));
+      if (lease == null) {
+        return Response.error(404, "no such lease");
+      }
+      lease[1] = now() + lease[0];
+      return Response.of(200, Map.of("mooring", Long.parseLong(path.split("/")[2])));
+    } else if (path.startsWith("/grants/") && r.method().equals("DELETE")) {
+      long[] lease = leases.get(Long.parseLong(path.split("/")[2]));
+      if (lease != null) {
+        lease[1] = 0;
+        expire();
+      }
+      return Response.of(200, Map.of());
+    }
+    return Response.error(404, "no such path");
+  }
+
+  private void expire() {
+    if (down) {
+      return;
+    }
+    for (long id : new ArrayList<>(leases.keySet())) {
+      if (leases.get(id)[1] <= now()) {
+        leases.remove(id);
+        for (String key : new ArrayList<>(rows.keySet())) {
+          if (rows.get(key).lease() == id) {
+            revision++;
+            remove(key);
+          }
+        }
+      }
+    }
+  }
+
+  private void remove(String key) {
+    rows.remove(key);
+    Map<String, Object> news = new LinkedHashMap<>();
+    news.put("remove", key);
+    news.put("stamp", revision);
+    events.add(new Event(revision, news, key));
+    notifyAll();
+  }
+
+  private static Map<String, Object> row(String key, Value v) {
+    Map<String, Object> m = new LinkedHashMap<>();
+    m.put("k", key);
+    m.put("data", v.data());
+    m.put("stamp", v.revision());
+    return m;
+  }
+
+  private Response list(Map<String, String> q) {
+    int limit = Integer.parseInt(q.getOrDefault("limit", "1000"));
+    List<Object> out = new ArrayList<>();
+    boolean more = false;
+    for (Map.Entry<String, Value> e : rows.tailMap(q.getOrDefault("from", ""), false).entrySet()) {
+      if (e.getKey().startsWith(q.get("starts"))) {
+        if (out.size() == limit) {
+          more = true;
+          break;
+        }
+        out.add(row(e.getKey(), e.getValue()));
+      }
+    }
+    return Response.of(200, Map.of("rows", out, "more", more, "epoch", revision));
+  }
+
+  private Response multi(Map<String, Object> body) throws Json.Bad {
+    List<Object> failed = new ArrayList<>();
+    for (Object o : Json.list(body, "if")) {
+      Map<String, Object> c = Json.object(o, "condition");
+      Value v = rows.get(Json.text(c, "k"));
+      if ((v == null ? 0 : v.revision()) != Json.whole(c, "stamp")) {
+        failed.add(c.get("k"));
+      }
+    }
+    if (!failed.isEmpty()) {
+      return Response.of(409, Map.of("failed", failed, "epoch", revision));
+    }
+    List<?> changes = Json.list(body, "writes");
+    for (Object o : changes) {
+      Map<String, Object> c = Json.object(o, "change");
+      if (c.get("mooring") != null && !leases.containsKey(Json.whole(c, "mooring"))) {
+        return Response.error(400, "no such lease");
+      }
+    }
+    revision++;
+    for (Object o : changes) {
+      Map<String, Object> c = Json.object(o, "change");
+      String key = Json.textOrNull(c, "set");
+      if (key == null) {
+        remove(Json.text(c, "remove"));
+        continue;
+      }
+      long lease = c.get("mooring") == null ? 0 : Json.whole(c, "mooring");
+      rows.put(key, new Value(c.get("data"), revision, lease));
+      Map<String, Object> news = new LinkedHashMap<>();
+      news.put("set", key);
+      news.put("data", c.get("data"));
+      news.put("stamp", revision);
+      events.add(new Event(revision, news, key));
+    }
+    notifyAll();
+    return Response.of(200, Map.of("epoch", revision));
+  }
+
+  private Response watch(Map<String, String> q) throws InterruptedException {
+    long from = Long.parseLong(q.get("from"));
+    long deadline = now() + Long.parseLong(q.getOrDefault("block_ms", "0"));
+    while (true) {
+      expire();
+      List<Object> news = new ArrayList<>();
+      for (Event e : events) {
+        if (e.revision() > from && e.key().startsWith(q.get("starts"))) {
+          news.add(e.news());
+        }
+      }
+      if (!down && (!news.isEmpty() || now() >= deadline)) {
+        return Response.of(200, Map.of("epoch", revision, "news", news));
+      }
+      wait(20);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/astershift/standin/StandInWorker.java
@@ -0,0 +1,172 @@
+package org.astershift.standin;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.astershift.http.HttpClient;
+import org.astershift.http.HttpServer;
+import org.astershift.http.HttpServer.Request;
+import org.astershift.http.HttpServer.Response;
+import org.astershift.http.Json;
+
+/** A worker by its published protocol; its tasks take a fixed time, and no image. */
+public final class StandInWorker implements AutoCloseable {
+  private static final long REPORT_MS = 150;
+  private final String name;
+  private final String zone;
+  private final List<Integer> controllers;
+  private final long taskMs;
+  private final HttpServer http;
+  private final Map<String, Map<String, Object>> tasks = new LinkedHashMap<>();
+  private final Map<String, Long> startedMs = new LinkedHashMap<>();
+  private final List<String> started = new ArrayList<>();
+  private long seq;
+  private long token;
+  private volatile boolean closed;
+  private int at;
+
+  StandInWorker(String name, String zone, List<Integer> controllers, long taskMs)
+      throws IOException {
+    this.name = name;
+    this.zone = zone;
+    this.controllers = controllers;
+    this.taskMs = taskMs;
+    this.http = new HttpServer("127.0.0.1", 0, 20, this::handle);
+    http.start();
+    Thread t = new Thread(this::loop, "worker " + name);
+    t.setDaemon(true);
+    t.start();
+  }
+
+  public String name() {
+    return name;
+  }
+
+  String zone() {
+    return zone;
+  }
+
+  String addr() {
+    return "127.0.0.1:" + http.port();
+  }
+
+  /** Every start so far, as task names. */
+  public synchronized List<String> started() {
+    return new ArrayList<>(started);
+  }
+
+  /** Tasks that run now. */
+  public synchronized List<String> running() {
+    List<String> out = new ArrayList<>();
+    tasks.forEach(
+        (k, t) -> {
+          if (t.get("phase").equals("running")) {
+            out.add(String.valueOf(t.get("shard")));
+          }
+        });
+    return out;
+  }
+
+  @Override
+  public void close() throws IOException {
+    closed = true;
+    http.close();
+  }
+
+  private synchronized Map<String, Object> report() {
+    long now = System.nanoTime() / 1_000_000;
+    tasks.forEach(
+        (k, t) -> {
+          boolean service = taskMs <= 0;
+          if (t.get("phase").equals("running") && !service && now - startedMs.get(k) >= taskMs) {
+            t.put("phase", "exited");
+            t.put("cause", "done");
+          }
+        });
+    Map<String, Object> m = new LinkedHashMap<>();
+    m.put("vessel", name);
+    m.put("addr", addr());
+    m.put("hull", "small");
+    m.put("harbor", zone);
+    m.put("ebbtide", false);
+    m.put("watch", 1);
+    m.put("tick", ++seq);
+    m.put("helm", token);
+    List<Object> shards = new ArrayList<>();
+    tasks.values().forEach(t -> shards.add(new LinkedHashMap<>(t)));
+    m.put("shards", shards);
+    return m;
+  }
+
+  private synchronized Response handle(Request r) throws Exception {
+    if (!r.path().equals("/orders")) {
+      return Response.of(200, report());
+    }
+    Map<String, Object> m = Json.object(r.body());
+    if (Json.whole(m, "helm") < token || Json.whole(m, "watch") != 1) {
+      return Response.of(409, report());
+    }
+    obey(m);
+    return Response.of(200, report());
+  }
+
+  private synchronized void obey(Map<String, Object> m) throws Json.Bad {
+    if (m.get("helm") == null || Json.whole(m, "helm") < token) {
+      return;
+    }
+    token = Json.whole(m, "helm");
+    for (Object o : Json.list(m, "orders")) {
+      Map<String, Object> order = Json.object(o, "order");
+      String task = Json.text(order, "shard");
+      String key = task + "@" + Json.whole(order, "launch");
+      switch (Json.text(order, "verb")) {
+        case "run" -> {
+          if (!tasks.containsKey(key)) {
+            Map<String, Object> t = new LinkedHashMap<>();
+            t.put("shard", task);
+            t.put("launch", order.get("launch"));
+            t.put("phase", "running");
+            tasks.put(key, t);
+            startedMs.put(key, System.nanoTime() / 1_000_000);
+            started.add(task);
+          }
+        }
+        case "stop" -> {
+          Map<String, Object> t = tasks.get(key);
+          if (t != null && !t.get("phase").equals("exited")) {
+            t.put("phase", "exited");
+            t.put("cause", "halted");
+          }
+        }
+        default -> tasks.remove(key);
+      }
+    }
+  }
+
+  /** Waits for the next report's time on the object's monitor, so that closing need not wait. */
+  private synchronized void rest() throws InterruptedException {
+    wait(REPORT_MS);
+  }
+
+  private void loop() {
+    while (!closed) {
+      try {
+        rest();
+        int port = controllers.get(at % controllers.size());
+        HttpClient client = new HttpClient("127.0.0.1", port, 1);
+        HttpClient.Answer a = client.call("POST", "/agent/beat", Json.bytes(report()), 2000);
+        if (a.status() == 200) {
+          obey(Json.object(a.body()));
+        } else {
+          at++;
+        }
+      } catch (IOException | Json.Bad e) {
+        at++;
+      } catch (InterruptedException e) {
+        return;
+      }
+    }
+  }
+}
