A leader out of reach of most workers resigns instead of giving the fleet away

Now many silent machines at once are put down to the network here, and the leader lets another node lead.

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -99,6 +99,21 @@
   /** Milliseconds after that until a machine that does not answer is given back. */
   public static final long SILENT_MS = 1200;
 
+  /** So many silent machines are always put down to the machines. */
+  public static final int SILENT_FEW = 4;
+
+  /** More than this share of the fleet silent at once is put down to the network here. */
+  public static final double SILENT_SHARE = 0.25;
+
+  /** Machines given back as silent count as silent for so many milliseconds. */
+  public static final long SILENCE_MS = 10_000;
+
+  /** A leader that gave up because it reached too few machines lets the others try for so long. */
+  public static final long RESIGN_PAUSE_MS = 15_000;
+
+  /** It does not give up again for so long: then the trouble is not with its own network. */
+  public static final long RESIGN_AGAIN_MS = 60_000;
+
   /** Deadline of the question whether a machine is there, milliseconds. */
   public static final int PROBE_TIMEOUT_MS = 1000;
 
--- a/src/main/java/org/astershift/core/Fleet.java
+++ b/src/main/java/org/astershift/core/Fleet.java
@@ -1,5 +1,6 @@
 package org.astershift.core;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -20,6 +21,7 @@
   private final Scheduler s;
   private final Map<String, Decision.Rent> underWay = new LinkedHashMap<>();
   private final Map<String, Long> paused = new HashMap<>();
+  private final ArrayDeque<Long> silentReturns = new ArrayDeque<>();
   private final Set<String> failedNames = new HashSet<>();
   private long lastPlanMs = Long.MIN_VALUE / 2;
   private long firstPlanMs = -1;
@@ -72,21 +74,16 @@
 
   private void giveBack(List<Decision> out, long nowMs) {
     List<String> names = new ArrayList<>(failedNames);
-    int silent = 0;
-    int live = 0;
-    for (Machine m : s.machines.values()) {
-      if (m.state != Machine.State.BOOTING) {
-        live++;
-        silent += silent(m, nowMs) ? 1 : 0;
-      }
-    }
-    // If most are silent the trouble is more likely here than there.
-    boolean believe = silent <= Math.max(2, live / 2);
+    boolean believe = believable(nowMs);
     for (Machine m : s.machines.values()) {
       String why = whyReturn(m, believe, nowMs);
       if (why != null && m.state != Machine.State.RETURNING) {
         LOG.info("machine {} ({} in {}) is returned: {}", m.name, m.type, m.zone, why);
         m.state = Machine.State.RETURNING;
+        if (silent(m, nowMs)) {
+          silentReturns.addLast(nowMs);
+          believe = believable(nowMs);
+        }
       }
       if (m.state == Machine.State.RETURNING) {
         names.add(m.name);
@@ -97,6 +94,38 @@
     }
   }
 
+  /**
+   * Whether silence may be put down to the machines. If many fall silent at once the trouble is more
+   * likely between them and this leader, which must not give a healthy fleet away.
+   */
+  private boolean believable(long nowMs) {
+    while (!silentReturns.isEmpty() && nowMs - silentReturns.peekFirst() > Constants.SILENCE_MS) {
+      silentReturns.removeFirst();
+    }
+    int[] n = silentAndAll(nowMs);
+    int all = n[1] + silentReturns.size();
+    return n[0] + silentReturns.size()
+        <= Math.max(Constants.SILENT_FEW, all * Constants.SILENT_SHARE);
+  }
+
+  private int[] silentAndAll(long nowMs) {
+    int silent = 0;
+    int all = 0;
+    for (Machine m : s.machines.values()) {
+      if (m.state != Machine.State.BOOTING && m.state != Machine.State.RETURNING) {
+        all++;
+        silent += silent(m, nowMs) ? 1 : 0;
+      }
+    }
+    return new int[] {silent, all};
+  }
+
+  /** Whether most machines do not answer: another controller may reach them better. */
+  boolean isolated(long nowMs) {
+    int[] n = silentAndAll(nowMs);
+    return n[0] > Constants.SILENT_FEW && n[0] * 2 > n[1];
+  }
+
   private boolean silent(Machine m, long nowMs) {
     long silence = nowMs - Math.max(m.seenMs, m.heardMs);
     return silence > s.suspectMs() + Constants.SILENT_MS
@@ -112,10 +141,10 @@
         return nowMs - m.knownMs > limit ? "not up after " + (nowMs - m.knownMs) + " ms" : null;
       }
       case UNHEARD, LOST -> {
-        return believe && silent(m, nowMs) ? "silent" : null;
+        return (believe || pastLease(m, nowMs)) && silent(m, nowMs) ? "silent" : null;
       }
       case LIVE -> {
-        if (believe && silent(m, nowMs)) {
+        if ((believe || pastLease(m, nowMs)) && silent(m, nowMs)) {
           return "silent with " + m.held().size() + " tasks";
         }
         if (m.condemned) {
@@ -145,6 +174,11 @@
     return keep * (m.spot ? Constants.IDLE_SPOT : 1) * 1000;
   }
 
+  /** Nothing it held can be alive any more, so that giving it back loses nothing. */
+  private boolean pastLease(Machine m, long nowMs) {
+    return nowMs - Math.max(m.seenMs, m.heardMs) > 1.5 * s.facts.leaseS() * 1000;
+  }
+
   // ---- renting ----
 
   /** Room that is on its way, by machine. */
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -170,6 +170,11 @@
     return deposed;
   }
 
+  /** Whether most machines are out of this leader's reach. */
+  public boolean isolated(long nowMs) {
+    return fleet.isolated(nowMs);
+  }
+
   public long token() {
     return token;
   }
--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -219,14 +219,19 @@
         }
         List<Decision> decisions;
         String summary = null;
+        boolean isolated;
         synchronized (t) {
           long now = Term.nowMs();
+          isolated = t.scheduler.isolated(now);
           decisions = t.scheduler.pass(now);
           if (now - told > Constants.SUMMARY_MS) {
             told = now;
             summary = t.scheduler.summary();
           }
         }
+        if (isolated) {
+          leadership.resign(t.token, "most machines do not answer here");
+        }
         if (summary != null) {
           LOG.info(summary);
         }
--- a/src/main/java/org/astershift/leader/Leadership.java
+++ b/src/main/java/org/astershift/leader/Leadership.java
@@ -23,7 +23,9 @@
   private final Office office;
   private volatile long token;
   private volatile long validUntilNs;
-  private long lease;
+  private volatile long lease;
+  private volatile long mayResignNs = System.nanoTime();
+  private volatile long contestNs = System.nanoTime();
 
   /** This process has tried to lead: a key with its node's name may be its own. */
   private boolean held;
@@ -82,6 +84,25 @@
     }
   }
 
+  /**
+   * Lets another node lead, because this one reaches too few workers; not twice in a short time, since
+   * then the others reach no more.
+   */
+  public void resign(long ofToken, String why) {
+    long now = System.nanoTime();
+    if (now - mayResignNs < 0 || token != ofToken) {
+      return;
+    }
+    mayResignNs = now + Constants.RESIGN_AGAIN_MS * 1_000_000;
+    contestNs = now + Constants.RESIGN_PAUSE_MS * 1_000_000;
+    stepDown(ofToken, why);
+    try {
+      store.revoke(lease);
+    } catch (IOException e) {
+      LOG.debug("the lease ends by itself: {}", e.toString());
+    }
+  }
+
   private void loop() {
     while (true) {
       try {
@@ -112,7 +133,7 @@
   }
 
   private void contest() throws IOException, InterruptedException {
-    if (!mirror.loaded()) {
+    if (!mirror.loaded() || System.nanoTime() - contestNs < 0) {
       return;
     }
     StoreClient.Row row = mirror.row(Records.LEADER);
--- a/src/test/java/org/astershift/core/TracePlayer.java
+++ b/src/test/java/org/astershift/core/TracePlayer.java
@@ -139,6 +139,9 @@
         }
         s.list(listed, now, now);
       }
+      case "isolated" -> {
+        return List.of("isolated " + s.isolated(now));
+      }
       case "show" -> {
         return List.of(show(s, p.get(2)));
       }
