--- a/src/main/java/org/astershift/core/Decision.java
+++ b/src/main/java/org/astershift/core/Decision.java
@@ -21,8 +21,12 @@
   /** Give machines back. */
   record Return(List<String> machines) implements Decision {}
 
-  /** Record a machine's name, so that a successor knows it may hold tasks. */
-  record Enrol(String machine, String addr, String type, String zone, boolean spot)
+  /**
+   * Record a machine, so that a successor knows of it. Until a record that is not {@code fresh} is
+   * durable it gets no task, so a successor need not wait for a fresh one.
+   */
+  record Enrol(
+      String machine, String addr, String type, String zone, boolean spot, boolean fresh)
       implements Decision {}
 
   /** Drop the record of a machine that is provably gone. */
--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -30,7 +30,8 @@
   /** Its name is durable, so tasks may be placed on it. */
   boolean enrolled;
 
-  boolean enrolAsked;
+  /** On record as fresh: it never got a task. */
+  boolean recorded;
 
   /** It has shown this leader's token in {@link #session}: no older leader can renew its lease. */
   boolean claimed;
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -71,8 +71,9 @@
     machines.put(name, m);
   }
 
-  /** Machines a rental brought, still booting. */
-  public void rented(String rental, List<String> names, Decision.Rent rent, boolean enrolled, long nowMs) {
+  /** Machines a rental brought, still booting; {@code recorded}: as fresh ones. */
+  public void rented(
+      String rental, List<String> names, Decision.Rent rent, boolean recorded, long nowMs) {
     fleet.settled(rental);
     for (String name : names) {
       Machine m = machines.get(name);
@@ -80,7 +81,7 @@
         m = new Machine(name, null, rent.type(), rent.zone(), rent.spot(), Machine.State.BOOTING, nowMs);
         machines.put(name, m);
       }
-      m.enrolled |= enrolled;
+      m.recorded |= recorded;
     }
   }
 
@@ -540,7 +541,7 @@
     for (Run run : new ArrayList<>(m.runs.values())) {
       drop(run);
     }
-    if (m.enrolled || asked.remove("enrol " + name)) {
+    if (m.enrolled || m.recorded || asked.remove("enrol " + name)) {
       struck.add(new Decision.Strike(name, m.addr));
     }
   }
@@ -635,7 +636,7 @@
         out.add(direct);
       }
       if (!m.enrolled && m.state == Machine.State.LIVE) {
-        ask(out, new Decision.Enrol(m.name, m.addr, m.type, m.zone, m.spot));
+        ask(out, new Decision.Enrol(m.name, m.addr, m.type, m.zone, m.spot, false));
       }
     }
     for (Job job : jobs.values()) {
--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -600,7 +600,8 @@
       for (String m : names) {
         txn.put(
             Records.MACHINE + m,
-            Records.machine(new Decision.Enrol(m, null, r.type(), r.zone(), r.spot())));
+            Records.machine(
+                new Decision.Enrol(m, null, r.type(), r.zone(), r.spot(), true)));
       }
       if (names.isEmpty()) {
         notRented(t, name, r, noCapacity);
--- a/src/main/java/org/astershift/leader/Term.java
+++ b/src/main/java/org/astershift/leader/Term.java
@@ -3,8 +3,10 @@
 import java.util.BitSet;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.astershift.core.Decision;
 import org.astershift.core.Scheduler;
 import org.astershift.http.Json;
 import org.astershift.store.Mirror;
@@ -48,7 +50,12 @@
     for (StoreClient.Row row : mirror.below(Records.MACHINE)) {
       try {
         var e = Records.machine(row.key(), row.data());
-        scheduler.inherit(e.machine(), e.addr(), e.type(), e.zone(), e.spot(), now);
+        if (e.fresh()) {
+          Decision.Rent rent = new Decision.Rent(e.type(), e.zone(), e.spot(), 1);
+          scheduler.rented("", List.of(e.machine()), rent, true, now);
+        } else {
+          scheduler.inherit(e.machine(), e.addr(), e.type(), e.zone(), e.spot(), now);
+        }
       } catch (Json.Bad e) {
         LOG.error("record {} cannot be read: {}", row.key(), e.getMessage());
       }
--- a/src/main/java/org/astershift/store/Records.java
+++ b/src/main/java/org/astershift/store/Records.java
@@ -154,6 +154,9 @@
     m.put("type", e.type());
     m.put("zone", e.zone());
     m.put("spot", e.spot());
+    if (e.fresh()) {
+      m.put("fresh", true);
+    }
     if (e.addr() != null) {
       m.put("addr", e.addr());
     }
@@ -166,7 +169,8 @@
         Json.textOrNull(m, "addr"),
         Json.text(m, "type"),
         Json.text(m, "zone"),
-        Json.flag(m, "spot"));
+        Json.flag(m, "spot"),
+        Json.flagOr(m, "fresh", false));
   }
 
   public static Map<String, Object> rental(Decision.Rent r) {
--- a/src/test/java/org/astershift/core/TracePlayer.java
+++ b/src/test/java/org/astershift/core/TracePlayer.java
@@ -118,10 +118,14 @@
         return List.of("keepable " + s.cancelKeepable(p.get(2)));
       }
       case "returned" -> s.returned(List.of(p.get(2)), now);
-      case "rented" ->
-          s.rented(
-              "r", List.of(p.get(2)), new Decision.Rent(p.get(3), p.get(4), w.flag("spot"), 1),
-              true, now);
+      case "rented" -> {
+        s.rented(
+            "r", List.of(p.get(2)), new Decision.Rent(p.get(3), p.get(4), w.flag("spot"), 1), true,
+            now);
+        if (!w.flag("fresh")) {
+          s.enrolled(p.get(2));
+        }
+      }
       case "refused" -> s.notRented("r", new Decision.Rent(p.get(2), p.get(3), w.flag("spot"), 1),
           true, now);
       case "saved" -> {
