Room that is free before a boot needs no rental, if the job's zones allow it

Free room, and what arrays leave within a boot time, now count as cover. The first form let a gang bound to one zone wait beside room in two zones: found by its trace, and cover now counts per zone.

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -84,6 +84,9 @@
   /** Seconds without work after which a machine is returned; paper, section 4.1. */
   public static final double IDLE_RELEASE_S = 30;
 
+  /** A machine costs at least so many milliseconds, so it is not given back sooner; protocol's. */
+  public static final long CHARGED_LEAST_MS = 60_000;
+
   /** An idle machine is kept for at least this many times its type's boot time. */
   public static final double IDLE_BOOTS = 1.7;
 
--- a/src/main/java/org/astershift/core/Fleet.java
+++ b/src/main/java/org/astershift/core/Fleet.java
@@ -153,7 +153,9 @@
           }
           return m.holdsAny() ? null : "faulty";
         }
-        if (!m.holdsAny() && nowMs - m.idleSinceMs > idleReleaseMs(m, t)) {
+        if (!m.holdsAny()
+            && nowMs - m.idleSinceMs > idleReleaseMs(m, t)
+            && nowMs - m.knownMs > Constants.CHARGED_LEAST_MS) {
           return "idle";
         }
         return null;
@@ -199,6 +201,38 @@
       this.memory = type.memoryGb();
     }
 
+    /**
+     * What is free on a machine now, and with {@code soonMs} also what its array tasks will have left
+     * by then, as far as their estimates tell.
+     */
+    Bin(Machine m, MachineType type, long soonMs, long nowMs) {
+      this(type, m.zone, m.spot);
+      for (Run run : m.runs.values()) {
+        JobSpec spec = run.job.spec;
+        boolean ends =
+            soonMs > 0
+                && spec.kind() == JobKind.ARRAY
+                && run.placedMs + spec.estimateS() * 1000 < nowMs + soonMs;
+        if (!run.exited() && !ends) {
+          cpus -= spec.cpus();
+          gpus -= spec.gpus();
+          memory -= spec.memoryGb();
+        }
+      }
+    }
+
+    int fits(JobSpec spec) {
+      Bin copy = new Bin(type, zone, spot);
+      copy.cpus = cpus;
+      copy.gpus = gpus;
+      copy.memory = memory;
+      int n = 0;
+      while (n < spec.tasks() && copy.take(spec)) {
+        n++;
+      }
+      return n;
+    }
+
     boolean take(JobSpec spec) {
       if ((spot && !spec.spot())
           || (spec.types() != null && !spec.types().contains(type.name()))
@@ -218,10 +252,14 @@
 
   private void rent(List<Decision> out, long nowMs) {
     List<Bin> bins = new ArrayList<>();
+    List<Bin> soon = new ArrayList<>();
+    long soonMs = fastestBootMs();
     for (Machine m : s.machines.values()) {
       MachineType t = s.types.get(m.type);
       if (t != null && m.state == Machine.State.BOOTING) {
         bins.add(new Bin(t, m.zone, m.spot));
+      } else if (t != null && m.usable(nowMs)) {
+        soon.add(new Bin(m, t, soonMs, nowMs));
       }
     }
     for (Decision.Rent r : underWay.values()) {
@@ -243,11 +281,11 @@
     Map<String, Decision.Rent> wanted = new LinkedHashMap<>();
     for (Job job : queue) {
       int uncovered = concurrency(job, nowMs);
-      for (Bin bin : bins) {
-        while (uncovered > 0 && bin.take(job.spec)) {
-          uncovered--;
-        }
+      if (s.facts.startAim(job.spec.jobClass()) == null) {
+        // What is free before a new machine could be up needs no new machine.
+        uncovered = uncovered(job, soon, uncovered);
       }
+      uncovered = uncovered(job, bins, uncovered);
       int guard = 0;
       while (uncovered > 0 && guard++ < 20) {
         Decision.Rent r = cheapest(job, uncovered, wanted, nowMs);
@@ -277,6 +315,51 @@
     }
   }
 
+  /**
+   * How many of the tasks find no place in this room. What has to be in one zone is covered only by
+   * one zone's room, and what is spread by no more of a zone than it may use: else such a job would
+   * wait for ever beside room that it cannot take.
+   */
+  private static int uncovered(Job job, List<Bin> bins, int tasks) {
+    JobSpec spec = job.spec;
+    String only = null;
+    if (spec.oneZone()) {
+      Map<String, Integer> fits = new HashMap<>();
+      for (Bin bin : bins) {
+        if (job.zoneAllowed(bin.zone)) {
+          fits.merge(bin.zone, bin.fits(spec), Integer::sum);
+        }
+      }
+      for (Map.Entry<String, Integer> e : fits.entrySet()) {
+        only = e.getValue() >= tasks ? e.getKey() : only;
+      }
+      if (only == null) {
+        return tasks;
+      }
+    }
+    Map<String, Integer> taken = new HashMap<>();
+    int left = tasks;
+    for (Bin bin : bins) {
+      while (left > 0
+          && (only == null || only.equals(bin.zone))
+          && (!spec.spread()
+              || job.inZone(bin.zone) + taken.getOrDefault(bin.zone, 0) < spec.spreadLimit())
+          && bin.take(spec)) {
+        taken.merge(bin.zone, 1, Integer::sum);
+        left--;
+      }
+    }
+    return left;
+  }
+
+  private long fastestBootMs() {
+    double least = Double.MAX_VALUE;
+    for (MachineType t : s.types.values()) {
+      least = Math.min(least, t.bootS());
+    }
+    return (long) (least * 1000);
+  }
+
   /** How many of the waiting tasks should run at once for the job to be in time. */
   private int concurrency(Job job, long nowMs) {
     JobSpec spec = job.spec;
