--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -91,7 +91,7 @@
   public static final double IDLE_BOOTS = 1.7;
 
   /** Idle spot machines are kept this many times longer: what replaces them may be ordinary. */
-  public static final double IDLE_SPOT = 2;
+  public static final double IDLE_SPOT = 1;
 
   /** Reports come this much later than their interval at the most: a quarter. */
   public static final double REPORT_LATEST = 1.25;
