--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -84,6 +84,9 @@
   /** Seconds without work after which a machine is returned; paper, section 4.1. */
   public static final double IDLE_RELEASE_S = 30;
 
+  /** Share of the fastest boot within which what arrays leave counts as free for the queue. */
+  public static final double SOON_SHARE = 0.3;
+
   /** A machine costs at least so many milliseconds, so it is not given back sooner; protocol's. */
   public static final long CHARGED_LEAST_MS = 60_000;
 
@@ -91,7 +94,7 @@
   public static final double IDLE_BOOTS = 1.7;
 
   /** Idle spot machines are kept this many times longer: what replaces them may be ordinary. */
-  public static final double IDLE_SPOT = 1;
+  public static final double IDLE_SPOT = 2;
 
   /** Reports come this much later than their interval at the most: a quarter. */
   public static final double REPORT_LATEST = 1.25;
--- a/src/main/java/org/astershift/core/Fleet.java
+++ b/src/main/java/org/astershift/core/Fleet.java
@@ -253,7 +253,7 @@
   private void rent(List<Decision> out, long nowMs) {
     List<Bin> bins = new ArrayList<>();
     List<Bin> soon = new ArrayList<>();
-    long soonMs = fastestBootMs();
+    long soonMs = soonMs();
     for (Machine m : s.machines.values()) {
       MachineType t = s.types.get(m.type);
       if (t != null && m.state == Machine.State.BOOTING) {
@@ -352,12 +352,13 @@
     return left;
   }
 
-  private long fastestBootMs() {
+  /** Room that is left within this time counts as free; estimates are too rough for more. */
+  private long soonMs() {
     double least = Double.MAX_VALUE;
     for (MachineType t : s.types.values()) {
       least = Math.min(least, t.bootS());
     }
-    return (long) (least * 1000);
+    return (long) (least * 1000 * Constants.SOON_SHARE);
   }
 
   /** How many of the waiting tasks should run at once for the job to be in time. */
