--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -84,9 +84,6 @@
   /** Seconds without work after which a machine is returned; paper, section 4.1. */
   public static final double IDLE_RELEASE_S = 30;
 
-  /** Share of the fastest boot within which what arrays leave counts as free for the queue. */
-  public static final double SOON_SHARE = 0.3;
-
   /** A machine costs at least so many milliseconds, so it is not given back sooner; protocol's. */
   public static final long CHARGED_LEAST_MS = 60_000;
 
@@ -236,6 +233,9 @@
   /** Tasks in one record of done tasks: as base64 it stays below the smallest value limit. */
   public static final int SEGMENT_TASKS = 32_768;
 
+  /** Jobs ended in this term that are remembered against late news of their acceptance. */
+  public static final int ENDED_IN_TERM = 10_000;
+
   /** Ended jobs kept in memory; others are read from the state service. */
   public static final int ENDED_KEPT = 50_000;
 
--- a/src/main/java/org/astershift/core/Fleet.java
+++ b/src/main/java/org/astershift/core/Fleet.java
@@ -352,13 +352,13 @@
     return left;
   }
 
-  /** Room that is left within this time counts as free; estimates are too rough for more. */
+  /** Room that is left before the fastest new machine could be up counts as free. */
   private long soonMs() {
     double least = Double.MAX_VALUE;
     for (MachineType t : s.types.values()) {
       least = Math.min(least, t.bootS());
     }
-    return (long) (least * 1000 * Constants.SOON_SHARE);
+    return (long) (least * 1000);
   }
 
   /** How many of the waiting tasks should run at once for the job to be in time. */
--- a/src/main/java/org/astershift/leader/Term.java
+++ b/src/main/java/org/astershift/leader/Term.java
@@ -3,9 +3,11 @@
 import java.util.BitSet;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.astershift.config.Constants;
 import org.astershift.core.Decision;
 import org.astershift.core.Scheduler;
 import org.astershift.http.Json;
@@ -27,6 +29,12 @@
   private final Map<String, Kept> kept = new HashMap<>();
   private long rentals;
 
+  /**
+   * Jobs that ended in this term, the oldest first. What was read of a job before its end may arrive
+   * after it, from another thread: taken in again, the job's tasks would start once more.
+   */
+  private final Set<String> endedHere = new LinkedHashSet<>();
+
   /** A job's record and where it stands. */
   static final class Kept {
     final Records.JobRecord record;
@@ -93,7 +101,7 @@
 
   synchronized void add(Records.JobRecord record, long revision, BitSet done) {
     String id = record.spec().id();
-    if (kept.containsKey(id)) {
+    if (kept.containsKey(id) || endedHere.contains(id)) {
       return;
     }
     kept.put(id, new Kept(record, revision));
@@ -107,6 +115,10 @@
 
   synchronized void ended(String id, boolean cancelled) {
     kept.remove(id);
+    endedHere.add(id);
+    if (endedHere.size() > Constants.ENDED_IN_TERM) {
+      endedHere.remove(endedHere.iterator().next());
+    }
     scheduler.ended(id, cancelled, nowMs());
   }
 
