--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -346,6 +346,9 @@
             job.everRan = true;
           }
           job.done.set(run.index);
+          if (run.runningSinceMs >= 0 && !run.adopted) {
+            job.ran(nowMs - run.runningSinceMs);
+          }
           job.waiting.clear(run.index);
         }
       }
@@ -393,6 +396,7 @@
     }
     Run run = new Run(job, item.index(), item.attempt(), m, nowMs);
     run.ordered = true;
+    run.adopted = true;
     run.phase = item.phase();
     run.cause = item.cause();
     m.runs.put(key(run), run);
