--- a/src/main/java/org/astershift/core/Fleet.java
+++ b/src/main/java/org/astershift/core/Fleet.java
@@ -212,7 +212,7 @@
         boolean ends =
             soonMs > 0
                 && spec.kind() == JobKind.ARRAY
-                && run.placedMs + run.job.runS() * 1000 < nowMs + soonMs;
+                && run.placedMs + spec.estimateS() * 1000 < nowMs + soonMs;
         if (!run.exited() && !ends) {
           cpus -= spec.cpus();
           gpus -= spec.gpus();
@@ -375,9 +375,9 @@
         n = (int) Math.min(n, Math.max(0, (team.gpusMax() - use[1]) / spec.gpus() + 1e-6));
       }
     }
-    if (spec.kind() == JobKind.ARRAY && spec.deadlineS() != null && job.runS() > 0) {
-      double left = spec.deadlineS() - (nowMs - job.submittedMs) / 1000.0 - job.runS() / 2;
-      double rounds = Math.max(1, left / job.runS());
+    if (spec.kind() == JobKind.ARRAY && spec.deadlineS() != null && spec.estimateS() > 0) {
+      double left = spec.deadlineS() - (nowMs - job.submittedMs) / 1000.0 - spec.estimateS() / 2;
+      double rounds = Math.max(1, left / spec.estimateS());
       n = (int) Math.min(n, Math.ceil(n / rounds));
     }
     return n;
--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -71,21 +71,6 @@
     return spec.kind() != JobKind.SERVICE && done.cardinality() == spec.tasks();
   }
 
-  /** Run time of the tasks whose whole run this leader saw. */
-  private long seenRunMs;
-
-  private int seenRuns;
-
-  void ran(long ms) {
-    seenRunMs += ms;
-    seenRuns++;
-  }
-
-  /** Seconds that a task runs: what its own tasks took, or else the owner's estimate. */
-  double runS() {
-    return seenRuns > 0 ? seenRunMs / 1000.0 / seenRuns : spec.estimateS();
-  }
-
   /** For the log: what became of it and how long that took. */
   String story(long nowMs) {
     return spec.jobClass()
--- a/src/main/java/org/astershift/core/Placement.java
+++ b/src/main/java/org/astershift/core/Placement.java
@@ -129,9 +129,9 @@
       return job.waitingSinceMs + aim * 1000;
     }
     double deadline = spec.deadlineS() != null ? spec.deadlineS() : Constants.NO_DEADLINE_S;
-    double start = job.submittedMs + (deadline - job.runS()) * 1000;
+    double start = job.submittedMs + (deadline - spec.estimateS()) * 1000;
     // A job that cannot be in time any more must not make others late as well.
-    double hopeless = start + job.runS() * Constants.HOPELESS_SHARE * 1000;
+    double hopeless = start + spec.estimateS() * Constants.HOPELESS_SHARE * 1000;
     return nowMs > hopeless ? start + Constants.OVERDUE_BEHIND_MS : start;
   }
 
--- a/src/main/java/org/astershift/core/Run.java
+++ b/src/main/java/org/astershift/core/Run.java
@@ -30,9 +30,6 @@
   String cause;
   long runningSinceMs = -1;
 
-  /** Taken in as it was found: when it began to run is not known. */
-  boolean adopted;
-
   Run(Job job, int index, long attempt, Machine machine, long placedMs) {
     this.job = job;
     this.index = index;
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -346,9 +346,6 @@
             job.everRan = true;
           }
           job.done.set(run.index);
-          if (run.runningSinceMs >= 0 && !run.adopted) {
-            job.ran(nowMs - run.runningSinceMs);
-          }
           job.waiting.clear(run.index);
         }
       }
@@ -396,7 +393,6 @@
     }
     Run run = new Run(job, item.index(), item.attempt(), m, nowMs);
     run.ordered = true;
-    run.adopted = true;
     run.phase = item.phase();
     run.cause = item.cause();
     m.runs.put(key(run), run);
