--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -61,6 +61,12 @@
   /** Processor seconds of stopped work that a second of image fetch is worth to a tight aim. */
   public static final double FETCH_LOSS = 10;
 
+  /** Share of a machine's processors that replicas take while other machines have room. */
+  public static final double REPLICA_SHARE = 0.5;
+
+  /** Processor seconds of stopped work that it is worth to put a replica elsewhere than beyond that. */
+  public static final double CROWDED_LOSS = 20;
+
   /** Milliseconds between passes when nothing happens. */
   public static final long PASS_MS = 250;
 
--- a/src/main/java/org/astershift/core/Placement.java
+++ b/src/main/java/org/astershift/core/Placement.java
@@ -61,13 +61,15 @@
           gang(job, free, nowMs);
         }
       }
-      for (Machine m : free) {
-        fill(m, jobs, 1, taken, nowMs);
+      for (boolean thin : new boolean[] {true, false}) {
+        for (Machine m : free) {
+          fill(m, jobs, 1, thin, taken, nowMs);
+        }
       }
       preempt(jobs, free, freeing, true, nowMs);
       for (double least : new double[] {0.1, 0}) {
         for (Machine m : free) {
-          fill(m, jobs, least, taken, nowMs);
+          fill(m, jobs, least, false, taken, nowMs);
         }
       }
       preempt(jobs, free, freeing, false, nowMs);
@@ -158,7 +160,8 @@
   }
 
   private void fill(
-      Machine m, List<Job> jobs, double least, Map<Machine, Integer> taken, long nowMs) {
+      Machine m, List<Job> jobs, double least, boolean thin, Map<Machine, Integer> taken,
+      long nowMs) {
     for (Job job : jobs) {
       if (job.spec.kind() == JobKind.GANG || job.waiting.isEmpty() || !allowed(m, job)) {
         continue;
@@ -170,6 +173,7 @@
       int index = job.waiting.nextSetBit(0);
       while (index >= 0
           && (score == 1 || job.waiting.cardinality() > job.covered)
+          && !(thin && crowded(m, job))
           && taken.getOrDefault(m, 0) < s.policy.batch() && room(m, job)) {
         if (score == 0 && !pastAge(job, nowMs) && utilization(m) >= s.policy.utilization()) {
           break;
@@ -187,6 +191,23 @@
     }
   }
 
+  /**
+   * Whether replicas would take more than their share of the machine: with its end all of them are
+   * down at once, so they spread over machines as long as others have room.
+   */
+  private boolean crowded(Machine m, Job job) {
+    if (job.spec.kind() != JobKind.SERVICE) {
+      return false;
+    }
+    double cpus = job.spec.cpus();
+    for (Run run : m.runs.values()) {
+      if (!run.exited() && run.job.spec.kind() == JobKind.SERVICE) {
+        cpus += run.job.spec.cpus();
+      }
+    }
+    return cpus > Constants.REPLICA_SHARE * s.types.get(m.type).cpus();
+  }
+
   /** An older attempt of the task is still known there: the start would be refused. */
   private static boolean onMachine(Machine m, Job job, int index) {
     for (Run run : m.runs.values()) {
@@ -411,6 +432,7 @@
         continue;
       }
       loss += hit ? 0 : Constants.FETCH_LOSS * spec.imageGb() / t.fetchGbPerS();
+      loss += crowded(m, job) ? Constants.CROWDED_LOSS : 0;
       if (loss < bestLoss) {
         best = m;
         bestVictims = victims;
