One check for machines without accelerators; dead state and a dead method removed

Placement and Fleet asked the same question with a copy each; Job.errors was only written, allHeard never called, and everRan was set under a condition that changed nothing. No behaviour changes.

--- a/src/main/java/org/astershift/core/Fleet.java
+++ b/src/main/java/org/astershift/core/Fleet.java
@@ -390,7 +390,7 @@
     Decision.Rent best = null;
     double bestCost = Double.MAX_VALUE;
     for (MachineType t : s.types.values()) {
-      if (!spec.fits(t) || (t.gpus() > 0 && spec.gpus() == 0 && plainFits(spec))) {
+      if (!spec.fits(t) || (t.gpus() > 0 && spec.gpus() == 0 && s.plainTypeFits(spec))) {
         continue;
       }
       int per = perMachine(spec, t);
@@ -430,15 +430,6 @@
     return n;
   }
 
-  private boolean plainFits(JobSpec spec) {
-    for (MachineType t : s.types.values()) {
-      if (t.gpus() == 0 && spec.fits(t)) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   private static int perMachine(JobSpec spec, MachineType t) {
     double per = t.memoryGb() / Math.max(spec.memoryGb(), 1e-9);
     if (spec.cpus() > 0) {
--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -39,8 +39,6 @@
 
   long gangAttempt;
   boolean gangRan;
-  int errors;
-
   /** Runs that ended without completing their task. */
   int restarts;
 
--- a/src/main/java/org/astershift/core/Placement.java
+++ b/src/main/java/org/astershift/core/Placement.java
@@ -229,16 +229,7 @@
       return false;
     }
     // Work without accelerators stays off machines with them, where there are others for it.
-    return spec.gpus() > 0 || s.types.get(m.type).gpus() == 0 || !plainTypeFits(spec);
-  }
-
-  private boolean plainTypeFits(JobSpec spec) {
-    for (MachineType t : s.types.values()) {
-      if (t.gpus() == 0 && spec.fits(t)) {
-        return true;
-      }
-    }
-    return false;
+    return spec.gpus() > 0 || s.types.get(m.type).gpus() == 0 || !s.plainTypeFits(spec);
   }
 
   private boolean room(Machine m, Job job) {
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -161,11 +161,6 @@
     return false;
   }
 
-  /** Whether no machine of an earlier leader is left that might hold tasks unknown to this one. */
-  public boolean allHeard() {
-    return !unheard();
-  }
-
   /** A worker showed a higher token: another leader has taken over. */
   public boolean deposed() {
     return deposed;
@@ -180,6 +175,16 @@
     return token;
   }
 
+  /** Whether a machine without accelerators could run a task of the job. */
+  boolean plainTypeFits(JobSpec spec) {
+    for (MachineType t : types.values()) {
+      if (t.gpus() == 0 && spec.fits(t)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   boolean unheard() {
     for (Machine m : machines.values()) {
       if (m.inherited && !m.claimed) {
@@ -340,11 +345,8 @@
     switch (cause) {
       case "done" -> {
         m.failures = 0;
-        job.errors = 0;
         if (job.spec.kind() != JobKind.SERVICE) {
-          if (!job.everRan || run.runningSinceMs >= 0) {
-            job.everRan = true;
-          }
+          job.everRan = true;
           job.done.set(run.index);
           job.waiting.clear(run.index);
         }
@@ -370,7 +372,6 @@
    * growing pauses; otherwise repeated failures convict the machine.
    */
   private void failure(Job job, Machine m, long nowMs) {
-    job.errors++;
     job.failedOn.add(m.name);
     boolean suspectJob = !job.everRan && job.failedOn.size() >= 3;
     if (suspectJob) {
