--- a/src/main/java/org/astershift/Main.java
+++ b/src/main/java/org/astershift/Main.java
@@ -21,6 +21,7 @@
 import org.astershift.core.Policy;
 import org.astershift.http.HttpServer;
 import org.astershift.leader.Director;
+import org.astershift.leader.UserDesk;
 import org.astershift.peer.JobAnswer;
 import org.astershift.peer.PeerClient;
 import org.astershift.peer.PeerServer;
@@ -108,31 +109,29 @@
   private static void start(Settings settings, Policy policy) throws IOException {
     StoreClient store = new StoreClient(settings);
     Director director = new Director(settings, policy, store, new Mirror(store));
-    Map<String, Director.Asker> askers = new HashMap<>();
+    Map<String, UserDesk.Asker> askers = new HashMap<>();
     for (Settings.Peer p : settings.peers()) {
       PeerClient client = new PeerClient(p.endpoint());
       askers.put(p.node(), client::ask);
     }
-    director.peers(askers);
+    UserDesk desk = new UserDesk(director, store, askers);
     PeerServer peers =
         new PeerServer(
             settings.peerListen().host(),
             settings.peerListen().port(),
             (op, job) ->
                 switch (op) {
-                  case "poll" -> director.poll(job, false);
-                  case "cancel" -> director.cancel(job, false);
+                  case "poll" -> desk.poll(job, false);
+                  case "cancel" -> desk.cancel(job, false);
                   default -> JobAnswer.UNDECIDED;
                 });
-    int most =
-        Math.min(
-            Constants.INCOMING_MAX, (int) (settings.sockets() * Constants.INCOMING_SHARE));
+    int most = (int) (settings.sockets() * Constants.INCOMING_SHARE);
     HttpServer http =
         new HttpServer(
             settings.listen().host(),
             settings.listen().port(),
             most,
-            new PublicApi(director, settings.facts().teams()));
+            new PublicApi(director, desk, settings.facts().teams()));
     peers.start();
     director.start();
     http.start();
--- a/src/main/java/org/astershift/api/PublicApi.java
+++ b/src/main/java/org/astershift/api/PublicApi.java
@@ -13,6 +13,7 @@
 import org.astershift.http.HttpServer.Response;
 import org.astershift.http.Json;
 import org.astershift.leader.Director;
+import org.astershift.leader.UserDesk;
 import org.astershift.peer.JobAnswer;
 import org.astershift.worker.WorkerCodec;
 import org.slf4j.Logger;
@@ -24,10 +25,12 @@
   private static final String JOBS = "/v2/runs";
   private static final String CANCEL = "/withdraw";
   private final Director director;
+  private final UserDesk desk;
   private final Map<String, Team> teams;
 
-  public PublicApi(Director director, Map<String, Team> teams) {
+  public PublicApi(Director director, UserDesk desk, Map<String, Team> teams) {
     this.director = director;
+    this.desk = desk;
     this.teams = teams;
   }
 
@@ -61,7 +64,7 @@
       if (!JobCodec.isId(id)) {
         return Response.error(400, "not a job's id");
       }
-      return answer(id, cancel ? director.cancel(id, true) : director.poll(id, true));
+      return answer(id, cancel ? desk.cancel(id, true) : desk.poll(id, true));
     }
     return Response.error(404, "no such path");
   }
@@ -90,7 +93,7 @@
       return Response.error(503, "machine types are not known yet");
     }
     String never = neverRuns(spec, types);
-    Director.Submitted s = director.submit(spec, never != null);
+    UserDesk.Submitted s = desk.submit(spec, never != null);
     return switch (s.status()) {
       case 200, 201 -> Response.of(s.status(), JobCodec.state(spec.id(), s.known()));
       case 422 -> Response.error(422, never);
@@ -120,7 +123,7 @@
   private Response report(Request r) {
     Report report;
     try {
-      report = WorkerCodec.report(Json.object(r.body()));
+      report = WorkerCodec.report(r.body());
     } catch (Json.Bad e) {
       LOG.info("a report that makes no sense: {}", e.getMessage());
       return Response.error(400, e.getMessage());
@@ -131,6 +134,6 @@
       String leader = director.otherLeader();
       return Response.of(421, leader == null ? Map.of() : Map.of("harbormaster", leader));
     }
-    return Response.of(200, Map.of("helm", token, "orders", WorkerCodec.orders(orders)));
+    return new Response(200, WorkerCodec.answer(token, orders), 0);
   }
 }
--- a/src/main/java/org/astershift/cloud/CloudClient.java
+++ b/src/main/java/org/astershift/cloud/CloudClient.java
@@ -21,7 +21,8 @@
 
   public CloudClient(Settings settings) {
     this.http = new HttpClient(settings.cloud().host(), settings.cloud().port(), 3);
-    this.calls = new RateBudget(settings.cloudRps(), Constants.CLOUD_BUDGET);
+    this.calls = new RateBudget(settings.cloudRps());
+    this.calls.share(Constants.CLOUD_BUDGET, 1);
   }
 
   /** The cloud refused: nothing was done. {@code noCapacity}: there is none of what was asked. */
--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -70,6 +70,15 @@
   /** Milliseconds between passes when nothing happens. */
   public static final long PASS_MS = 250;
 
+  /** Least milliseconds between two passes: what happens in a burst is served by one. */
+  public static final long PASS_GAP_MS = 30;
+
+  /** After a pass its own length is rested so many times: reports and answers come first. */
+  public static final long PASS_REST = 2;
+
+  /** Milliseconds between looks for leases that ran out and machines that are silent. */
+  public static final long SWEEP_MS = 250;
+
   /** Milliseconds without new starts on a machine that refused one: its report is on the way. */
   public static final long REFUSED_HOLD_MS = 1000;
 
@@ -132,6 +141,18 @@
   /** Milliseconds on top of that: worker start and first report. */
   public static final long BOOT_PATIENCE_MS = 8000;
 
+  /** Milliseconds after which a boot is given up where nothing is known of its type. */
+  public static final double BOOT_UNKNOWN_MS = 60_000;
+
+  /** A machine given back may still be spoken of so many milliseconds later: packets are held. */
+  public static final long LATE_REPORTS_MS = 60_000;
+
+  /** Machines asked for in one rental; the cloud's limit. */
+  public static final int RENT_BATCH = 50;
+
+  /** Types, zones and kinds that one plan may rent for one job. */
+  public static final int POOLS_A_JOB = 20;
+
   /** Pause of a type, zone and kind that had no capacity. */
   public static final long NO_CAPACITY_MS = 15_000;
 
@@ -143,10 +164,17 @@
 
   // ---- outside ----
 
-  /** Share of the state service's limits that this node allows itself as leader and otherwise. */
-  public static final double LEADER_BUDGET = 0.75;
+  /** The leader's share of the state service's limits; the others have equal parts of the rest. */
+  public static final double LEADER_BUDGET = 0.6;
+
+  /**
+   * Seconds of its share that a follower may spend at once: it only accepts jobs, which come in
+   * bursts on one node while the others rest.
+   */
+  public static final double FOLLOWER_DEPTH_S = 3;
 
-  public static final double FOLLOWER_BUDGET = 0.2;
+  /** Seconds without spending once the state service says that the limit is reached. */
+  public static final double EXHAUSTED_S = 0.1;
 
   /** Share of the limit of cloud calls that is used: the others are followers and call nothing. */
   public static final double CLOUD_BUDGET = 0.85;
@@ -166,12 +194,15 @@
   /** Deadline of a request forwarded to the leader, within the user's two seconds for a poll. */
   public static final int PEER_TIMEOUT_MS = 1500;
 
-  /** Within this many milliseconds a user's request is answered, if only by 503; users wait 5 s. */
-  public static final int USER_TIMEOUT_MS = 4000;
+  /** How long an acceptance may wait for its share of the limits, milliseconds; then it is 503. */
+  public static final long ACCEPT_PATIENCE_MS = 1000;
 
   /** How long a watch of the state service blocks. */
   public static final int WATCH_BLOCK_MS = 10_000;
 
+  /** Milliseconds after an answer to a watch until the next: each answer costs a request. */
+  public static final long WATCH_GAP_MS = 25;
+
   /** Pause after a failed request to the state service or the cloud, milliseconds. */
   public static final long RETRY_MS = 300;
 
@@ -219,11 +250,14 @@
   /** A started request has to arrive whole within this many milliseconds. */
   public static final int REQUEST_TIMEOUT_MS = 5000;
 
-  /** Share of the sockets allowed that incoming connections may take. */
-  public static final double INCOMING_SHARE = 0.5;
+  /**
+   * Share of the sockets allowed that incoming connections may take: each worker keeps one, and
+   * those to the workers are at most {@link #KEPT_WORKERS} and {@link #ORDER_THREADS}.
+   */
+  public static final double INCOMING_SHARE = 0.75;
 
-  /** Most incoming connections whatever the limit on sockets: each has a thread. */
-  public static final int INCOMING_MAX = 400;
+  /** Connections to workers that are kept for the next order. */
+  public static final int KEPT_WORKERS = 100;
 
   /** Stack of a connection's thread, bytes. */
   public static final long STACK_BYTES = 192 * 1024;
@@ -234,10 +268,28 @@
   /** A kept connection of ours is not used again after this many nanoseconds without use. */
   public static final long KEEP_CLIENT_NS = 20_000_000_000L;
 
+  /** Threads that end jobs: each waits for one write. */
+  public static final int END_THREADS = 4;
+
+  /** Threads that rent: the cloud's limit allows a few calls a second. */
+  public static final int RENT_THREADS = 2;
+
+  /** Seconds after which a pool's thread without work ends. */
+  public static final long POOL_IDLE_S = 10;
+
   // ---- records ----
 
-  /** Tasks in one record of done tasks: as base64 it stays below the smallest value limit. */
-  public static final int SEGMENT_TASKS = 32_768;
+  /** Most bytes of one page of notes: each change writes its page anew. */
+  public static final int PAGE_BYTES = 4096;
+
+  /** Share of the state service's limit for a value that a page may take; its frame comes on top. */
+  public static final double PAGE_SHARE = 0.75;
+
+  /** Milliseconds that the striking of a note may wait for other changes of its page. */
+  public static final long STRIKE_MS = 1000;
+
+  /** Tasks in one note of done tasks: as base64 it stays below the size of a page. */
+  public static final int SEGMENT_TASKS = 16_384;
 
   /** Jobs ended in this term that are remembered against late news of their acceptance. */
   public static final int ENDED_IN_TERM = 10_000;
--- a/src/main/java/org/astershift/config/Settings.java
+++ b/src/main/java/org/astershift/config/Settings.java
@@ -121,8 +121,7 @@
             c.number(workers, "gang_wait_s", 0, 1e6),
             c.number(workers, "gang_peer_s", 0, 1e6),
             c.number(workers, "cancel_s", 0, 1e6),
-            c.number(cloud, "list_lag_s", 0, 1e6),
-            Math.min(50, txnOps - 1));
+            c.number(cloud, "list_lag_s", 0, 1e6));
     return new Settings(
         c.text(top, "member"),
         c.text(top, "domain"),
--- /dev/null
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -0,0 +1,355 @@
+package org.astershift.core;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.astershift.config.Constants;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What one term knows: jobs, machines, and which machine holds which attempt. It keeps the sums and
+ * the sets of what changed, so that an event costs what it changes and not a walk over everything.
+ *
+ * <p>A {@link Run} leaves only on proof: the machine's own newer report, the end of its session, the
+ * answer to its return, the cloud's list, or a lease that ran out while only this leader could have
+ * renewed it.
+ */
+final class Cluster {
+  private static final Logger LOG = LoggerFactory.getLogger(Cluster.class);
+
+  final Facts facts;
+  final Policy policy;
+  final long token;
+  final Map<String, Job> jobs = new LinkedHashMap<>();
+  final Map<String, Machine> machines = new LinkedHashMap<>();
+
+  /** Jobs with tasks that are neither done nor held. */
+  final Set<Job> waiting = new LinkedHashSet<>();
+
+  /** Machines for which a command may be due that should not wait for their next report. */
+  final Set<Machine> stale = new LinkedHashSet<>();
+
+  /** Live machines that no record lets have tasks yet. */
+  final Set<Machine> unrecorded = new LinkedHashSet<>();
+
+  /** Jobs with tasks placed that must be opened before the first start goes out. */
+  final Set<Job> unopened = new LinkedHashSet<>();
+
+  /** Jobs that may have completed. */
+  final Set<Job> completing = new LinkedHashSet<>();
+
+  /** Jobs with done tasks that no record holds yet. */
+  final Set<Job> unsaved = new LinkedHashSet<>();
+
+  private Map<String, MachineType> types = Map.of();
+  private final Map<String, double[]> teamUse = new HashMap<>();
+  private final List<Decision.Strike> struck = new ArrayList<>();
+  private final Pool plain = new Pool();
+  private final Pool accelerated = new Pool();
+  private long attempts;
+  private int unheard;
+  private boolean restless;
+
+  /** Busy and allocated processors of machines that can stand in for each other. */
+  private static final class Pool {
+    double used;
+    double all;
+  }
+
+  Cluster(Facts facts, Policy policy, long token) {
+    this.facts = facts;
+    this.policy = policy;
+    this.token = token;
+  }
+
+  // ---- what a pass has to look at ----
+
+  /** Something happened that a pass may act on. */
+  void stir() {
+    restless = true;
+  }
+
+  boolean restless() {
+    return restless;
+  }
+
+  void calm() {
+    restless = false;
+  }
+
+  // ---- machine types ----
+
+  Map<String, MachineType> types() {
+    return types;
+  }
+
+  void types(Map<String, MachineType> known) {
+    types = known;
+    for (Machine m : machines.values()) {
+      m.kind = known.get(m.type);
+    }
+    for (Job job : jobs.values()) {
+      job.usableTypes = usableTypes(job.spec);
+    }
+    recount();
+    stir();
+  }
+
+  /** Types that a task of the job may go to; those with accelerators only if it needs them. */
+  private Set<String> usableTypes(JobSpec spec) {
+    Set<String> fitting = new LinkedHashSet<>();
+    Set<String> plainOnes = new LinkedHashSet<>();
+    for (MachineType t : types.values()) {
+      if (spec.fits(t)) {
+        fitting.add(t.name());
+        if (t.gpus() == 0) {
+          plainOnes.add(t.name());
+        }
+      }
+    }
+    // Work without accelerators stays off machines with them, where there are others for it.
+    return spec.gpus() == 0 && !plainOnes.isEmpty() ? plainOnes : fitting;
+  }
+
+  // ---- jobs ----
+
+  void addJob(Job job) {
+    job.usableTypes = usableTypes(job.spec);
+    jobs.put(job.spec.id(), job);
+    if (!job.waiting.isEmpty()) {
+      waiting.add(job);
+    }
+    completing.add(job);
+    stir();
+  }
+
+  /** The job's end is durable: what was placed and never sent is let go, the rest is stopped. */
+  void endJob(Job job, boolean cancelled) {
+    jobs.remove(job.spec.id());
+    waiting.remove(job);
+    unopened.remove(job);
+    completing.remove(job);
+    unsaved.remove(job);
+    job.state = cancelled ? Job.State.CANCELLED : Job.State.DONE;
+    for (Run run : new ArrayList<>(job.runs.values())) {
+      if (run.ordered) {
+        stale.add(run.machine);
+      } else {
+        drop(run);
+      }
+    }
+    stir();
+  }
+
+  void markDone(Job job, int index) {
+    job.everRan = true;
+    job.markDone(index);
+    if (job.waiting.isEmpty()) {
+      waiting.remove(job);
+    }
+    unsaved.add(job);
+    if (job.complete()) {
+      completing.add(job);
+      stir();
+    }
+  }
+
+  // ---- machines ----
+
+  void addMachine(Machine m) {
+    m.kind = types.get(m.type);
+    machines.put(m.name, m);
+    unheard += m.inherited && !m.claimed ? 1 : 0;
+    enter(m, m.state);
+  }
+
+  /** The machine now belongs to this term's token. */
+  void claim(Machine m) {
+    if (m.claimed) {
+      return;
+    }
+    m.claimed = true;
+    if (m.inherited) {
+      LOG.info("machine {} answers to token {}", m.name, token);
+      unheard--;
+    }
+    stir();
+  }
+
+  void enter(Machine m, Machine.State state) {
+    m.state = state;
+    if (state == Machine.State.LIVE) {
+      if (!m.enrolled) {
+        unrecorded.add(m);
+      }
+      stir();
+    } else {
+      unrecorded.remove(m);
+    }
+  }
+
+  /** Whether some machine may still hold what an earlier leader started. */
+  boolean unheard() {
+    return unheard > 0;
+  }
+
+  /** Proof that the machine and all on it are gone. */
+  void gone(String name, String why) {
+    Machine m = machines.remove(name);
+    if (m == null) {
+      return;
+    }
+    LOG.info("machine {} is gone ({}), with {} tasks", name, why, m.heldCount());
+    unheard -= m.inherited && !m.claimed ? 1 : 0;
+    for (Run run : new ArrayList<>(m.runs.values())) {
+      drop(run);
+    }
+    stale.remove(m);
+    unrecorded.remove(m);
+    struck.add(new Decision.Strike(name, m.addr));
+    stir();
+  }
+
+  /** Machines gone since the last call. */
+  List<Decision.Strike> struck() {
+    List<Decision.Strike> out = new ArrayList<>(struck);
+    struck.clear();
+    return out;
+  }
+
+  // ---- holding and releasing ----
+
+  long nextAttempt() {
+    return (token << Constants.ATTEMPT_BITS) | ++attempts;
+  }
+
+  Run place(Job job, int index, Machine m, long attempt, long nowMs) {
+    Run run = new Run(job, index, attempt, m, nowMs);
+    m.add(run);
+    hold(run);
+    job.lastPlacedMs = nowMs;
+    stale.add(m);
+    if (!job.opened) {
+      unopened.add(job);
+    }
+    stir();
+    return run;
+  }
+
+  /** A task found on a machine; it is the job's unless another attempt is, or nobody wants it. */
+  void adopt(Run run) {
+    run.machine.add(run);
+    if (!run.exited()) {
+      use(run, 1);
+    }
+  }
+
+  /** Makes an adopted run the one that holds its task. */
+  void recognise(Run run) {
+    run.job.hold(run);
+    if (run.job.waiting.isEmpty()) {
+      waiting.remove(run.job);
+    }
+  }
+
+  private void hold(Run run) {
+    use(run, 1);
+    recognise(run);
+  }
+
+  private void use(Run run, int sign) {
+    JobSpec s = run.job.spec;
+    run.machine.use(s, sign);
+    pool(run.machine).used += sign * s.cpus();
+    double[] u = teamUse.computeIfAbsent(s.team(), t -> new double[2]);
+    u[0] += sign * s.cpus();
+    u[1] += sign * s.gpus();
+  }
+
+  double[] teamUse(String team) {
+    return teamUse.getOrDefault(team, new double[2]);
+  }
+
+  /** Whether the team may have one more task of the job. */
+  boolean teamAllows(Job job) {
+    Team team = facts.teams().get(job.spec.team());
+    if (team == null) {
+      return false;
+    }
+    double[] use = teamUse(team.name());
+    return team.allows(use[0] + job.spec.cpus(), use[1] + job.spec.gpus());
+  }
+
+  /** The task is off its machine; its entry there may stay until the worker has forgotten it. */
+  void release(Run run) {
+    use(run, -1);
+    Job job = run.job;
+    if (job.release(run) && job.state == Job.State.LIVE && !job.waiting.isEmpty()) {
+      waiting.add(job);
+    }
+  }
+
+  /** Proof that the machine does not have the attempt, nor will. */
+  void drop(Run run) {
+    if (!run.exited()) {
+      release(run);
+      run.job.restarts += run.ordered ? 1 : 0;
+      stir();
+    }
+    run.machine.remove(run);
+  }
+
+  /** Stops a task in the way that saves most: a gang as a whole, with time to save. */
+  void stop(Run run) {
+    if (run.job.spec.kind() == JobKind.GANG) {
+      for (Run other : run.job.runs.values()) {
+        mark(other);
+      }
+    } else {
+      mark(run);
+    }
+  }
+
+  private void mark(Run run) {
+    run.stopping = true;
+    run.stopGraceS = run.job.spec.checkpointS() > 0 ? run.job.spec.saveS() + 1 : 0;
+    stale.add(run.machine);
+  }
+
+  // ---- utilization ----
+
+  private Pool pool(Machine m) {
+    return m.kind != null && m.kind.gpus() > 0 ? accelerated : plain;
+  }
+
+  /** Sums up anew what the pools hold; in between, holding and releasing keep them up. */
+  void recount() {
+    for (Pool p : List.of(plain, accelerated)) {
+      p.used = 0;
+      p.all = 0;
+    }
+    for (Machine m : machines.values()) {
+      if (m.state == Machine.State.LIVE && m.kind != null) {
+        Pool p = pool(m);
+        p.used += m.usedCpus();
+        p.all += m.kind.cpus();
+      }
+    }
+  }
+
+  /** Busy over allocated processors, of the machines that can stand in for this one. */
+  double utilization(Machine m) {
+    Pool p = pool(m);
+    return p.all == 0 ? 0 : p.used / p.all;
+  }
+
+  Collection<Machine> all() {
+    return machines.values();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/astershift/core/Commands.java
@@ -0,0 +1,122 @@
+package org.astershift.core;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.astershift.config.Constants;
+
+/**
+ * The difference between the attempts wanted on a machine and those it reports, as commands: in the
+ * answer to its report, or straight to it where that should not wait.
+ */
+final class Commands {
+  private final Cluster c;
+
+  Commands(Cluster cluster) {
+    this.c = cluster;
+  }
+
+  /** What to say in the answer to the newest report: everything wanted and not yet so. */
+  List<Order> answer(Machine m) {
+    List<Order> orders = new ArrayList<>(4);
+    List<Run> never = new ArrayList<>(0);
+    for (Run run : m.runs.values()) {
+      if (run.exited()) {
+        // Forgetting an attempt whose start may still arrive would let that start run it again.
+        if (!run.doubtful && !run.inFlight) {
+          orders.add(Order.forget(run));
+        }
+      } else if (run.unwanted()) {
+        if (run.phase == null) {
+          if (!run.doubtful && !run.inFlight) {
+            never.add(run); // no start was executed, and none can be any more
+            continue;
+          }
+          // Make the worker remember the attempt, so that the late start has no effect.
+          orders.add(Order.start(run));
+        }
+        orders.add(Order.stop(run, run.stopGraceS));
+      } else if (run.phase == null && run.job.opened) {
+        run.ordered = true;
+        orders.add(Order.start(run));
+      }
+    }
+    for (Run run : never) {
+      c.drop(run);
+    }
+    return orders;
+  }
+
+  /** Whether a command waits that should not wait for the machine's next report. */
+  static boolean due(Machine m) {
+    for (Run run : m.runs.values()) {
+      boolean start = run.phase == null && !run.ordered && run.job.opened && !run.unwanted();
+      if (start || stopDue(run)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static boolean stopDue(Run run) {
+    return !run.exited() && run.unwanted() && run.ordered && !run.stopSent && run.phase != null;
+  }
+
+  /** Commands that should not wait for the machine's next report; null if there are none. */
+  Decision.Direct urgent(Machine m, long nowMs) {
+    if (m.orderInFlight || m.addr == null || m.session == 0 || m.state != Machine.State.LIVE) {
+      return null;
+    }
+    List<Order> orders = new ArrayList<>();
+    for (Run run : m.runs.values()) {
+      if (stopDue(run)) {
+        orders.add(Order.stop(run, run.stopGraceS));
+        run.stopSent = true;
+      } else if (run.phase == null && !run.ordered && run.job.opened && !run.unwanted()) {
+        orders.add(Order.start(run));
+        run.ordered = true;
+        run.inFlight = true;
+      }
+    }
+    return orders.isEmpty() ? null : direct(m, orders, Constants.ORDER_TIMEOUT_MS, nowMs);
+  }
+
+  /**
+   * The claim of an inherited machine, or the question whether a machine whose report is overdue is
+   * still there; null if neither is due.
+   */
+  Decision.Direct question(Machine m, long nowMs) {
+    if (m.orderInFlight
+        || m.addr == null
+        || m.state == Machine.State.BOOTING
+        || m.state == Machine.State.LOST
+        || m.state == Machine.State.RETURNING
+        || nowMs - m.lastDirectMs < Constants.CLAIM_RETRY_MS) {
+      return null;
+    }
+    boolean claim = !m.claimed && m.inherited;
+    boolean probe = m.session > 0 && nowMs - Math.max(m.seenMs, m.heardMs) > suspectMs();
+    return claim || probe ? direct(m, List.of(), Constants.PROBE_TIMEOUT_MS, nowMs) : null;
+  }
+
+  private static Decision.Direct direct(Machine m, List<Order> orders, int timeoutMs, long nowMs) {
+    m.orderInFlight = true;
+    m.lastDirectMs = nowMs;
+    return new Decision.Direct(m.name, m.addr, Math.max(1, m.session), orders, timeoutMs);
+  }
+
+  /** A direct order has its answer, or will get none. */
+  static void settled(Machine m, boolean unknown) {
+    m.orderInFlight = false;
+    for (Run run : m.runs.values()) {
+      if (run.inFlight) {
+        run.inFlight = false;
+        run.doubtful |= unknown;
+      }
+    }
+  }
+
+  /** Silence after which a machine is asked directly: its report is overdue. */
+  long suspectMs() {
+    return (long) (c.facts.reportS() * 1000 * Constants.REPORT_LATEST) + Constants.SUSPECT_MS;
+  }
+}
--- a/src/main/java/org/astershift/core/Facts.java
+++ b/src/main/java/org/astershift/core/Facts.java
@@ -12,8 +12,7 @@
     double gangWaitS,
     double gangPeerS,
     double cancelS,
-    double listLagS,
-    int rentBatch) {
+    double listLagS) {
 
   /** The tightest aim on starting a task of this class, in seconds; null if there is none. */
   public Double startAim(String jobClass) {
--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -16,6 +16,10 @@
 
   final JobSpec spec;
   final long submittedMs;
+
+  /** The tightest aim on starting its tasks, seconds; null if there is none. */
+  final Double startAimS;
+
   State state = State.LIVE;
 
   /** Commands for it may have gone out: durable, and set by this leader or an earlier one. */
@@ -26,7 +30,6 @@
 
   boolean cancelWanted;
   final BitSet done;
-  final BitSet doneDurable;
 
   /** Tasks neither done nor held by a machine. */
   final BitSet waiting;
@@ -34,11 +37,20 @@
   /** Where each task is held; exited attempts are not here. */
   final Map<Integer, Run> runs = new HashMap<>();
 
+  /** Types of machines that its tasks may go to. */
+  Set<String> usableTypes = Set.of();
+
   /** Within a pass: waiting tasks for which room is being made. */
   int covered;
 
+  /** Within a sort of the queue: what it is sorted by. */
+  double urgencyMs;
+
+  boolean belowGuarantee;
+
   long gangAttempt;
   boolean gangRan;
+
   /** Runs that ended without completing their task. */
   int restarts;
 
@@ -50,23 +62,84 @@
   final Set<String> failedOn = new HashSet<>();
   long pausedUntilMs;
 
-  /** Since when the present waiting tasks wait. */
-  long waitingSinceMs;
+  private final Map<String, Integer> zones = new HashMap<>();
+  private int doneCount;
+  private int waitingCount;
+  private int running;
 
-  Job(JobSpec spec, long submittedMs, boolean opened, BitSet done) {
+  Job(JobSpec spec, long submittedMs, boolean opened, BitSet done, Double startAimS) {
     this.spec = spec;
     this.submittedMs = submittedMs;
-    this.waitingSinceMs = submittedMs;
+    this.startAimS = startAimS;
     this.opened = opened;
     this.done = done;
-    this.doneDurable = (BitSet) done.clone();
+    this.doneCount = done.cardinality();
     this.waiting = new BitSet(spec.tasks());
     this.waiting.set(0, spec.tasks());
     this.waiting.andNot(done);
+    this.waitingCount = waiting.cardinality();
   }
 
   boolean complete() {
-    return spec.kind() != JobKind.SERVICE && done.cardinality() == spec.tasks();
+    return spec.kind() != JobKind.SERVICE && doneCount == spec.tasks();
+  }
+
+  int waitingCount() {
+    return waitingCount;
+  }
+
+  int doneCount() {
+    return doneCount;
+  }
+
+  int running() {
+    return running;
+  }
+
+  void markDone(int index) {
+    if (!done.get(index)) {
+      done.set(index);
+      doneCount++;
+    }
+    setWaiting(index, false);
+  }
+
+  private void setWaiting(int index, boolean waits) {
+    if (waiting.get(index) != waits) {
+      waiting.set(index, waits);
+      waitingCount += waits ? 1 : -1;
+    }
+  }
+
+  /** The run now holds its task. */
+  void hold(Run run) {
+    runs.put(run.index, run);
+    zones.merge(run.machine.zone, 1, Integer::sum);
+    running += run.works() ? 1 : 0;
+    setWaiting(run.index, false);
+  }
+
+  /** Lets the task go if this run holds it; it waits again unless it is done. */
+  boolean release(Run run) {
+    boolean held = runs.get(run.index) == run;
+    if (held) {
+      runs.remove(run.index);
+      zones.computeIfPresent(run.machine.zone, (z, n) -> n > 1 ? n - 1 : null);
+      running -= run.works() ? 1 : 0;
+      setWaiting(run.index, !done.get(run.index));
+    }
+    if (runs.isEmpty()) {
+      gangRan = false;
+    }
+    return held;
+  }
+
+  /** Moves a run to its reported phase. */
+  void phase(Run run, Report.Phase phase) {
+    boolean counts = runs.get(run.index) == run;
+    running -= counts && run.works() ? 1 : 0;
+    run.phase = phase;
+    running += counts && run.works() ? 1 : 0;
   }
 
   /** For the log: what became of it and how long that took. */
@@ -87,24 +160,8 @@
         + " runs lost";
   }
 
-  int running() {
-    int n = 0;
-    for (Run r : runs.values()) {
-      if (r.phase == Report.Phase.RUNNING || r.phase == Report.Phase.SAVING) {
-        n++;
-      }
-    }
-    return n;
-  }
-
   int inZone(String zone) {
-    int n = 0;
-    for (Run r : runs.values()) {
-      if (r.machine.zone.equals(zone)) {
-        n++;
-      }
-    }
-    return n;
+    return zones.getOrDefault(zone, 0);
   }
 
   /** Zone that the rules allow for one more task, given the others held now. */
@@ -112,12 +169,8 @@
     if (spec.zone() != null && !spec.zone().equals(zone)) {
       return false;
     }
-    if (spec.oneZone()) {
-      for (Run r : runs.values()) {
-        if (!r.machine.zone.equals(zone)) {
-          return false;
-        }
-      }
+    if (spec.oneZone() && !zones.isEmpty() && (zones.size() > 1 || !zones.containsKey(zone))) {
+      return false;
     }
     return !spec.spread() || inZone(zone) < spec.spreadLimit();
   }
--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -1,6 +1,7 @@
 package org.astershift.core;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -20,6 +21,8 @@
     RETURNING
   }
 
+  private static final double TOLERANCE = 1e-6;
+
   final String name;
   final String type;
   final String zone;
@@ -27,12 +30,12 @@
   String addr;
   State state;
 
+  /** Its type, once that is known. */
+  MachineType kind;
+
   /** Its name is durable, so tasks may be placed on it. */
   boolean enrolled;
 
-  /** On record as fresh: it never got a task. */
-  boolean recorded;
-
   /** It has shown this leader's token in {@link #session}: no older leader can renew its lease. */
   boolean claimed;
 
@@ -40,7 +43,6 @@
   boolean inherited;
 
   long session;
-
   long seq;
   final long knownMs;
 
@@ -60,8 +62,8 @@
   boolean orderInFlight;
   long lastDirectMs = -1_000_000;
 
-  /** Held attempts, and exited ones until the worker has forgotten them; by task name. */
-  final Map<String, Run> runs = new LinkedHashMap<>();
+  /** Held attempts, and exited ones until the worker has forgotten them. */
+  final Map<Run.Key, Run> runs = new LinkedHashMap<>();
 
   /** Images believed to be here, least recently used first: the worker does not report them. */
   final LinkedHashMap<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
@@ -71,9 +73,18 @@
 
   double reservedGpus;
   double reservedMemory;
-  double usedCpus;
-  double usedGpus;
-  double usedMemory;
+
+  /** Within a pass: tasks given to it. */
+  int taken;
+
+  /** Tasks held here, by image. */
+  private final Map<String, Integer> needed = new HashMap<>();
+
+  private double usedCpus;
+  private double usedGpus;
+  private double usedMemory;
+  private double replicaCpus;
+  private int held;
 
   Machine(
       String name, String addr, String type, String zone, boolean spot, State state, long nowMs) {
@@ -90,16 +101,86 @@
   }
 
   boolean usable(long nowMs) {
-    return state == State.LIVE && enrolled && !condemned && noticeS == null && nowMs >= holdUntilMs;
+    return state == State.LIVE
+        && enrolled
+        && !condemned
+        && noticeS == null
+        && nowMs >= holdUntilMs
+        && kind != null;
   }
 
-  boolean holdsAny() {
-    for (Run r : runs.values()) {
-      if (!r.exited()) {
-        return true;
-      }
+  void add(Run run) {
+    runs.put(run.key, run);
+  }
+
+  void remove(Run run) {
+    runs.remove(run.key);
+  }
+
+  /** Takes or gives back what a task of this job needs. */
+  void use(JobSpec s, int sign) {
+    usedCpus += sign * s.cpus();
+    usedGpus += sign * s.gpus();
+    usedMemory += sign * s.memoryGb();
+    replicaCpus += s.kind() == JobKind.SERVICE ? sign * s.cpus() : 0;
+    held += sign;
+    needed.merge(s.image(), sign, (a, b) -> a + b == 0 ? null : a + b);
+    if (held == 0) {
+      // Sums of fractions drift: an empty machine is exactly empty.
+      usedCpus = 0;
+      usedGpus = 0;
+      usedMemory = 0;
+      replicaCpus = 0;
+    }
+  }
+
+  double usedCpus() {
+    return usedCpus;
+  }
+
+  double usedGpus() {
+    return usedGpus;
+  }
+
+  double usedMemory() {
+    return usedMemory;
+  }
+
+  /** Processors that replicas of services take. */
+  double replicaCpus() {
+    return replicaCpus;
+  }
+
+  boolean hasRoom(double cpus, double gpus, double memory) {
+    return kind.cpus() - usedCpus - reservedCpus + TOLERANCE >= cpus
+        && kind.gpus() - usedGpus - reservedGpus + TOLERANCE >= gpus
+        && kind.memoryGb() - usedMemory - reservedMemory + TOLERANCE >= memory;
+  }
+
+  /** How many tasks of this kind find room, at most {@code most}. */
+  int room(JobSpec s, int most) {
+    if (!hasRoom(s.cpus(), s.gpus(), s.memoryGb())) {
+      return 0;
+    }
+    double n = most;
+    if (s.cpus() > 0) {
+      n = Math.min(n, (kind.cpus() - usedCpus - reservedCpus + TOLERANCE) / s.cpus());
+    }
+    if (s.gpus() > 0) {
+      n = Math.min(n, (kind.gpus() - usedGpus - reservedGpus + TOLERANCE) / s.gpus());
     }
-    return false;
+    if (s.memoryGb() > 0) {
+      n = Math.min(n, (kind.memoryGb() - usedMemory - reservedMemory + TOLERANCE) / s.memoryGb());
+    }
+    return (int) n;
+  }
+
+  boolean holdsAny() {
+    return held > 0;
+  }
+
+  int heldCount() {
+    return held;
   }
 
   List<Run> held() {
@@ -112,16 +193,26 @@
     return out;
   }
 
+  /** 1 if the image is there, less if it is being fetched, 0 otherwise. */
+  double score(String image) {
+    if (images.containsKey(image)) {
+      return 1;
+    }
+    return needed.containsKey(image) ? 0.5 : 0;
+  }
+
   /** Notes that a task with this image had its image here. */
-  void touchImage(String image, double gb, double cacheGb) {
+  void touchImage(String image, double gb) {
     images.put(image, gb);
-    images.get(image);
+    if (kind == null) {
+      return;
+    }
     double total = 0;
     for (double g : images.values()) {
       total += g;
     }
     var it = images.entrySet().iterator();
-    while (total > cacheGb && images.size() > 1 && it.hasNext()) {
+    while (total > kind.cacheGb() && images.size() > 1 && it.hasNext()) {
       total -= it.next().getValue();
       it.remove();
     }
--- /dev/null
+++ b/src/main/java/org/astershift/core/Preemption.java
@@ -0,0 +1,163 @@
+package org.astershift.core;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.astershift.config.Constants;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Stops work of lower priority for tasks with a tight aim that found no room. First where their
+ * image is: fetching it may take longer than the aim. These tasks then wait for the room made.
+ */
+final class Preemption {
+  private static final Logger LOG = LoggerFactory.getLogger(Preemption.class);
+  private static final double TOLERANCE = 1e-6;
+  private final Cluster c;
+  private final Placement placement;
+
+  /** Room on a machine, free already or freed by what stops, less what other tasks wait for. */
+  private static final class Room {
+    double cpus;
+    double gpus;
+    double memory;
+
+    Room(Machine m) {
+      cpus = m.kind.cpus() - m.usedCpus() - m.reservedCpus;
+      gpus = m.kind.gpus() - m.usedGpus() - m.reservedGpus;
+      memory = m.kind.memoryGb() - m.usedMemory() - m.reservedMemory;
+    }
+
+    void add(JobSpec s) {
+      cpus += s.cpus();
+      gpus += s.gpus();
+      memory += s.memoryGb();
+    }
+
+    boolean holds(JobSpec s) {
+      return cpus + TOLERANCE >= s.cpus()
+          && gpus + TOLERANCE >= s.gpus()
+          && memory + TOLERANCE >= s.memoryGb();
+    }
+  }
+
+  /** What to stop on one machine, and what that loses. */
+  private record Choice(Machine machine, List<Run> victims, double loss) {}
+
+  Preemption(Cluster cluster, Placement placement) {
+    this.c = cluster;
+    this.placement = placement;
+  }
+
+  void makeRoom(List<Job> jobs, List<Machine> usable, boolean onlyHits, long nowMs) {
+    for (Job job : jobs) {
+      if (onlyHits) {
+        job.covered = 0;
+      }
+      if (job.waiting.isEmpty()
+          || job.startAimS == null
+          || job.startAimS > Constants.TIGHT_START_S
+          || !c.teamAllows(job)) {
+        continue;
+      }
+      int need = job.waitingCount() - job.covered;
+      if (need > 0) {
+        job.covered += makeRoom(job, need, usable, onlyHits, nowMs);
+      }
+    }
+  }
+
+  /** Makes room for up to {@code need} tasks where it loses least; says for how many. */
+  private int makeRoom(Job job, int need, List<Machine> usable, boolean onlyHits, long nowMs) {
+    List<Choice> choices = new ArrayList<>();
+    for (Machine m : usable) {
+      Choice choice = choice(m, job, onlyHits, nowMs);
+      if (choice != null) {
+        choices.add(choice);
+      }
+    }
+    int made = 0;
+    while (made < need && !choices.isEmpty()) {
+      Choice best = choices.get(0);
+      for (Choice o : choices) {
+        best = o.loss() < best.loss() ? o : best;
+      }
+      take(best, job);
+      made++;
+      choices.remove(best);
+      Choice again = choice(best.machine(), job, onlyHits, nowMs);
+      if (again != null) {
+        choices.add(again);
+      }
+    }
+    return made;
+  }
+
+  /** The cheapest way to make room for one task on this machine; null if there is none. */
+  private Choice choice(Machine m, Job job, boolean onlyHits, long nowMs) {
+    JobSpec spec = job.spec;
+    boolean hit = m.images.containsKey(spec.image());
+    if ((onlyHits && !hit) || !placement.allowed(m, job)) {
+      return null;
+    }
+    List<Run> victims = victims(m, spec, nowMs);
+    if (victims == null) {
+      return null;
+    }
+    double loss = hit ? 0 : Constants.FETCH_LOSS * spec.imageGb() / m.kind.fetchGbPerS();
+    loss += placement.crowded(m, job) ? Constants.CROWDED_LOSS : 0;
+    for (Run run : victims) {
+      loss += lost(run, nowMs);
+    }
+    return new Choice(m, victims, loss);
+  }
+
+  /** What has to stop for one task, the cheapest first; null if that would not be enough. */
+  private static List<Run> victims(Machine m, JobSpec spec, long nowMs) {
+    Room room = new Room(m);
+    List<Run> candidates = new ArrayList<>();
+    for (Run run : m.runs.values()) {
+      if (run.exited()) {
+        continue;
+      }
+      if (run.unwanted()) {
+        room.add(run.job.spec);
+      } else if (run.job.spec.kind() != JobKind.SERVICE
+          && run.job.spec.priority().compareTo(spec.priority()) > 0) {
+        candidates.add(run);
+      }
+    }
+    if (room.holds(spec)) {
+      return List.of();
+    }
+    candidates.sort(Comparator.comparingDouble(r -> lost(r, nowMs)));
+    List<Run> victims = new ArrayList<>();
+    for (Run run : candidates) {
+      victims.add(run);
+      room.add(run.job.spec);
+      if (room.holds(spec)) {
+        return victims;
+      }
+    }
+    return null;
+  }
+
+  private void take(Choice choice, Job job) {
+    Machine m = choice.machine();
+    JobSpec spec = job.spec;
+    m.reservedCpus += spec.cpus();
+    m.reservedGpus += spec.gpus();
+    m.reservedMemory += spec.memoryGb();
+    for (Run run : choice.victims()) {
+      c.stop(run);
+      LOG.debug("task {} on {} stops for {}", run.name(), m.name, spec.id());
+    }
+  }
+
+  /** Work lost if the task stops now, in processor seconds. */
+  private static double lost(Run run, long nowMs) {
+    double ran = run.runningSinceMs < 0 ? 0 : (nowMs - run.runningSinceMs) / 1000.0;
+    return 1 + ran * Math.max(run.job.spec.cpus(), 1);
+  }
+}
--- a/src/main/java/org/astershift/core/Report.java
+++ b/src/main/java/org/astershift/core/Report.java
@@ -16,8 +16,7 @@
     List<Item> tasks) {
 
   /** One task on the machine. */
-  public record Item(
-      String job, int index, long attempt, Phase phase, String cause, boolean saved) {}
+  public record Item(String job, int index, long attempt, Phase phase, String cause) {}
 
   /** States of a task on its machine. */
   public enum Phase {
--- /dev/null
+++ b/src/main/java/org/astershift/core/Reports.java
@@ -0,0 +1,245 @@
+package org.astershift.core;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import org.astershift.config.Constants;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Brings what is known of machines and tasks up to what workers say of themselves. */
+final class Reports {
+  private static final Logger LOG = LoggerFactory.getLogger(Reports.class);
+  private final Cluster c;
+  private boolean deposed;
+
+  Reports(Cluster cluster) {
+    this.c = cluster;
+  }
+
+  /** A worker showed a higher token: another leader has taken over. */
+  boolean deposed() {
+    return deposed;
+  }
+
+  /** Notes who spoke, whatever it said. */
+  Machine heard(Report r, long nowMs) {
+    if (r.token() > c.token) {
+      deposed = true;
+    }
+    Machine m = c.machines.get(r.machine());
+    if (m == null) {
+      m =
+          new Machine(
+              r.machine(), r.addr(), r.type(), r.zone(), r.spot(), Machine.State.LIVE, nowMs);
+      c.addMachine(m);
+      LOG.info(
+          "machine {} ({} in {}) reports and was not asked for: taken in", m.name, m.type, m.zone);
+    }
+    m.addr = r.addr();
+    m.seenMs = nowMs;
+    if (r.token() == c.token) {
+      c.claim(m);
+    }
+    if (m.state == Machine.State.BOOTING || m.state == Machine.State.LOST) {
+      LOG.info(
+          "machine {} ({} in {}) is up after {} ms", m.name, m.type, m.zone, nowMs - m.knownMs);
+      m.idleSinceMs = nowMs;
+      c.enter(m, Machine.State.LIVE);
+    } else if (m.state == Machine.State.UNHEARD && m.claimed) {
+      m.idleSinceMs = nowMs;
+      c.enter(m, Machine.State.LIVE);
+    }
+    return m;
+  }
+
+  /** Brings what is known of the machine up to this report; false if the report is not newer. */
+  boolean absorb(Machine m, Report r, long nowMs) {
+    if (!r.newerThan(m.session, m.seq)) {
+      return false;
+    }
+    if (r.session() > m.session) {
+      for (Run run : new ArrayList<>(m.runs.values())) {
+        LOG.info("task {} on {} ended with its session", run.name(), m.name);
+        c.drop(run);
+      }
+    }
+    m.session = r.session();
+    m.seq = r.seq();
+    m.directFailures = 0;
+    if (r.noticeS() != null && m.noticeS == null) {
+      LOG.info("machine {} will be taken back in {} s", m.name, r.noticeS());
+      c.stir();
+    }
+    m.noticeS = r.noticeS();
+    List<Report.Item> strange = new ArrayList<>(0);
+    for (Report.Item item : r.tasks()) {
+      Run run = m.runs.get(new Run.Key(item.job(), item.index(), item.attempt()));
+      if (run == null) {
+        strange.add(item);
+      } else {
+        run.shownSeq = r.seq();
+        update(run, item, nowMs);
+      }
+    }
+    List<Run> absent = new ArrayList<>(0);
+    for (Run run : m.runs.values()) {
+      if (run.phase != null && run.shownSeq != r.seq()) {
+        absent.add(run);
+      }
+    }
+    for (Run run : absent) {
+      c.drop(run);
+    }
+    for (Report.Item item : strange) {
+      adopt(m, item, r.seq(), nowMs);
+    }
+    if (m.holdsAny()) {
+      m.idleSinceMs = nowMs;
+    }
+    return true;
+  }
+
+  private void update(Run run, Report.Item item, long nowMs) {
+    if (run.exited() || run.phase == item.phase()) {
+      return;
+    }
+    Job job = run.job;
+    Machine m = run.machine;
+    run.ordered = true;
+    if (item.phase() != Report.Phase.FETCHING && item.phase() != Report.Phase.EXITED) {
+      if (run.phase == null || run.phase == Report.Phase.FETCHING) {
+        m.touchImage(job.spec.image(), job.spec.imageGb());
+      }
+      if (item.phase() == Report.Phase.RUNNING && run.runningSinceMs < 0) {
+        run.runningSinceMs = nowMs;
+        job.gangRan = true;
+        LOG.debug(
+            "task {} runs on {}, {} ms after it was placed",
+            run.name(),
+            m.name,
+            nowMs - run.placedMs);
+      }
+    }
+    if (item.phase() != Report.Phase.EXITED) {
+      job.phase(run, item.phase());
+      return;
+    }
+    c.release(run);
+    if (!"done".equals(item.cause())) {
+      job.restarts++;
+    }
+    run.phase = Report.Phase.EXITED;
+    run.cause = item.cause();
+    exited(run, nowMs);
+  }
+
+  private void exited(Run run, long nowMs) {
+    Job job = run.job;
+    Machine m = run.machine;
+    String cause = run.cause == null ? "?" : run.cause;
+    if (job.state != Job.State.LIVE) {
+      return;
+    }
+    switch (cause) {
+      case "done" -> {
+        m.failures = 0;
+        if (job.spec.kind() != JobKind.SERVICE) {
+          c.markDone(job, run.index);
+        }
+      }
+      case "error" -> {
+        LOG.info("task {} failed on {}", run.name(), m.name);
+        failure(job, m, nowMs);
+      }
+      case "no_room", "in_use", "unknown" -> {
+        LOG.info("start of {} refused by {}: {}", run.name(), m.name, cause);
+        m.holdUntilMs = nowMs + Constants.REFUSED_HOLD_MS;
+        if (cause.equals("unknown")) {
+          job.pausedUntilMs = nowMs + Constants.ERROR_PAUSE_MS;
+        }
+      }
+      default -> {
+        LOG.debug("task {} on {} exited: {}", run.name(), m.name, cause);
+        c.stir();
+      }
+    }
+  }
+
+  /**
+   * A job submitted with a mistake fails on every machine, a faulty machine fails every job. A job
+   * that has failed on several machines and never finished a task convicts nobody and is retried
+   * with growing pauses; otherwise repeated failures convict the machine.
+   */
+  private void failure(Job job, Machine m, long nowMs) {
+    c.stir();
+    job.failedOn.add(m.name);
+    boolean suspectJob = !job.everRan && job.failedOn.size() >= 3;
+    if (suspectJob) {
+      int step = Math.min(job.failedOn.size(), 6);
+      job.pausedUntilMs = nowMs + (Constants.ERROR_PAUSE_MS << step);
+      return;
+    }
+    m.failures++;
+    m.holdUntilMs = nowMs + Constants.FAILED_HOLD_MS;
+    if (m.failures >= Constants.FAILURES_TO_CONDEMN && !m.condemned) {
+      m.condemned = true;
+      LOG.info("machine {} fails its tasks: no more work, to be returned", m.name);
+    }
+  }
+
+  private void adopt(Machine m, Report.Item item, long seq, long nowMs) {
+    Job job = c.jobs.get(item.job());
+    if (job == null || item.index() >= job.spec.tasks()) {
+      job = stub(item);
+    }
+    Run run = new Run(job, item.index(), item.attempt(), m, nowMs);
+    run.ordered = true;
+    run.phase = item.phase();
+    run.cause = item.cause();
+    run.shownSeq = seq;
+    c.adopt(run);
+    if (run.exited()) {
+      exited(run, nowMs);
+      return;
+    }
+    if (item.phase() == Report.Phase.RUNNING) {
+      run.runningSinceMs = nowMs;
+    }
+    if (item.phase() != Report.Phase.FETCHING) {
+      m.touchImage(job.spec.image(), job.spec.imageGb());
+    }
+    Run other = job.runs.get(run.index);
+    if (other != null && !other.ordered) {
+      c.drop(other);
+      other = null;
+    }
+    if (job.state != Job.State.LIVE || job.done.get(run.index) || other != null) {
+      LOG.info(
+          "task {} attempt {} on {} is not wanted: stopped", run.name(), run.attempt, m.name);
+      run.stopping = true;
+      return;
+    }
+    c.recognise(run);
+    job.opened = true;
+    if (job.spec.kind() == JobKind.GANG) {
+      job.gangAttempt = run.attempt;
+      job.gangRan |= item.phase() == Report.Phase.RUNNING;
+    }
+  }
+
+  /** Stands for a job this leader does not look after (any more): its tasks are only stopped. */
+  private static Job stub(Report.Item item) {
+    Job job =
+        new Job(
+            new JobSpec(
+                item.job(), "", "", JobKind.ARRAY, Priority.LOW, 0, 0, 0, 0, "", 0, null, null,
+                false, false, true, 0, 0, 0, null),
+            0,
+            true,
+            new BitSet(),
+            null);
+    job.state = Job.State.CANCELLED;
+    return job;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/astershift/core/Returning.java
@@ -0,0 +1,175 @@
+package org.astershift.core;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.astershift.config.Constants;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Which machines to give back: idle, silent, faulty or late to boot. */
+final class Returning {
+  private static final Logger LOG = LoggerFactory.getLogger(Returning.class);
+
+  /** The cloud takes no more names in one call. */
+  private static final int NAMES_A_CALL = 100;
+
+  private final Cluster c;
+  private final Commands commands;
+  private final ArrayDeque<Long> silentReturns = new ArrayDeque<>();
+  private final Set<String> failedNames = new HashSet<>();
+  private final Set<String> asked = new HashSet<>();
+  private final Map<String, Long> returned = new HashMap<>();
+
+  Returning(Cluster cluster, Commands commands) {
+    this.c = cluster;
+    this.commands = commands;
+  }
+
+  /** A failed machine stays listed until it is deleted. */
+  void failed(String name) {
+    failedNames.add(name);
+  }
+
+  /** The cloud answered 200 to the return of these. */
+  void returned(List<String> names, long nowMs) {
+    long keep = (long) (4 * c.facts.listLagS() * 1000) + Constants.LATE_REPORTS_MS;
+    returned.values().removeIf(at -> at + keep < nowMs);
+    for (String name : names) {
+      asked.remove(name);
+      failedNames.remove(name);
+      returned.put(name, nowMs);
+      c.gone(name, "returned");
+    }
+  }
+
+  /** A return did not get its answer: it is asked for again by a later plan. */
+  void notReturned(List<String> names) {
+    asked.removeAll(names);
+  }
+
+  /** Old lists and late reports may still speak of it. */
+  boolean goneRecently(String name) {
+    return returned.containsKey(name);
+  }
+
+  void plan(List<Decision> out, long nowMs) {
+    List<String> names = new ArrayList<>();
+    for (String name : failedNames) {
+      if (asked.add(name)) {
+        names.add(name);
+      }
+    }
+    boolean believe = believable(nowMs);
+    for (Machine m : c.all()) {
+      String why = m.state == Machine.State.RETURNING ? null : whyReturn(m, believe, nowMs);
+      if (why != null) {
+        LOG.info("machine {} ({} in {}) is returned: {}", m.name, m.type, m.zone, why);
+        if (silent(m, nowMs)) {
+          silentReturns.addLast(nowMs);
+          believe = believable(nowMs);
+        }
+        c.enter(m, Machine.State.RETURNING);
+      }
+      if (m.state == Machine.State.RETURNING && asked.add(m.name)) {
+        names.add(m.name);
+      }
+    }
+    for (int i = 0; i < names.size(); i += NAMES_A_CALL) {
+      out.add(new Decision.Return(names.subList(i, Math.min(names.size(), i + NAMES_A_CALL))));
+    }
+  }
+
+  /**
+   * Whether silence may be put down to the machines. If many fall silent at once the trouble is
+   * more likely between them and this leader, which must not give a healthy fleet away.
+   */
+  private boolean believable(long nowMs) {
+    while (!silentReturns.isEmpty()
+        && nowMs - silentReturns.peekFirst() > Constants.SILENCE_MS) {
+      silentReturns.removeFirst();
+    }
+    int[] n = silentAndAll(nowMs);
+    int all = n[1] + silentReturns.size();
+    return n[0] + silentReturns.size()
+        <= Math.max(Constants.SILENT_FEW, all * Constants.SILENT_SHARE);
+  }
+
+  private int[] silentAndAll(long nowMs) {
+    int silent = 0;
+    int all = 0;
+    for (Machine m : c.all()) {
+      if (m.state != Machine.State.BOOTING && m.state != Machine.State.RETURNING) {
+        all++;
+        silent += silent(m, nowMs) ? 1 : 0;
+      }
+    }
+    return new int[] {silent, all};
+  }
+
+  /** Whether most machines do not answer: another controller may reach them better. */
+  boolean isolated(long nowMs) {
+    int[] n = silentAndAll(nowMs);
+    return n[0] > Constants.SILENT_FEW && n[0] * 2 > n[1];
+  }
+
+  private boolean silent(Machine m, long nowMs) {
+    long silence = nowMs - Math.max(m.seenMs, m.heardMs);
+    return silence > commands.suspectMs() + Constants.SILENT_MS
+        && (m.directFailures > 0 || m.addr == null || m.session == 0);
+  }
+
+  private String whyReturn(Machine m, boolean believe, long nowMs) {
+    MachineType t = m.kind;
+    switch (m.state) {
+      case BOOTING -> {
+        double limit =
+            t == null
+                ? Constants.BOOT_UNKNOWN_MS
+                : t.bootS() * 1000 * Constants.BOOT_PATIENCE + Constants.BOOT_PATIENCE_MS;
+        return nowMs - m.knownMs > limit ? "not up after " + (nowMs - m.knownMs) + " ms" : null;
+      }
+      case UNHEARD, LOST -> {
+        return (believe || pastLease(m, nowMs)) && silent(m, nowMs) ? "silent" : null;
+      }
+      case LIVE -> {
+        if ((believe || pastLease(m, nowMs)) && silent(m, nowMs)) {
+          return "silent with " + m.heldCount() + " tasks";
+        }
+        if (m.condemned) {
+          for (Run run : m.held()) {
+            c.stop(run);
+          }
+          return m.holdsAny() ? null : "faulty";
+        }
+        boolean idle =
+            !m.holdsAny()
+                && nowMs - m.idleSinceMs > idleReleaseMs(m)
+                && nowMs - m.knownMs > Constants.CHARGED_LEAST_MS;
+        return idle ? "idle" : null;
+      }
+      default -> {
+        return null;
+      }
+    }
+  }
+
+  /**
+   * How long an idle machine is kept: about as long as one takes to come back, since that is what
+   * giving it back too early costs; longer where it is spot and its replacement may not be.
+   */
+  private double idleReleaseMs(Machine m) {
+    double boot = m.kind == null ? 0 : m.kind.bootS() * Constants.IDLE_BOOTS;
+    double keep = Math.max(c.policy.idleReleaseS(), boot);
+    return keep * (m.spot ? Constants.IDLE_SPOT : 1) * 1000;
+  }
+
+  /** Nothing it held can be alive any more, so that giving it back loses nothing. */
+  private boolean pastLease(Machine m, long nowMs) {
+    return nowMs - Math.max(m.seenMs, m.heardMs) > 1.5 * c.facts.leaseS() * 1000;
+  }
+}
--- a/src/main/java/org/astershift/core/Run.java
+++ b/src/main/java/org/astershift/core/Run.java
@@ -2,15 +2,22 @@
 
 /** One attempt of one task on one machine, from the decision to place it until its proof of end. */
 final class Run {
+  /** Names an attempt on its machine. */
+  record Key(String job, int index, long attempt) {}
+
   final Job job;
   final int index;
   final long attempt;
   final Machine machine;
   final long placedMs;
+  final Key key;
 
   /** What the machine last reported; null while it has not shown the task in this session. */
   Report.Phase phase;
 
+  /** Position of the newest report that showed it. */
+  long shownSeq = -1;
+
   /** A start command went out, in whatever way. */
   boolean ordered;
 
@@ -36,12 +43,23 @@
     this.attempt = attempt;
     this.machine = machine;
     this.placedMs = placedMs;
+    this.key = new Key(job.spec.id(), index, attempt);
   }
 
   boolean exited() {
     return phase == Report.Phase.EXITED;
   }
 
+  /** Whether its user sees it as running. */
+  boolean works() {
+    return phase == Report.Phase.RUNNING || phase == Report.Phase.SAVING;
+  }
+
+  /** Nobody wants it to run any more. */
+  boolean unwanted() {
+    return stopping || job.state != Job.State.LIVE || job.cancelWanted;
+  }
+
   String name() {
     return job.spec.id() + "/" + index;
   }
--- a/src/main/java/org/astershift/core/Spending.java
+++ b/src/main/java/org/astershift/core/Spending.java
@@ -2,7 +2,6 @@
 
 import java.util.Collection;
 import java.util.Locale;
-import java.util.Map;
 
 /** Where this term's money goes, for the log: by what each machine does at the time. */
 final class Spending {
@@ -14,19 +13,19 @@
   private double used;
   private double silent;
 
-  void add(Collection<Machine> machines, Map<String, MachineType> types, long nowMs) {
+  void add(Collection<Machine> machines, long nowMs) {
     double hours = lastMs < 0 ? 0 : (nowMs - lastMs) / MS_PER_HOUR;
     lastMs = nowMs;
     for (Machine m : machines) {
-      MachineType t = types.get(m.type);
+      MachineType t = m.kind;
       if (t == null) {
         continue;
       }
       double cost = t.price(m.spot) * hours;
       double share =
           Math.max(
-              m.usedCpus / t.cpus(),
-              Math.max(m.usedMemory / t.memoryGb(), t.gpus() > 0 ? m.usedGpus / t.gpus() : 0));
+              m.usedCpus() / t.cpus(),
+              Math.max(m.usedMemory() / t.memoryGb(), t.gpus() > 0 ? m.usedGpus() / t.gpus() : 0));
       switch (m.state) {
         case BOOTING -> booting += cost;
         case LIVE -> {
--- a/src/main/java/org/astershift/http/HttpClient.java
+++ b/src/main/java/org/astershift/http/HttpClient.java
@@ -12,11 +12,12 @@
  * Requests to one address over kept connections. Every call has a deadline over connecting, sending
  * and receiving. It never repeats a request by itself: whether that is safe only the caller knows.
  */
-public final class HttpClient {
+public final class HttpClient implements AutoCloseable {
   private final String host;
   private final int port;
   private final int keep;
   private final Deque<Connection> idle = new ArrayDeque<>();
+  private boolean closed;
 
   public HttpClient(String host, int port, int keep) {
     this.host = host;
@@ -111,10 +112,19 @@
 
   private synchronized void give(Connection c) {
     c.lastNs = System.nanoTime();
-    if (idle.size() >= keep) {
+    idle.addLast(c);
+    if (closed || idle.size() > keep) {
+      closeQuietly(idle.pollFirst());
+    }
+  }
+
+  /** Closes what is idle, and keeps nothing from now on; calls still go through. */
+  @Override
+  public synchronized void close() {
+    closed = true;
+    while (!idle.isEmpty()) {
       closeQuietly(idle.pollFirst());
     }
-    idle.addLast(c);
   }
 
   private static void closeQuietly(Connection c) {
--- a/src/main/java/org/astershift/http/HttpServer.java
+++ b/src/main/java/org/astershift/http/HttpServer.java
@@ -25,15 +25,15 @@
   /** A request; the path is without its query, which is empty if there is none. */
   public record Request(String method, String path, String query, byte[] body) {}
 
-  /** A response; {@code body} null for none, {@code retryAfterS} 0 for none. */
-  public record Response(int status, Map<String, Object> body, int retryAfterS) {
+  /** A response with a JSON text; {@code retryAfterS} 0 for none. */
+  public record Response(int status, byte[] body, int retryAfterS) {
     public static Response of(int status, Map<String, Object> body) {
-      return new Response(status, body, 0);
+      return new Response(status, Json.bytes(body), 0);
     }
 
     public static Response error(int status, String why) {
-      return new Response(
-          status, Map.of("error", why), status == 503 ? Constants.RETRY_AFTER_S : 0);
+      int retryAfterS = status == 503 ? Constants.RETRY_AFTER_S : 0;
+      return new Response(status, Json.bytes(Map.of("error", why)), retryAfterS);
     }
   }
 
@@ -56,9 +56,7 @@
   }
 
   public void start() {
-    Thread t = new Thread(null, this::acceptLoop, "http-accept", Constants.STACK_BYTES);
-    t.setDaemon(true);
-    t.start();
+    Threads.start("http-accept", this::acceptLoop);
   }
 
   @Override
@@ -79,27 +77,16 @@
         }
         AtomicLong idleSince = new AtomicLong(System.nanoTime());
         open.put(socket, idleSince);
-        Thread t =
-            new Thread(null, () -> serve(socket, idleSince), "http", Constants.STACK_BYTES);
-        t.setDaemon(true);
-        t.start();
+        Threads.start("http", () -> serve(socket, idleSince));
       } catch (IOException | OutOfMemoryError e) {
         if (!closed) {
           LOG.info("a connection could not be taken: {}", e.toString());
-          pause();
+          Threads.pause();
         }
       }
     }
   }
 
-  private static void pause() {
-    try {
-      Thread.sleep(Constants.RETRY_MS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
   /** A full node gives up the connection that has been idle for longest. */
   private void closeIdlest() {
     Socket idlest = null;
@@ -180,10 +167,9 @@
   }
 
   private static void send(Socket socket, Response r, boolean close) throws IOException {
-    byte[] body = r.body() == null ? new byte[0] : Json.bytes(r.body());
     StringBuilder head = new StringBuilder(128);
     head.append("HTTP/1.1 ").append(r.status()).append(' ').append(reason(r.status()));
-    head.append("\r\nContent-Type: application/json\r\nContent-Length: ").append(body.length);
+    head.append("\r\nContent-Type: application/json\r\nContent-Length: ").append(r.body().length);
     if (r.retryAfterS() > 0) {
       head.append("\r\nRetry-After: ").append(r.retryAfterS());
     }
@@ -191,7 +177,7 @@
       head.append("\r\nConnection: close");
     }
     head.append("\r\n\r\n");
-    HttpClient.write(socket, head.toString(), body);
+    HttpClient.write(socket, head.toString(), r.body());
   }
 
   private static String reason(int status) {
--- a/src/main/java/org/astershift/http/Json.java
+++ b/src/main/java/org/astershift/http/Json.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.Map;
 
@@ -20,8 +21,12 @@
     }
   }
 
-  public static byte[] bytes(Object value) throws IOException {
-    return JR.asBytes(value);
+  public static byte[] bytes(Object value) {
+    try {
+      return JR.asBytes(value);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e); // memory does not fail
+    }
   }
 
   /** Parses an object; anything else, and anything after it, is bad. */
--- a/src/main/java/org/astershift/leader/Leadership.java
+++ b/src/main/java/org/astershift/leader/Leadership.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import org.astershift.config.Constants;
+import org.astershift.http.Threads;
 import org.astershift.store.Mirror;
 import org.astershift.store.RateBudget;
 import org.astershift.store.Records;
@@ -47,9 +48,7 @@
   }
 
   public void start() {
-    Thread t = new Thread(null, this::loop, "leadership", Constants.STACK_BYTES);
-    t.setDaemon(true);
-    t.start();
+    Threads.start("leadership", this::loop);
   }
 
   /** 0 if this node does not lead. */
@@ -103,7 +102,7 @@
     }
   }
 
-  private void loop() {
+  private void loop() throws InterruptedException {
     while (true) {
       try {
         if (token == 0) {
@@ -116,22 +115,11 @@
         }
       } catch (IOException | RuntimeException e) {
         LOG.debug("leadership: {}", e.toString());
-        pause();
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-        return;
+        Threads.pause();
       }
     }
   }
 
-  private static void pause() {
-    try {
-      Thread.sleep(Constants.RETRY_MS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
   private void contest() throws IOException, InterruptedException {
     if (!mirror.loaded() || System.nanoTime() - contestNs < 0) {
       return;
--- /dev/null
+++ b/src/main/java/org/astershift/leader/Notes.java
@@ -0,0 +1,291 @@
+package org.astershift.leader;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.astershift.config.Constants;
+import org.astershift.config.Settings;
+import org.astershift.http.Json;
+import org.astershift.store.RateBudget;
+import org.astershift.store.Records;
+import org.astershift.store.StoreClient;
+import org.astershift.store.StoreClient.Outcome;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What a leader writes down for its successor: which jobs are opened, which machines may hold tasks,
+ * which rentals are open, which tasks are done. Changes to the state service are rare and dear, and
+ * each key counts as one; so many entries share a page, and one write carries all that changed on it
+ * meanwhile. One thread brings the pages there to what they should be.
+ */
+final class Notes {
+  private static final Logger LOG = LoggerFactory.getLogger(Notes.class);
+  private static final long CLEAN = Long.MAX_VALUE;
+
+  /** What an entry is about. Pages hold one kind, so that what changes often is written alone. */
+  enum Kind {
+    OPENED('o'),
+    RENTAL('i'),
+    MACHINE('m'),
+    PROGRESS('p');
+
+    private final char letter;
+
+    Kind(char letter) {
+      this.letter = letter;
+    }
+  }
+
+  /** Told when an entry is durable as it was then; {@code value} null: removed. */
+  interface Listener {
+    void durable(Kind kind, String key, Object value);
+  }
+
+  private static final class Page {
+    final Kind kind;
+    final String key;
+    final Map<String, Object> entries = new LinkedHashMap<>();
+    final Set<String> changed = new LinkedHashSet<>();
+    long revision;
+    int bytes;
+    long dueMs = CLEAN;
+
+    Page(Kind kind, int number) {
+      this.kind = kind;
+      this.key = Records.NOTES + kind.letter + number;
+    }
+  }
+
+  /** A page as it goes out: later changes do not touch it. */
+  private record Draft(Page page, Map<String, Object> entries, Set<String> changed) {}
+
+  private final long token;
+  private final StoreClient store;
+  private final Listener listener;
+  private final int pagesAtOnce;
+  private final int pageBytes;
+  private final Map<Kind, List<Page>> pages = new EnumMap<>(Kind.class);
+  private final Map<Kind, Map<String, Page>> where = new EnumMap<>(Kind.class);
+  private boolean over;
+
+  Notes(long token, StoreClient store, Settings.StoreLimits limits, Listener listener) {
+    this.token = token;
+    this.store = store;
+    this.listener = listener;
+    this.pagesAtOnce = limits.txnOps();
+    this.pageBytes =
+        (int) Math.min(Constants.PAGE_BYTES, limits.valueKb() * 1024 * Constants.PAGE_SHARE);
+    for (Kind k : Kind.values()) {
+      pages.put(k, new ArrayList<>());
+      where.put(k, new HashMap<>());
+    }
+  }
+
+  /** Takes in what an earlier leader noted. */
+  synchronized void load(List<StoreClient.Row> rows) {
+    for (StoreClient.Row row : rows) {
+      String rest = row.key().substring(Records.NOTES.length());
+      for (Kind kind : Kind.values()) {
+        if (rest.charAt(0) == kind.letter && rest.substring(1).matches("[0-9]{1,6}")) {
+          Page page = page(kind, Integer.parseInt(rest.substring(1)));
+          page.revision = row.revision();
+          row.data().forEach((key, value) -> set(page, key, value));
+        }
+      }
+    }
+  }
+
+  private Page page(Kind kind, int number) {
+    List<Page> all = pages.get(kind);
+    while (all.size() <= number) {
+      all.add(new Page(kind, all.size()));
+    }
+    return all.get(number);
+  }
+
+  private void set(Page page, String key, Object value) {
+    Object before = page.entries.put(key, value);
+    page.bytes += size(key, value) - (before == null ? 0 : size(key, before));
+    where.get(page.kind).put(key, page);
+  }
+
+  private static int size(String key, Object value) {
+    return key.length() + 4 + Json.bytes(value).length;
+  }
+
+  synchronized Map<String, Object> entries(Kind kind) {
+    Map<String, Object> out = new LinkedHashMap<>();
+    for (Page page : pages.get(kind)) {
+      out.putAll(page.entries);
+    }
+    return out;
+  }
+
+  /** The entry should have this value, written after {@code delayMs} at the latest. */
+  synchronized void put(Kind kind, String key, Object value, long delayMs) {
+    Page page = where.get(kind).get(key);
+    if (page == null) {
+      page = roomy(kind, size(key, value));
+    }
+    set(page, key, value);
+    touch(page, key, delayMs);
+  }
+
+  private Page roomy(Kind kind, int size) {
+    for (Page page : pages.get(kind)) {
+      if (page.bytes + size <= pageBytes) {
+        return page;
+      }
+    }
+    return page(kind, pages.get(kind).size());
+  }
+
+  synchronized void remove(Kind kind, String key, long delayMs) {
+    Page page = where.get(kind).remove(key);
+    if (page != null) {
+      page.bytes -= size(key, page.entries.remove(key));
+      touch(page, key, delayMs);
+    }
+  }
+
+  /** Keys of this kind that start so. */
+  synchronized List<String> keys(Kind kind, String prefix) {
+    List<String> out = new ArrayList<>();
+    for (String key : where.get(kind).keySet()) {
+      if (key.startsWith(prefix)) {
+        out.add(key);
+      }
+    }
+    return out;
+  }
+
+  private void touch(Page page, String key, long delayMs) {
+    page.changed.add(key);
+    page.dueMs = Math.min(page.dueMs, Term.nowMs() + delayMs);
+    notifyAll();
+  }
+
+  synchronized void end() {
+    over = true;
+    notifyAll();
+  }
+
+  /** Writes what is due until the term is over. */
+  void loop(Term term) throws InterruptedException {
+    while (true) {
+      List<Draft> drafts = next();
+      if (drafts.isEmpty()) {
+        return;
+      }
+      Outcome o = write(drafts);
+      if (o instanceof Outcome.Applied a) {
+        written(drafts, a.revision());
+      } else {
+        again(drafts);
+        if (o instanceof Outcome.Conflict c && c.keys().contains(Records.LEADER)) {
+          term.lost();
+          return;
+        }
+        if (o instanceof Outcome.Conflict c) {
+          reread(drafts, c.keys());
+        } else {
+          LOG.debug("notes are not written yet: {}", o);
+          Thread.sleep(Constants.RETRY_MS);
+        }
+      }
+    }
+  }
+
+  /** Waits for something due; empty once the term is over. */
+  private synchronized List<Draft> next() throws InterruptedException {
+    while (!over) {
+      long now = Term.nowMs();
+      long first = CLEAN;
+      List<Page> due = new ArrayList<>();
+      for (List<Page> some : pages.values()) {
+        for (Page page : some) {
+          first = Math.min(first, page.dueMs);
+          if (page.dueMs <= now) {
+            due.add(page);
+          }
+        }
+      }
+      if (!due.isEmpty()) {
+        // What waits for longest goes first: a rental is not struck before its machines are noted.
+        due.sort(Comparator.comparingLong(p -> p.dueMs));
+        List<Draft> drafts = new ArrayList<>();
+        for (Page page : due.subList(0, Math.min(due.size(), pagesAtOnce))) {
+          drafts.add(
+              new Draft(
+                  page, new LinkedHashMap<>(page.entries), new LinkedHashSet<>(page.changed)));
+          page.changed.clear();
+          page.dueMs = CLEAN;
+        }
+        return drafts;
+      }
+      wait(first == CLEAN ? 0 : Math.max(1, first - now));
+    }
+    return List.of();
+  }
+
+  /**
+   * Conditional on the pages' revisions: an earlier try of ours that is applied late must not bring
+   * back what has changed since.
+   */
+  private Outcome write(List<Draft> drafts) throws InterruptedException {
+    StoreClient.Txn txn = new StoreClient.Txn().when(Records.LEADER, token);
+    RateBudget.Use use = RateBudget.Use.PROGRESS;
+    for (Draft d : drafts) {
+      txn.when(d.page().key, d.page().revision);
+      if (!d.entries().isEmpty()) {
+        txn.put(d.page().key, d.entries());
+      } else if (d.page().revision > 0) {
+        txn.delete(d.page().key);
+      }
+      if (d.page().kind != Kind.PROGRESS) {
+        use = RateBudget.Use.OPEN;
+      }
+    }
+    return store.commit(txn, use, Constants.STORE_PATIENCE_MS);
+  }
+
+  private void written(List<Draft> drafts, long revision) {
+    for (Draft d : drafts) {
+      d.page().revision = d.entries().isEmpty() ? 0 : revision;
+    }
+    for (Draft d : drafts) {
+      for (String key : d.changed()) {
+        listener.durable(d.page().kind, key, d.entries().get(key));
+      }
+    }
+  }
+
+  private synchronized void again(List<Draft> drafts) {
+    for (Draft d : drafts) {
+      d.page().changed.addAll(d.changed());
+      d.page().dueMs = 0;
+    }
+  }
+
+  /** An earlier try without an answer was applied after all: only its revision is news. */
+  private void reread(List<Draft> drafts, Set<String> conflicts) throws InterruptedException {
+    for (Draft d : drafts) {
+      if (conflicts.contains(d.page().key)) {
+        try {
+          d.page().revision = store.get(d.page().key).revision();
+        } catch (IOException e) {
+          LOG.debug("reading {}: {}", d.page().key, e.toString());
+          Thread.sleep(Constants.RETRY_MS);
+        }
+      }
+    }
+  }
+}
--- a/src/main/java/org/astershift/leader/Term.java
+++ b/src/main/java/org/astershift/leader/Term.java
@@ -17,7 +17,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** One leader's time in office: its scheduler, and the revisions its records are at. */
+/** One leader's time in office: its scheduler, its notes, and the jobs it looks after. */
 final class Term {
   private static final Logger LOG = LoggerFactory.getLogger(Term.class);
   final long token;
@@ -25,101 +25,152 @@
   /** Used by one thread at a time: under the lock of this object. */
   final Scheduler scheduler;
 
-  volatile boolean over;
-  private final Map<String, Kept> kept = new HashMap<>();
+  final Notes notes;
+  private final Runnable stepDown;
+  private volatile boolean over;
+  private final Set<String> jobs = new HashSet<>();
   private long rentals;
 
   /**
-   * Jobs that ended in this term, the oldest first. What was read of a job before its end may arrive
-   * after it, from another thread: taken in again, the job's tasks would start once more.
+   * Jobs that ended in this term, the oldest first. What was read of a job before its end may
+   * arrive after it, from another thread: taken in again, the job's tasks would start once more.
    */
   private final Set<String> endedHere = new LinkedHashSet<>();
 
-  /** A job's record and where it stands. */
-  static final class Kept {
-    final Records.JobRecord record;
-    long revision;
-    final Set<Integer> segments = new HashSet<>();
+  /** {@code stepDown} is called when it is certain that another leads. */
+  Term(long token, Scheduler scheduler, Notes notes, Runnable stepDown) {
+    this.token = token;
+    this.scheduler = scheduler;
+    this.notes = notes;
+    this.stepDown = stepDown;
+  }
 
-    Kept(Records.JobRecord record, long revision) {
-      this.record = record;
-      this.revision = revision;
-    }
+  boolean over() {
+    return over;
   }
 
-  Term(long token, Scheduler scheduler) {
-    this.token = token;
-    this.scheduler = scheduler;
+  void end() {
+    over = true;
+    notes.end();
+  }
+
+  /** A write found another leader's key. */
+  void lost() {
+    stepDown.run();
   }
 
-  /** Takes in all that the mirror holds: machines first, since they decide what may be placed. */
+  /** A transaction that fails when it is applied late, after another leader took over. */
+  StoreClient.Txn txn() {
+    return new StoreClient.Txn().when(Records.LEADER, token);
+  }
+
+  /** Whether the outcome shows that another leads, which ends the term. */
+  boolean lostBy(StoreClient.Outcome o) {
+    if (o instanceof StoreClient.Outcome.Conflict c && c.keys().contains(Records.LEADER)) {
+      lost();
+      return true;
+    }
+    return false;
+  }
+
+  /** Takes in all that the mirror holds: machines first, they decide what may be placed. */
   synchronized void load(Mirror mirror) {
+    notes.load(mirror.below(Records.NOTES));
     long now = nowMs();
-    for (StoreClient.Row row : mirror.below(Records.MACHINE)) {
-      try {
-        var e = Records.machine(row.key(), row.data());
-        if (e.fresh()) {
-          Decision.Rent rent = new Decision.Rent(e.type(), e.zone(), e.spot(), 1);
-          scheduler.rented("", List.of(e.machine()), rent, true, now);
-        } else {
-          scheduler.inherit(e.machine(), e.addr(), e.type(), e.zone(), e.spot(), now);
-        }
-      } catch (Json.Bad e) {
-        LOG.error("record {} cannot be read: {}", row.key(), e.getMessage());
-      }
-    }
+    notes.entries(Notes.Kind.MACHINE).forEach((name, value) -> loadMachine(name, value, now));
+    Map<String, Object> opened = notes.entries(Notes.Kind.OPENED);
     Map<String, BitSet> done = new HashMap<>();
-    Map<String, Set<Integer>> segments = new HashMap<>();
-    for (StoreClient.Row row : mirror.below(Records.PROGRESS)) {
-      String rest = row.key().substring(Records.PROGRESS.length());
-      int slash = rest.lastIndexOf('/');
-      try {
-        String job = rest.substring(0, slash);
-        int segment = Integer.parseInt(rest.substring(slash + 1));
-        Records.merge(done.computeIfAbsent(job, j -> new BitSet()), segment, row.data());
-        segments.computeIfAbsent(job, j -> new HashSet<>()).add(segment);
-      } catch (Json.Bad | RuntimeException e) {
-        LOG.error("record {} cannot be read: {}", row.key(), e.getMessage());
-      }
-    }
+    notes
+        .entries(Notes.Kind.PROGRESS)
+        .forEach(
+            (key, value) -> {
+              int slash = key.lastIndexOf('/');
+              try {
+                int segment = Integer.parseInt(key.substring(slash + 1));
+                BitSet bits = done.computeIfAbsent(key.substring(0, slash), j -> new BitSet());
+                Records.merge(bits, segment, value);
+              } catch (Json.Bad | RuntimeException e) {
+                LOG.error("progress of {} cannot be read: {}", key, e.getMessage());
+              }
+            });
     for (StoreClient.Row row : mirror.below(Records.JOB)) {
       String id = row.key().substring(Records.JOB.length());
-      add(row, done.getOrDefault(id, new BitSet()));
-      if (kept.containsKey(id)) {
-        kept.get(id).segments.addAll(segments.getOrDefault(id, Set.of()));
+      add(row, opened.containsKey(id), done.getOrDefault(id, new BitSet()));
+    }
+    // Left by a leader that ended between a job's end and the striking of its notes.
+    for (String id : opened.keySet()) {
+      forget(id);
+    }
+    for (String id : done.keySet()) {
+      forget(id);
+    }
+  }
+
+  private void forget(String id) {
+    if (!jobs.contains(id)) {
+      strike(id);
+    }
+  }
+
+  private void loadMachine(String name, Object value, long now) {
+    try {
+      Decision.Enrol e = Records.machine(name, value);
+      if (e.fresh()) {
+        Decision.Rent rent = new Decision.Rent(e.type(), e.zone(), e.spot(), 1);
+        scheduler.rented("", List.of(name), rent, now);
+      } else {
+        scheduler.inherit(name, e.addr(), e.type(), e.zone(), e.spot(), now);
       }
+    } catch (Json.Bad e) {
+      LOG.error("note of machine {} cannot be read: {}", name, e.getMessage());
     }
   }
 
-  synchronized void add(StoreClient.Row row, BitSet done) {
+  /** A job accepted in this term. */
+  void add(StoreClient.Row row) {
+    add(row, false, new BitSet());
+  }
+
+  private void add(StoreClient.Row row, boolean opened, BitSet done) {
     try {
-      add(Records.job(row.key(), row.data()), row.revision(), done);
+      add(Records.job(row.key(), row.data()), opened, done);
     } catch (Json.Bad | RuntimeException e) {
       LOG.error("record {} cannot be read: {}", row.key(), e.getMessage());
     }
   }
 
-  synchronized void add(Records.JobRecord record, long revision, BitSet done) {
+  void add(Records.JobRecord record) {
+    add(record, false, new BitSet());
+  }
+
+  private synchronized void add(Records.JobRecord record, boolean opened, BitSet done) {
     String id = record.spec().id();
-    if (kept.containsKey(id) || endedHere.contains(id)) {
-      return;
+    if (!endedHere.contains(id) && jobs.add(id)) {
+      long ago = Math.max(0, System.currentTimeMillis() - record.submittedMs());
+      scheduler.addJob(record.spec(), opened, done, nowMs() - ago);
     }
-    kept.put(id, new Kept(record, revision));
-    long ago = Math.max(0, System.currentTimeMillis() - record.submittedMs());
-    scheduler.addJob(record.spec(), record.opened(), done, nowMs() - ago);
   }
 
-  synchronized Kept kept(String id) {
-    return kept.get(id);
+  /** Whether this term looks after the job. */
+  synchronized boolean keeps(String id) {
+    return jobs.contains(id);
   }
 
   synchronized void ended(String id, boolean cancelled) {
-    kept.remove(id);
+    jobs.remove(id);
     endedHere.add(id);
     if (endedHere.size() > Constants.ENDED_IN_TERM) {
       endedHere.remove(endedHere.iterator().next());
     }
     scheduler.ended(id, cancelled, nowMs());
+    strike(id);
+  }
+
+  private void strike(String id) {
+    notes.remove(Notes.Kind.OPENED, id, Constants.STRIKE_MS);
+    for (String key : notes.keys(Notes.Kind.PROGRESS, id + "/")) {
+      notes.remove(Notes.Kind.PROGRESS, key, Constants.STRIKE_MS);
+    }
   }
 
   /** A name for a rental that no other node, and no other term, uses. */
--- /dev/null
+++ b/src/main/java/org/astershift/leader/UserDesk.java
@@ -0,0 +1,198 @@
+package org.astershift.leader;
+
+import java.io.IOException;
+import java.util.Map;
+import org.astershift.config.Constants;
+import org.astershift.core.JobSpec;
+import org.astershift.core.Scheduler;
+import org.astershift.http.Json;
+import org.astershift.peer.JobAnswer;
+import org.astershift.store.RateBudget;
+import org.astershift.store.Records;
+import org.astershift.store.StoreClient;
+import org.astershift.store.StoreClient.Outcome;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Accepts, answers for and cancels jobs, on whatever node. A node that does not lead knows only what
+ * the store and the leader say.
+ */
+public final class UserDesk {
+  private static final Logger LOG = LoggerFactory.getLogger(UserDesk.class);
+  private final Director director;
+  private final StoreClient store;
+  private final EndedJobs ended;
+  private final Map<String, Asker> askers;
+
+  /** A way to another node. */
+  public interface Asker {
+    JobAnswer ask(String op, String job, int timeoutMs) throws IOException;
+  }
+
+  public UserDesk(Director director, StoreClient store, Map<String, Asker> askers) {
+    this.director = director;
+    this.store = store;
+    this.ended = director.ended();
+    this.askers = askers;
+  }
+
+  /** What became of a submission. */
+  public record Submitted(int status, JobAnswer known) {}
+
+  /** Accepts a job durably, on whatever node, unless it can never run ({@code refuse}). */
+  public Submitted submit(JobSpec spec, boolean refuse) throws InterruptedException {
+    Records.Ended end = ended.get(spec.id());
+    if (end != null) {
+      return new Submitted(200, answer(end));
+    }
+    String key = Records.JOB + spec.id();
+    if (refuse) {
+      // What was accepted once is not refused later, whatever the types are now.
+      JobAnswer known = fromStore(spec.id());
+      return known.status() == 404
+          ? new Submitted(422, null)
+          : new Submitted(known.status(), known);
+    }
+    Records.JobRecord record = new Records.JobRecord(spec, System.currentTimeMillis());
+    StoreClient.Txn txn =
+        new StoreClient.Txn()
+            .when(key, 0)
+            .when(Records.ENDED + spec.id(), 0)
+            .put(key, Records.job(record));
+    Outcome o = store.commit(txn, RateBudget.Use.ACCEPT, Constants.ACCEPT_PATIENCE_MS);
+    if (o instanceof Outcome.Applied) {
+      director.accepted(record);
+      return new Submitted(201, new JobAnswer(200, "queued", 0, 0));
+    }
+    if (o instanceof Outcome.Refused) {
+      return new Submitted(503, null);
+    }
+    JobAnswer known = poll(spec.id(), true);
+    return known.status() == 200 ? new Submitted(200, known) : new Submitted(503, null);
+  }
+
+  private static JobAnswer answer(Records.Ended end) {
+    return new JobAnswer(200, end.cancelled() ? "withdrawn" : "done", end.done(), 0);
+  }
+
+  /** The state of a job. Only a leader that is certainly one may answer from memory. */
+  public JobAnswer poll(String id, boolean forward) throws InterruptedException {
+    Records.Ended end = ended.get(id);
+    if (end != null) {
+      return answer(end);
+    }
+    Term t = director.term();
+    if (t != null) {
+      Scheduler.JobView view;
+      synchronized (t) {
+        view = t.scheduler.view(id);
+      }
+      if (view != null && director.valid(t)) {
+        return new JobAnswer(
+            200, view.running() ? "running" : "queued", view.done(), view.runningTasks());
+      }
+    }
+    if (t == null && forward) {
+      JobAnswer a = askLeader("poll", id);
+      if (a.status() != 503) {
+        remember(id, a);
+        return a;
+      }
+    }
+    return fromStore(id);
+  }
+
+  /** Never older than the call: the live record first, since an ended job has lost it before. */
+  private JobAnswer fromStore(String id) {
+    try {
+      StoreClient.Row live = store.get(Records.JOB + id);
+      if (live.data() != null) {
+        director.learnt(live);
+        return new JobAnswer(200, "queued", 0, 0);
+      }
+      StoreClient.Row row = store.get(Records.ENDED + id);
+      if (row.data() == null) {
+        return JobAnswer.UNKNOWN;
+      }
+      Records.Ended end = Records.ended(row.data());
+      ended.put(id, end);
+      return answer(end);
+    } catch (IOException | Json.Bad e) {
+      LOG.debug("reading {}: {}", id, e.toString());
+      return JobAnswer.UNDECIDED;
+    }
+  }
+
+  /** Cancels; answered only when it is durable and can be kept. */
+  public JobAnswer cancel(String id, boolean forward) throws InterruptedException {
+    Records.Ended end = ended.get(id);
+    if (end != null) {
+      return answer(end);
+    }
+    Term t = director.term();
+    if (t == null || !director.valid(t)) {
+      if (!forward || t != null) {
+        return JobAnswer.UNDECIDED;
+      }
+      JobAnswer a = askLeader("cancel", id);
+      remember(id, a);
+      return a;
+    }
+    if (!t.keeps(id)) {
+      JobAnswer known = fromStore(id);
+      if (known.status() != 200 || !t.keeps(id)) {
+        return known.status() == 200 && "queued".equals(known.phase())
+            ? JobAnswer.UNDECIDED
+            : known;
+      }
+    }
+    synchronized (t) {
+      t.scheduler.cancelWanted(id);
+    }
+    director.stir();
+    long deadline = Term.nowMs() + Constants.CANCEL_PATIENCE_MS;
+    while (!t.over() && Term.nowMs() < deadline) {
+      boolean keepable;
+      Scheduler.JobView view;
+      synchronized (t) {
+        keepable = t.scheduler.cancelKeepable(id);
+        view = t.scheduler.view(id);
+      }
+      if (view == null) {
+        Records.Ended now = ended.get(id);
+        return now == null ? JobAnswer.UNDECIDED : answer(now);
+      }
+      if (keepable || view.complete()) {
+        Records.Ended now =
+            director.finish(t, id, !view.complete(), Math.max(1, deadline - Term.nowMs()));
+        if (now != null) {
+          return answer(now);
+        }
+      }
+      Thread.sleep(Constants.CANCEL_LOOK_MS);
+    }
+    return JobAnswer.UNDECIDED;
+  }
+
+  private void remember(String id, JobAnswer a) {
+    if ("done".equals(a.phase()) || "withdrawn".equals(a.phase())) {
+      ended.put(id, new Records.Ended(a.phase().equals("withdrawn"), a.done()));
+    }
+  }
+
+  /** Asks the leading node. */
+  private JobAnswer askLeader(String op, String id) {
+    String leader = director.otherLeader();
+    Asker asker = leader == null ? null : askers.get(leader);
+    if (asker == null) {
+      return JobAnswer.UNDECIDED;
+    }
+    try {
+      return asker.ask(op, id, Constants.PEER_TIMEOUT_MS);
+    } catch (IOException e) {
+      LOG.debug("asking {}: {}", leader, e.toString());
+      return JobAnswer.UNDECIDED;
+    }
+  }
+}
--- a/src/main/java/org/astershift/peer/PeerServer.java
+++ b/src/main/java/org/astershift/peer/PeerServer.java
@@ -10,6 +10,7 @@
 import java.net.Socket;
 import java.util.concurrent.Semaphore;
 import org.astershift.config.Constants;
+import org.astershift.http.Threads;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -34,9 +35,7 @@
   }
 
   public void start() {
-    Thread t = new Thread(null, this::acceptLoop, "peer-accept", Constants.STACK_BYTES);
-    t.setDaemon(true);
-    t.start();
+    Threads.start("peer-accept", this::acceptLoop);
   }
 
   private void acceptLoop() {
@@ -47,9 +46,7 @@
           socket.close();
           continue;
         }
-        Thread t = new Thread(null, () -> serve(socket), "peer", Constants.STACK_BYTES);
-        t.setDaemon(true);
-        t.start();
+        Threads.start("peer", () -> serve(socket));
       } catch (IOException e) {
         LOG.info("a peer's connection could not be taken: {}", e.toString());
       }
--- a/src/main/java/org/astershift/store/Mirror.java
+++ b/src/main/java/org/astershift/store/Mirror.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.astershift.config.Constants;
+import org.astershift.http.Threads;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -32,9 +33,7 @@
 
   public void start(Listener l) {
     this.listener = l;
-    Thread t = new Thread(null, this::loop, "mirror", Constants.STACK_BYTES);
-    t.setDaemon(true);
-    t.start();
+    Threads.start("mirror", this::loop);
   }
 
   public synchronized boolean loaded() {
@@ -62,7 +61,7 @@
     return true;
   }
 
-  private void loop() {
+  private void loop() throws InterruptedException {
     while (true) {
       try {
         if (!loaded()) {
@@ -74,22 +73,16 @@
           load();
         } else if (c.revision() > revision) {
           apply(c.rows(), c.revision());
+          // Each answer to a watch costs a request: changes close together come in one.
+          Thread.sleep(Constants.WATCH_GAP_MS);
         }
       } catch (IOException | RuntimeException e) {
         LOG.debug("mirror: {}", e.toString());
-        sleep();
+        Threads.pause();
       }
     }
   }
 
-  private static void sleep() {
-    try {
-      Thread.sleep(Constants.RETRY_MS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
   /** Reads all pages. Later pages may be newer than the first: the watch goes on from the first. */
   private void load() throws IOException {
     Map<String, StoreClient.Row> all = new HashMap<>();
--- a/src/main/java/org/astershift/store/Records.java
+++ b/src/main/java/org/astershift/store/Records.java
@@ -22,17 +22,13 @@
   public static final String LEADER = LIVE + "leader";
   public static final String TYPES = LIVE + "types";
   public static final String JOB = LIVE + "j/";
-  public static final String PROGRESS = LIVE + "p/";
-  public static final String MACHINE = LIVE + "r/";
-  public static final String RENTAL = LIVE + "i/";
+
+  /** What a leader notes for its successor, many entries to a record; see the leader's notes. */
+  public static final String NOTES = LIVE + "n/";
 
   /** Ended jobs stay for ever, out of the way of a takeover. */
   public static final String ENDED = "d/";
 
-  public static String progress(String job, int segment) {
-    return PROGRESS + job + "/" + segment;
-  }
-
   public static Map<String, Object> leader(String node) {
     return Map.of("node", node);
   }
@@ -40,7 +36,7 @@
   // ---- jobs ----
 
   /** A job's record; {@code submittedMs} is the time of day of its acceptance. */
-  public record JobRecord(JobSpec spec, boolean opened, long submittedMs) {}
+  public record JobRecord(JobSpec spec, long submittedMs) {}
 
   public static Map<String, Object> job(JobRecord r) {
     JobSpec s = r.spec();
@@ -71,9 +67,6 @@
       m.put("due", s.deadlineS());
     }
     m.put("at", r.submittedMs());
-    if (r.opened()) {
-      m.put("open", true);
-    }
     return m;
   }
 
@@ -107,7 +100,7 @@
             Json.number(m, "ckpt"),
             Json.number(m, "save"),
             Json.numberOrNull(m, "due"));
-    return new JobRecord(spec, Json.flagOr(m, "open", false), Json.whole(m, "at"));
+    return new JobRecord(spec, Json.whole(m, "at"));
   }
 
   /** How a job ended. */
@@ -127,16 +120,16 @@
     return (tasks + Constants.SEGMENT_TASKS - 1) / Constants.SEGMENT_TASKS;
   }
 
-  public static Map<String, Object> segment(BitSet done, int segment) {
+  public static String segment(BitSet done, int segment) {
     int from = segment * Constants.SEGMENT_TASKS;
     BitSet part = done.get(from, from + Constants.SEGMENT_TASKS);
-    return Map.of("bits", Base64.getEncoder().encodeToString(part.toByteArray()));
+    return Base64.getEncoder().encodeToString(part.toByteArray());
   }
 
-  public static void merge(BitSet done, int segment, Map<String, Object> m) throws Json.Bad {
+  public static void merge(BitSet done, int segment, Object value) throws Json.Bad {
     byte[] bytes;
     try {
-      bytes = Base64.getDecoder().decode(Json.text(m, "bits"));
+      bytes = Base64.getDecoder().decode(String.valueOf(value));
     } catch (IllegalArgumentException e) {
       throw new Json.Bad("bits are not base64");
     }
@@ -147,42 +140,41 @@
     }
   }
 
-  // ---- machines and rentals ----
+  // ---- machines and rentals: short, since many share a record ----
 
-  public static Map<String, Object> machine(Decision.Enrol e) {
-    Map<String, Object> m = new LinkedHashMap<>();
-    m.put("type", e.type());
-    m.put("zone", e.zone());
-    m.put("spot", e.spot());
-    if (e.fresh()) {
-      m.put("fresh", true);
-    }
+  public static List<Object> machine(Decision.Enrol e) {
+    List<Object> l = new ArrayList<>(List.of(e.type(), e.zone(), e.spot(), e.fresh()));
     if (e.addr() != null) {
-      m.put("addr", e.addr());
+      l.add(e.addr());
     }
-    return m;
+    return l;
   }
 
-  public static Decision.Enrol machine(String key, Map<String, Object> m) throws Json.Bad {
-    return new Decision.Enrol(
-        key.substring(MACHINE.length()),
-        Json.textOrNull(m, "addr"),
-        Json.text(m, "type"),
-        Json.text(m, "zone"),
-        Json.flag(m, "spot"),
-        Json.flagOr(m, "fresh", false));
+  public static Decision.Enrol machine(String name, Object value) throws Json.Bad {
+    if (value instanceof List<?> l
+        && l.size() >= 4
+        && l.get(2) instanceof Boolean spot
+        && l.get(3) instanceof Boolean fresh) {
+      String addr = l.size() > 4 ? String.valueOf(l.get(4)) : null;
+      return new Decision.Enrol(
+          name, addr, String.valueOf(l.get(0)), String.valueOf(l.get(1)), spot, fresh);
+    }
+    throw new Json.Bad("not a machine");
   }
 
-  public static Map<String, Object> rental(Decision.Rent r) {
-    return Map.of("type", r.type(), "zone", r.zone(), "spot", r.spot(), "count", r.count());
+  public static List<Object> rental(Decision.Rent r) {
+    return List.of(r.type(), r.zone(), r.spot(), r.count());
   }
 
-  public static Decision.Rent rental(Map<String, Object> m) throws Json.Bad {
-    return new Decision.Rent(
-        Json.text(m, "type"),
-        Json.text(m, "zone"),
-        Json.flag(m, "spot"),
-        (int) Json.whole(m, "count"));
+  public static Decision.Rent rental(Object value) throws Json.Bad {
+    if (value instanceof List<?> l
+        && l.size() >= 4
+        && l.get(2) instanceof Boolean spot
+        && l.get(3) instanceof Number count) {
+      return new Decision.Rent(
+          String.valueOf(l.get(0)), String.valueOf(l.get(1)), spot, count.intValue());
+    }
+    throw new Json.Bad("not a rental");
   }
 
   // ---- machine types ----
--- a/src/main/java/org/astershift/store/StoreClient.java
+++ b/src/main/java/org/astershift/store/StoreClient.java
@@ -14,25 +14,32 @@
 
 /** Speaks the state service's protocol, within this node's share of its limits. */
 public final class StoreClient {
+  private static final String OVER_LIMIT = "status 429";
   private final HttpClient http;
   private final HttpClient watching;
   private final RateBudget requests;
   private final RateBudget writes;
+  private final int others;
 
   public StoreClient(Settings settings) {
     String host = settings.store().host();
     int port = settings.store().port();
     this.http = new HttpClient(host, port, 6);
     this.watching = new HttpClient(host, port, 1);
-    this.requests = new RateBudget(settings.storeLimits().rps(), Constants.FOLLOWER_BUDGET);
-    this.writes = new RateBudget(settings.storeLimits().writeRps(), Constants.FOLLOWER_BUDGET);
+    this.requests = new RateBudget(settings.storeLimits().rps());
+    this.writes = new RateBudget(settings.storeLimits().writeRps());
+    this.others = settings.peers().size();
+    leading(false);
   }
 
-  /** Whether this node spends as leader or as one of the others. */
+  /** Whether this node spends as leader or as one of the others: all shares together are one. */
   public void leading(boolean leader) {
-    double share = leader ? Constants.LEADER_BUDGET : Constants.FOLLOWER_BUDGET / 2;
-    requests.share(leader ? 0.6 : Constants.FOLLOWER_BUDGET);
-    writes.share(share);
+    if (others > 0) {
+      double share = leader ? Constants.LEADER_BUDGET : (1 - Constants.LEADER_BUDGET) / others;
+      double depthS = leader ? 1 : Constants.FOLLOWER_DEPTH_S;
+      requests.share(share, depthS);
+      writes.share(share, depthS);
+    }
   }
 
   /** One key; {@code data} null if it does not exist. */
@@ -165,13 +172,26 @@
     }
   }
 
+  /** Applies a transaction, if this node's share of the limits allows it within its patience. */
   public Outcome commit(Txn txn, RateBudget.Use use, long patienceMs) throws InterruptedException {
-    if (!writes.acquire(use, txn.size(), patienceMs) || !requests.acquire(use, 1, patienceMs)) {
-      return new Outcome.Refused("over this node's share of the limits");
-    }
+    long deadline = System.nanoTime() + patienceMs * 1_000_000;
     Map<String, Object> body = new LinkedHashMap<>();
     body.put("if", txn.conditions);
     body.put("writes", txn.changes);
+    while (true) {
+      long leftMs = (deadline - System.nanoTime()) / 1_000_000;
+      if (!writes.acquire(use, txn.size(), leftMs) || !requests.acquire(use, 1, leftMs)) {
+        return new Outcome.Refused("over this node's share of the limits");
+      }
+      Outcome o = once(body);
+      if (!(o instanceof Outcome.Refused r && r.why().equals(OVER_LIMIT))) {
+        return o;
+      }
+      writes.exhausted(); // the nodes' shares were spent at once: this one stands back
+    }
+  }
+
+  private Outcome once(Map<String, Object> body) {
     try {
       HttpClient.Answer a =
           http.call("POST", "/multi", Json.bytes(body), Constants.STORE_TIMEOUT_MS);
--- a/src/main/java/org/astershift/worker/OrderSender.java
+++ b/src/main/java/org/astershift/worker/OrderSender.java
@@ -4,7 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
+import org.astershift.config.Constants;
 import org.astershift.core.Order;
 import org.astershift.core.Report;
 import org.astershift.http.HttpClient;
@@ -15,7 +15,21 @@
 /** Sends commands straight to workers. */
 public final class OrderSender {
   private static final Logger LOG = LoggerFactory.getLogger(OrderSender.class);
-  private final Map<String, HttpClient> clients = new ConcurrentHashMap<>();
+
+  /** The clients used last keep their connections; the others' sockets are for incoming ones. */
+  private final Map<String, HttpClient> clients =
+      new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, HttpClient> eldest) {
+          boolean over = size() > Constants.KEPT_WORKERS;
+          if (over) {
+            eldest.getValue().close();
+          }
+          return over;
+        }
+      };
 
   /** What came of an order. {@code unknown}: it may have been executed, or may be later. */
   public record Result(boolean unknown, Report report) {}
@@ -26,24 +40,16 @@
       LOG.info("not a worker's address: {}", addr);
       return new Result(false, null);
     }
-    HttpClient client =
-        clients.computeIfAbsent(
-            addr,
-            a ->
-                new HttpClient(
-                    a.substring(0, colon), Integer.parseInt(a.substring(colon + 1)), 1));
-    Map<String, Object> body = new LinkedHashMap<>();
-    body.put("helm", token);
-    body.put("watch", session);
-    body.put("orders", WorkerCodec.orders(orders));
+    HttpClient client = client(addr, colon);
     try {
       HttpClient.Answer a =
-          client.call("POST", "/orders", Json.bytes(body), timeoutMs);
+          client.call(
+              "POST", "/orders", WorkerCodec.direct(token, session, orders), timeoutMs);
       if (a.status() != 200 && a.status() != 409) {
         LOG.info("orders to {} got status {}", addr, a.status());
         return new Result(a.status() != 400, null);
       }
-      return new Result(false, WorkerCodec.report(Json.object(a.body())));
+      return new Result(false, WorkerCodec.report(a.body()));
     } catch (HttpClient.NotSent e) {
       LOG.debug("orders to {}: {}", addr, e.toString());
       return new Result(false, null);
@@ -53,8 +59,21 @@
     }
   }
 
+  private HttpClient client(String addr, int colon) {
+    synchronized (clients) {
+      return clients.computeIfAbsent(
+          addr,
+          a -> new HttpClient(a.substring(0, colon), Integer.parseInt(a.substring(colon + 1)), 1));
+    }
+  }
+
   /** Forgets the connections to a machine that is gone. */
   public void forget(String addr) {
-    clients.remove(addr);
+    synchronized (clients) {
+      HttpClient client = clients.remove(addr);
+      if (client != null) {
+        client.close();
+      }
+    }
   }
 }
--- a/src/test/java/org/astershift/core/TracePlayer.java
+++ b/src/test/java/org/astershift/core/TracePlayer.java
@@ -86,7 +86,7 @@
       teams.putIfAbsent("team", new Team("team", 0, 0, 0, 0));
       scheduler =
           new Scheduler(
-              new Facts(teams, objectives, 2, 14, 30, 4, 40, 3, 7), policy, TOKEN);
+              new Facts(teams, objectives, 2, 14, 30, 4, 40, 3), policy, TOKEN);
       scheduler.types(types);
     }
     return scheduler;
@@ -120,19 +120,13 @@
       case "returned" -> s.returned(List.of(p.get(2)), now);
       case "rented" -> {
         s.rented(
-            "r", List.of(p.get(2)), new Decision.Rent(p.get(3), p.get(4), w.flag("spot"), 1), true,
-            now);
+            "r", List.of(p.get(2)), new Decision.Rent(p.get(3), p.get(4), w.flag("spot"), 1), now);
         if (!w.flag("fresh")) {
           s.enrolled(p.get(2));
         }
       }
       case "refused" -> s.notRented("r", new Decision.Rent(p.get(2), p.get(3), w.flag("spot"), 1),
           true, now);
-      case "saved" -> {
-        BitSet done = new BitSet();
-        done.set((int) w.num("task", 0));
-        s.saved(p.get(2), done);
-      }
       case "list" -> {
         List<Scheduler.Listed> listed = new ArrayList<>();
         for (String name : p.subList(2, p.size())) {
@@ -144,7 +138,7 @@
         s.list(listed, now, now);
       }
       case "isolated" -> {
-        return List.of("isolated " + s.isolated(now));
+        return List.of("isolated " + s.isolated());
       }
       case "show" -> {
         return List.of(show(s, p.get(2)));
@@ -155,7 +149,7 @@
   }
 
   private static String show(Scheduler s, String job) {
-    Job j = s.jobs.get(job);
+    Job j = s.job(job);
     if (j == null) {
       return job + " is not looked after";
     }
@@ -209,8 +203,7 @@
               Integer.parseInt(parts[1]),
               attempt,
               Report.Phase.valueOf(parts[3].toUpperCase(java.util.Locale.ROOT)),
-              parts.length > 4 ? parts[4] : null,
-              false));
+              parts.length > 4 ? parts[4] : null));
     }
     String name = p.get(2);
     String notice = w.text("notice", null);
--- a/src/test/java/org/astershift/leader/TermTest.java
+++ b/src/test/java/org/astershift/leader/TermTest.java
@@ -1,12 +1,13 @@
 package org.astershift.leader;
 
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 
-import java.util.BitSet;
 import java.util.List;
 import java.util.Map;
 import org.astershift.config.Operator;
+import org.astershift.config.Settings;
 import org.astershift.core.Facts;
 import org.astershift.core.JobKind;
 import org.astershift.core.JobSpec;
@@ -19,18 +20,20 @@
 class TermTest {
   @Test
   void lateNewsOfAnEndedJobIsIgnored() {
-    Facts facts = new Facts(Map.of(), List.of(), 2, 14, 30, 4, 40, 3, 7);
-    Term term = new Term(5, new Scheduler(facts, Operator.defaults(), 5));
+    Facts facts = new Facts(Map.of(), List.of(), 2, 14, 30, 4, 40, 3);
+    Settings.StoreLimits limits = new Settings.StoreLimits(100, 100, 8, 8);
+    Notes notes = new Notes(5, null, limits, (kind, key, value) -> {});
+    Term term = new Term(5, new Scheduler(facts, Operator.defaults(), 5), notes, () -> {});
     JobSpec spec =
         new JobSpec(
             "wk-1", "c", "t", JobKind.ARRAY, Priority.LOW, 1, 1, 0, 1, "i", 1, null, null, false,
             false, false, 1, 0, 0, null);
-    Records.JobRecord record = new Records.JobRecord(spec, false, System.currentTimeMillis());
-    term.add(record, 9, new BitSet());
+    Records.JobRecord record = new Records.JobRecord(spec, System.currentTimeMillis());
+    term.add(record);
     assertNotNull(term.scheduler.view("wk-1"));
     term.ended("wk-1", true);
-    term.add(record, 9, new BitSet());
+    term.add(record);
     assertNull(term.scheduler.view("wk-1"));
-    assertNull(term.kept("wk-1"));
+    assertFalse(term.keeps("wk-1"));
   }
 }
