--- a/src/main/java/org/astershift/Main.java
+++ b/src/main/java/org/astershift/Main.java
@@ -44,10 +44,19 @@
   static int run(String[] args, PrintStream out, PrintStream err) {
     Options options = new Options();
     options.addOption(
-        Option.builder().longOpt("config").hasArg().argName("FILE").desc("settings (TOML)").build());
+        Option.builder()
+            .longOpt("config")
+            .hasArg()
+            .argName("FILE")
+            .desc("settings (TOML)")
+            .build());
     options.addOption(
-        Option.builder().longOpt("ini").hasArg().argName("FILE")
-            .desc("operators' own settings (INI); default: $ASTERSHIFT_INI").build());
+        Option.builder()
+            .longOpt("ini")
+            .hasArg()
+            .argName("FILE")
+            .desc("operators' own settings (INI); default: $ASTERSHIFT_INI")
+            .build());
     options.addOption(null, "check", false, "check the settings and exit");
     options.addOption(null, "help", false, "print this and exit");
     options.addOption(null, "version", false, "print the version and exit");
--- a/src/main/java/org/astershift/cloud/CloudClient.java
+++ b/src/main/java/org/astershift/cloud/CloudClient.java
@@ -43,7 +43,8 @@
   public Map<String, MachineType> types() throws IOException {
     try {
       Map<String, MachineType> out = new LinkedHashMap<>();
-      for (Object o : Json.list(Json.object(call(RateBudget.Use.END, "GET", "/flavors", null)), "hulls")) {
+      for (Object o :
+          Json.list(Json.object(call(RateBudget.Use.END, "GET", "/flavors", null)), "hulls")) {
         Map<String, Object> m = Json.object(o, "type");
         List<String> zones = new ArrayList<>();
         for (Object z : Json.list(m, "harbors")) {
@@ -81,7 +82,8 @@
     body.put("number", r.count());
     try {
       List<String> names = new ArrayList<>();
-      for (Object o : Json.list(Json.object(call(RateBudget.Use.OPEN, "POST", "/hosts", body)), "vessels")) {
+      for (Object o :
+          Json.list(Json.object(call(RateBudget.Use.OPEN, "POST", "/hosts", body)), "vessels")) {
         names.add(String.valueOf(o));
       }
       return names;
@@ -140,7 +142,9 @@
     }
     HttpClient.Answer a;
     try {
-      a = http.call(method, path, body == null ? null : Json.bytes(body), Constants.CLOUD_TIMEOUT_MS);
+      a =
+          http.call(
+              method, path, body == null ? null : Json.bytes(body), Constants.CLOUD_TIMEOUT_MS);
     } catch (HttpClient.NotSent e) {
       throw new Refused(e.getMessage(), false);
     }
--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -17,7 +17,9 @@
 
   // ---- leadership ----
 
-  /** Life of the leadership's lease. Shorter means faster takeover, longer survives slow renewals. */
+  /**
+   * Life of the leadership's lease. Shorter means faster takeover, longer survives slow renewals.
+   */
   public static final long LEADER_LEASE_MS = 2000;
 
   /** How often the lease is renewed: several tries fit into its life. */
@@ -64,7 +66,9 @@
   /** Share of a machine's processors that replicas take while other machines have room. */
   public static final double REPLICA_SHARE = 0.5;
 
-  /** Processor seconds of stopped work that it is worth to put a replica elsewhere than beyond that. */
+  /**
+   * Processor seconds of stopped work that it is worth to put a replica elsewhere than beyond that.
+   */
   public static final double CROWDED_LOSS = 20;
 
   /** Milliseconds between passes when nothing happens. */
@@ -179,7 +183,9 @@
   /** Share of the limit of cloud calls that is used: the others are followers and call nothing. */
   public static final double CLOUD_BUDGET = 0.85;
 
-  /** Deadline of one request to the state service, milliseconds: slow answers take a few hundred. */
+  /**
+   * Deadline of one request to the state service, milliseconds: slow answers take a few hundred.
+   */
   public static final int STORE_TIMEOUT_MS = 1500;
 
   /** Deadline of one cloud call, milliseconds: replies take about a hundred. */
@@ -238,7 +244,9 @@
   /** Largest request body, bytes; the protocol's. */
   public static final int BODY_BYTES = 64 * 1024;
 
-  /** Largest response taken from the state service or the cloud, bytes. A watch has no size limit. */
+  /**
+   * Largest response taken from the state service or the cloud, bytes. A watch has no size limit.
+   */
   public static final int RESPONSE_BYTES = 16 * 1024 * 1024;
 
   /** Largest request line and headers together, bytes. */
@@ -282,7 +290,9 @@
   /** Most bytes of one page of notes: each change writes its page anew. */
   public static final int PAGE_BYTES = 4096;
 
-  /** Share of the state service's limit for a value that a page may take; its frame comes on top. */
+  /**
+   * Share of the state service's limit for a value that a page may take; its frame comes on top.
+   */
   public static final double PAGE_SHARE = 0.75;
 
   /** Milliseconds that the striking of a note may wait for other changes of its page. */
--- a/src/main/java/org/astershift/config/Operator.java
+++ b/src/main/java/org/astershift/config/Operator.java
@@ -71,7 +71,12 @@
   }
 
   private static double value(
-      Ini ini, String section, String key, double otherwise, double least, double most,
+      Ini ini,
+      String section,
+      String key,
+      double otherwise,
+      double least,
+      double most,
       List<String> problems) {
     String text = ini.get(section, key);
     if (text == null) {
--- a/src/main/java/org/astershift/config/Settings.java
+++ b/src/main/java/org/astershift/config/Settings.java
@@ -73,9 +73,7 @@
   private static Settings read(UnmodifiableConfig root, Check c) {
     List<Peer> peers = new ArrayList<>();
     for (Field p : c.tables(root, "others", "others")) {
-      peers.add(
-          new Peer(
-              c.text(p, "member"), c.text(p, "domain"), c.endpoint(p, "endpoint")));
+      peers.add(new Peer(c.text(p, "member"), c.text(p, "domain"), c.endpoint(p, "endpoint")));
     }
     Field top = new Field(root, "");
     Field external = c.table(top, "external");
--- a/src/main/java/org/astershift/core/Bin.java
+++ b/src/main/java/org/astershift/core/Bin.java
@@ -33,8 +33,7 @@
     for (Run run : m.runs.values()) {
       JobSpec spec = run.job.spec;
       boolean ends =
-          spec.kind() == JobKind.ARRAY
-              && run.placedMs + spec.estimateS() * 1000 < nowMs + soonMs;
+          spec.kind() == JobKind.ARRAY && run.placedMs + spec.estimateS() * 1000 < nowMs + soonMs;
       if (!run.exited() && !ends) {
         cpus -= spec.cpus();
         gpus -= spec.gpus();
--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -16,9 +16,9 @@
  * What one term knows: jobs, machines, and which machine holds which attempt. It keeps the sums and
  * the sets of what changed, so that an event costs what it changes and not a walk over everything.
  *
- * <p>A {@link Run} leaves only on proof: the machine's own newer report, the end of its session, the
- * answer to its return, the cloud's list, or a lease that ran out while only this leader could have
- * renewed it.
+ * <p>A {@link Run} leaves only on proof: the machine's own newer report, the end of its session,
+ * the answer to its return, the cloud's list, or a lease that ran out while only this leader could
+ * have renewed it.
  */
 final class Cluster {
   private static final Logger LOG = LoggerFactory.getLogger(Cluster.class);
--- a/src/main/java/org/astershift/core/Decision.java
+++ b/src/main/java/org/astershift/core/Decision.java
@@ -25,8 +25,7 @@
    * Record a machine, so that a successor knows of it. Until a record that is not {@code fresh} is
    * durable it gets no task, so a successor need not wait for a fresh one.
    */
-  record Enrol(
-      String machine, String addr, String type, String zone, boolean spot, boolean fresh)
+  record Enrol(String machine, String addr, String type, String zone, boolean spot, boolean fresh)
       implements Decision {}
 
   /** Drop the record of a machine that is provably gone. */
--- a/src/main/java/org/astershift/core/Gangs.java
+++ b/src/main/java/org/astershift/core/Gangs.java
@@ -73,9 +73,7 @@
       int fits = m.room(job.spec, job.waitingCount());
       if (fits > 0
           && placement.allowed(m, job)
-          && (old
-              || m.score(job.spec.image()) > 0
-              || c.utilization(m) < c.policy.utilization())) {
+          && (old || m.score(job.spec.image()) > 0 || c.utilization(m) < c.policy.utilization())) {
         String part = job.spec.oneZone() ? m.zone : "";
         byZone.computeIfAbsent(part, z -> new ArrayList<>()).add(m);
         room.merge(part, fits, Integer::sum);
@@ -106,8 +104,7 @@
         if (!spread
             || Placement.onMachine(m, job, index)
             || !team.allows(
-                use[0] + (placed + 1) * job.spec.cpus(),
-                use[1] + (placed + 1) * job.spec.gpus())) {
+                use[0] + (placed + 1) * job.spec.cpus(), use[1] + (placed + 1) * job.spec.gpus())) {
           break;
         }
         plan.put(index, m);
--- a/src/main/java/org/astershift/core/Objective.java
+++ b/src/main/java/org/astershift/core/Objective.java
@@ -1,4 +1,6 @@
 package org.astershift.core;
 
-/** An aim of the operators: {@code kind} as the settings name it, {@code withinS} 0 if it has none. */
+/**
+ * An aim of the operators: {@code kind} as the settings name it, {@code withinS} 0 if it has none.
+ */
 public record Objective(String kind, String jobClass, double withinS, double share) {}
--- a/src/main/java/org/astershift/core/Queue.java
+++ b/src/main/java/org/astershift/core/Queue.java
@@ -19,7 +19,9 @@
     this.c = cluster;
   }
 
-  /** Jobs of this priority within the window, the first to serve first; some may be served by now. */
+  /**
+   * Jobs of this priority within the window, the first to serve first; some may be served by now.
+   */
   List<Job> tier(Priority priority) {
     return window.getOrDefault(priority, List.of());
   }
@@ -68,8 +70,7 @@
   /** Whether its team's limit concerns what the job takes. */
   private boolean limitTouches(Job job) {
     Team team = c.facts.teams().get(job.spec.team());
-    return team != null
-        && (team.cpusMax() > 0 || (team.gpusMax() > 0 && job.spec.gpus() > 0));
+    return team != null && (team.cpusMax() > 0 || (team.gpusMax() > 0 && job.spec.gpus() > 0));
   }
 
   private boolean belowGuarantee(Job job) {
--- a/src/main/java/org/astershift/core/Renting.java
+++ b/src/main/java/org/astershift/core/Renting.java
@@ -93,8 +93,7 @@
         int n = Math.min(left, Constants.RENT_BATCH);
         out.add(new Decision.Rent(r.type(), r.zone(), r.spot(), n));
       }
-      LOG.info(
-          "renting {} {} in {}{}", r.count(), r.type(), r.zone(), r.spot() ? ", spot" : "");
+      LOG.info("renting {} {} in {}{}", r.count(), r.type(), r.zone(), r.spot() ? ", spot" : "");
     }
   }
 
@@ -135,8 +134,7 @@
       }
     }
     if (spec.kind() == JobKind.ARRAY && spec.deadlineS() != null && spec.estimateS() > 0) {
-      double left =
-          spec.deadlineS() - (nowMs - job.submittedMs) / 1000.0 - spec.estimateS() / 2;
+      double left = spec.deadlineS() - (nowMs - job.submittedMs) / 1000.0 - spec.estimateS() / 2;
       double rounds = Math.max(1, left / spec.estimateS());
       n = (int) Math.min(n, Math.ceil(n / rounds));
     }
@@ -144,8 +142,7 @@
   }
 
   /** The cheapest machines for this many tasks of the job; null if none can be had now. */
-  private Decision.Rent cheapest(
-      Job job, int tasks, Map<Pool, Decision.Rent> wanted, long nowMs) {
+  private Decision.Rent cheapest(Job job, int tasks, Map<Pool, Decision.Rent> wanted, long nowMs) {
     JobSpec spec = job.spec;
     Decision.Rent best = null;
     double bestCost = Double.MAX_VALUE;
--- a/src/main/java/org/astershift/core/Reports.java
+++ b/src/main/java/org/astershift/core/Reports.java
@@ -215,8 +215,7 @@
       other = null;
     }
     if (job.state != Job.State.LIVE || job.done.get(run.index) || other != null) {
-      LOG.info(
-          "task {} attempt {} on {} is not wanted: stopped", run.name(), run.attempt, m.name);
+      LOG.info("task {} attempt {} on {} is not wanted: stopped", run.name(), run.attempt, m.name);
       run.stopping = true;
       return;
     }
@@ -233,8 +232,26 @@
     Job job =
         new Job(
             new JobSpec(
-                item.job(), "", "", JobKind.ARRAY, Priority.LOW, 0, 0, 0, 0, "", 0, null, null,
-                false, false, true, 0, 0, 0, null),
+                item.job(),
+                "",
+                "",
+                JobKind.ARRAY,
+                Priority.LOW,
+                0,
+                0,
+                0,
+                0,
+                "",
+                0,
+                null,
+                null,
+                false,
+                false,
+                true,
+                0,
+                0,
+                0,
+                null),
             0,
             true,
             new BitSet(),
--- a/src/main/java/org/astershift/core/Returning.java
+++ b/src/main/java/org/astershift/core/Returning.java
@@ -89,8 +89,7 @@
    * more likely between them and this leader, which must not give a healthy fleet away.
    */
   private boolean believable(long nowMs) {
-    while (!silentReturns.isEmpty()
-        && nowMs - silentReturns.peekFirst() > Constants.SILENCE_MS) {
+    while (!silentReturns.isEmpty() && nowMs - silentReturns.peekFirst() > Constants.SILENCE_MS) {
       silentReturns.removeFirst();
     }
     int[] n = silentAndAll(nowMs);
--- a/src/main/java/org/astershift/core/Spending.java
+++ b/src/main/java/org/astershift/core/Spending.java
@@ -46,6 +46,10 @@
     return String.format(
         Locale.ROOT,
         "spent %.2f on tasks, %.2f beside tasks, %.2f idle, %.2f booting, %.2f silent or returning",
-        used, unused, idle, booting, silent);
+        used,
+        unused,
+        idle,
+        booting,
+        silent);
   }
 }
--- a/src/main/java/org/astershift/http/HttpClient.java
+++ b/src/main/java/org/astershift/http/HttpClient.java
@@ -101,7 +101,8 @@
   private synchronized Connection take() {
     while (!idle.isEmpty()) {
       Connection c = idle.pollLast();
-      // An old connection may be closed at the other end, and a failure there looks like an unknown.
+      // An old connection may be closed at the other end, and a failure there looks like an
+      // unknown.
       if (System.nanoTime() - c.lastNs < Constants.KEEP_CLIENT_NS) {
         return c;
       }
--- a/src/main/java/org/astershift/http/Wire.java
+++ b/src/main/java/org/astershift/http/Wire.java
@@ -13,8 +13,8 @@
 import org.astershift.config.Constants;
 
 /**
- * Reads HTTP/1.1 messages from a blocking socket. A message has to arrive whole within its deadline,
- * however slowly its bytes come; what is read beyond a message stays for the next one.
+ * Reads HTTP/1.1 messages from a blocking socket. A message has to arrive whole within its
+ * deadline, however slowly its bytes come; what is read beyond a message stays for the next one.
  */
 final class Wire {
   private final Socket socket;
--- a/src/main/java/org/astershift/leader/Leadership.java
+++ b/src/main/java/org/astershift/leader/Leadership.java
@@ -11,10 +11,11 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Who leads: the holder of one key in the state service, on a lease. The token is the revision of the
- * key's creation, so a later holder always has a higher one. A process never inherits the key of its
- * predecessor. A leader whose lease may have run out is no longer {@link #valid}, and answers nothing
- * that another leader could contradict; it leads on until it sees that there is another.
+ * Who leads: the holder of one key in the state service, on a lease. The token is the revision of
+ * the key's creation, so a later holder always has a higher one. A process never inherits the key
+ * of its predecessor. A leader whose lease may have run out is no longer {@link #valid}, and
+ * answers nothing that another leader could contradict; it leads on until it sees that there is
+ * another.
  */
 public final class Leadership {
   private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
@@ -84,8 +85,8 @@
   }
 
   /**
-   * Lets another node lead, because this one reaches too few workers; not twice in a short time, since
-   * then the others reach no more.
+   * Lets another node lead, because this one reaches too few workers; not twice in a short time,
+   * since then the others reach no more.
    */
   public void resign(long ofToken, String why) {
     long now = System.nanoTime();
@@ -137,7 +138,9 @@
     long sent = System.nanoTime();
     long mine = store.grant(Constants.LEADER_LEASE_MS);
     StoreClient.Txn txn =
-        new StoreClient.Txn().when(Records.LEADER, 0).put(Records.LEADER, Records.leader(node), mine);
+        new StoreClient.Txn()
+            .when(Records.LEADER, 0)
+            .put(Records.LEADER, Records.leader(node), mine);
     held = true;
     StoreClient.Outcome outcome = store.commit(txn, RateBudget.Use.ACCEPT, 1000);
     if (outcome instanceof StoreClient.Outcome.Applied a) {
--- a/src/main/java/org/astershift/leader/Notes.java
+++ b/src/main/java/org/astershift/leader/Notes.java
@@ -21,10 +21,10 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * What a leader writes down for its successor: which jobs are opened, which machines may hold tasks,
- * which rentals are open, which tasks are done. Changes to the state service are rare and dear, and
- * each key counts as one; so many entries share a page, and one write carries all that changed on it
- * meanwhile. One thread brings the pages there to what they should be.
+ * What a leader writes down for its successor: which jobs are opened, which machines may hold
+ * tasks, which rentals are open, which tasks are done. Changes to the state service are rare and
+ * dear, and each key counts as one; so many entries share a page, and one write carries all that
+ * changed on it meanwhile. One thread brings the pages there to what they should be.
  */
 final class Notes {
   private static final Logger LOG = LoggerFactory.getLogger(Notes.class);
--- a/src/main/java/org/astershift/leader/UserDesk.java
+++ b/src/main/java/org/astershift/leader/UserDesk.java
@@ -15,8 +15,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Accepts, answers for and cancels jobs, on whatever node. A node that does not lead knows only what
- * the store and the leader say.
+ * Accepts, answers for and cancels jobs, on whatever node. A node that does not lead knows only
+ * what the store and the leader say.
  */
 public final class UserDesk {
   private static final Logger LOG = LoggerFactory.getLogger(UserDesk.class);
--- a/src/main/java/org/astershift/store/RateBudget.java
+++ b/src/main/java/org/astershift/store/RateBudget.java
@@ -3,9 +3,9 @@
 import org.astershift.config.Constants;
 
 /**
- * Spends this node's share of a limit per second that all nodes keep together. Less urgent uses have
- * to leave a part of the allowance for more urgent ones, so that a burst of progress never delays an
- * acceptance.
+ * Spends this node's share of a limit per second that all nodes keep together. Less urgent uses
+ * have to leave a part of the allowance for more urgent ones, so that a burst of progress never
+ * delays an acceptance.
  */
 public final class RateBudget {
   /** Uses, the most urgent first. */
--- a/src/main/java/org/astershift/store/Records.java
+++ b/src/main/java/org/astershift/store/Records.java
@@ -14,7 +14,9 @@
 import org.astershift.core.Priority;
 import org.astershift.http.Json;
 
-/** Keys and values in the state service. All that is live is below one prefix, which nodes watch. */
+/**
+ * Keys and values in the state service. All that is live is below one prefix, which nodes watch.
+ */
 public final class Records {
   private Records() {}
 
@@ -184,8 +186,17 @@
     for (MachineType t : types.values()) {
       Map<String, Object> m = new LinkedHashMap<>();
       m.put("name", t.name());
-      m.put("n", List.of(t.cpus(), t.gpus(), t.memoryGb(), t.cacheGb(), t.fetchGbPerS(), t.price(),
-          t.spotPrice(), t.bootS()));
+      m.put(
+          "n",
+          List.of(
+              t.cpus(),
+              t.gpus(),
+              t.memoryGb(),
+              t.cacheGb(),
+              t.fetchGbPerS(),
+              t.price(),
+              t.spotPrice(),
+              t.bootS()));
       m.put("zones", t.zones());
       rows.add(m);
     }
@@ -209,8 +220,7 @@
         v[i] = x.doubleValue();
       }
       String name = Json.text(m, "name");
-      out.put(
-          name, new MachineType(name, v[0], v[1], v[2], v[3], v[4], v[5], v[6], v[7], zones));
+      out.put(name, new MachineType(name, v[0], v[1], v[2], v[3], v[4], v[5], v[6], v[7], zones));
     }
     return out;
   }
--- a/src/main/java/org/astershift/worker/OrderSender.java
+++ b/src/main/java/org/astershift/worker/OrderSender.java
@@ -43,8 +43,7 @@
     HttpClient client = client(addr, colon);
     try {
       HttpClient.Answer a =
-          client.call(
-              "POST", "/orders", WorkerCodec.direct(token, session, orders), timeoutMs);
+          client.call("POST", "/orders", WorkerCodec.direct(token, session, orders), timeoutMs);
       if (a.status() != 200 && a.status() != 409) {
         LOG.info("orders to {} got status {}", addr, a.status());
         return new Result(a.status() != 400, null);
--- a/src/test/java/org/astershift/EndToEndTest.java
+++ b/src/test/java/org/astershift/EndToEndTest.java
@@ -115,8 +115,13 @@
   }
 
   private static String job(String id, String shape, int tasks) {
-    return "{\"id\":\"" + id + "\",\"berth_class\":\"c\",\"crew\":\"demo\",\"shape\":\"" + shape
-        + "\",\"rank\":\"standard\",\"shards\":" + tasks + ",\"vcpus\":1,\"gpus\":0,\"mem_gb\":1,"
+    return "{\"id\":\""
+        + id
+        + "\",\"berth_class\":\"c\",\"crew\":\"demo\",\"shape\":\""
+        + shape
+        + "\",\"rank\":\"standard\",\"shards\":"
+        + tasks
+        + ",\"vcpus\":1,\"gpus\":0,\"mem_gb\":1,"
         + "\"payload\":\"i\",\"image_gb\":1,\"expect_s\":1,\"anchor_s\":0,\"stow_s\":0}";
   }
 
@@ -135,8 +140,14 @@
     await(2, "GET", "/v2/runs/wk-000001", null, "\"done\",");
     assertEquals(404, call(1, "GET", "/v2/runs/wk-999999", null).status());
     assertEquals(400, call(1, "POST", "/v2/runs", "{\"id\":7}").status());
-    assertEquals(422, call(1, "POST", "/v2/runs",
-        job("wk-000009", "sweep", 1).replace("\"vcpus\":1", "\"vcpus\":99")).status());
+    assertEquals(
+        422,
+        call(
+                1,
+                "POST",
+                "/v2/runs",
+                job("wk-000009", "sweep", 1).replace("\"vcpus\":1", "\"vcpus\":99"))
+            .status());
     assertEquals(405, call(1, "DELETE", "/v2/runs", null).status());
 
     // Jobs opened before an outage go on in it; their end is told when it can be written.
--- a/src/test/java/org/astershift/api/JobCodecTest.java
+++ b/src/test/java/org/astershift/api/JobCodecTest.java
@@ -56,7 +56,9 @@
   }
 
   @ParameterizedTest
-  @CsvSource(delimiter = '|', value = {"[1] | not an object", "{\"a\": | not JSON", "'' | not JSON"})
+  @CsvSource(
+      delimiter = '|',
+      value = {"[1] | not an object", "{\"a\": | not JSON", "'' | not JSON"})
   void refusesWhatIsNoObject(String text, String message) {
     Json.Bad bad = assertThrows(Json.Bad.class, () -> read(text));
     assertEquals(message, bad.getMessage());
--- a/src/test/java/org/astershift/core/TracePlayer.java
+++ b/src/test/java/org/astershift/core/TracePlayer.java
@@ -40,10 +40,12 @@
           teams.put(
               plain.get(1),
               new Team(
-                  plain.get(1), w.num("cpus", 0), w.num("cpus_max", 0), w.num("gpus", 0),
+                  plain.get(1),
+                  w.num("cpus", 0),
+                  w.num("cpus_max", 0),
+                  w.num("gpus", 0),
                   w.num("gpus_max", 0)));
-      case "aim" ->
-          objectives.add(new Objective("wait", plain.get(1), w.num("within", 1), 0.9));
+      case "aim" -> objectives.add(new Objective("wait", plain.get(1), w.num("within", 1), 0.9));
       case "policy" ->
           policy =
               new Policy(
@@ -56,9 +58,16 @@
           types.put(
               plain.get(1),
               new MachineType(
-                  plain.get(1), w.num("cpus", 4), w.num("gpus", 0), w.num("mem", 16),
-                  w.num("cache", 50), 0.5, w.num("price", 1), w.num("spot", 0.3),
-                  w.num("boot", 20), List.of(w.text("zones", "a").split(","))));
+                  plain.get(1),
+                  w.num("cpus", 4),
+                  w.num("gpus", 0),
+                  w.num("mem", 16),
+                  w.num("cache", 50),
+                  0.5,
+                  w.num("price", 1),
+                  w.num("spot", 0.3),
+                  w.num("boot", 20),
+                  List.of(w.text("zones", "a").split(","))));
       case "inherit" ->
           core().inherit(plain.get(1), plain.get(1) + ":1", plain.get(2), plain.get(3), false, 0);
       default -> throw new IllegalArgumentException("not an event: " + line);
@@ -84,9 +93,7 @@
   private Scheduler core() {
     if (scheduler == null) {
       teams.putIfAbsent("team", new Team("team", 0, 0, 0, 0));
-      scheduler =
-          new Scheduler(
-              new Facts(teams, objectives, 2, 14, 30, 4, 40, 3), policy, TOKEN);
+      scheduler = new Scheduler(new Facts(teams, objectives, 2, 14, 30, 4, 40, 3), policy, TOKEN);
       scheduler.types(types);
     }
     return scheduler;
@@ -125,15 +132,20 @@
           s.enrolled(p.get(2));
         }
       }
-      case "refused" -> s.notRented("r", new Decision.Rent(p.get(2), p.get(3), w.flag("spot"), 1),
-          true, now);
+      case "refused" ->
+          s.notRented("r", new Decision.Rent(p.get(2), p.get(3), w.flag("spot"), 1), true, now);
       case "list" -> {
         List<Scheduler.Listed> listed = new ArrayList<>();
         for (String name : p.subList(2, p.size())) {
           listed.add(
               new Scheduler.Listed(
-                  name, name + ":1", w.text("type", "small"), "a", false,
-                  w.text("state", "running"), 5));
+                  name,
+                  name + ":1",
+                  w.text("type", "small"),
+                  "a",
+                  false,
+                  w.text("state", "running"),
+                  5));
         }
         s.list(listed, now, now);
       }
@@ -184,7 +196,9 @@
         w.named().containsKey("deadline") ? (Double) w.num("deadline", 0) : null);
   }
 
-  /** Tasks are words of the form job/index@attempt:state[:cause]; a small attempt is this term's. */
+  /**
+   * Tasks are words of the form job/index@attempt:state[:cause]; a small attempt is this term's.
+   */
   private static Report report(Words w) {
     List<String> p = w.plain();
     List<Report.Item> items = new ArrayList<>();
@@ -231,10 +245,18 @@
   private static String word(Order o) {
     long term = o.attempt() >> Constants.ATTEMPT_BITS;
     String attempt =
-        term == TOKEN ? "" + (o.attempt() & ((1L << Constants.ATTEMPT_BITS) - 1)) : "old" + o.attempt();
+        term == TOKEN
+            ? "" + (o.attempt() & ((1L << Constants.ATTEMPT_BITS) - 1))
+            : "old" + o.attempt();
     String grace = o.op() == Order.Op.STOP ? " grace " + o.graceS() : "";
-    return o.op().name().toLowerCase(java.util.Locale.ROOT) + " " + o.job() + "/" + o.index() + "@"
-        + attempt + grace;
+    return o.op().name().toLowerCase(java.util.Locale.ROOT)
+        + " "
+        + o.job()
+        + "/"
+        + o.index()
+        + "@"
+        + attempt
+        + grace;
   }
 
   private static String words(Decision d) {
--- a/src/test/java/org/astershift/core/TraceTest.java
+++ b/src/test/java/org/astershift/core/TraceTest.java
@@ -14,8 +14,8 @@
 
 /**
  * Plays every trace below src/test/resources/traces: events with their times in, decisions out. The
- * words are explained in the README there. With -Dtraces.write=true the answers are written anew, to
- * be read before they are kept.
+ * words are explained in the README there. With -Dtraces.write=true the answers are written anew,
+ * to be read before they are kept.
  */
 class TraceTest {
   private static final Path TRACES = Path.of("src/test/resources/traces");
--- a/src/test/java/org/astershift/leader/TermTest.java
+++ b/src/test/java/org/astershift/leader/TermTest.java
@@ -26,8 +26,26 @@
     Term term = new Term(5, new Scheduler(facts, Operator.defaults(), 5), notes, () -> {});
     JobSpec spec =
         new JobSpec(
-            "wk-1", "c", "t", JobKind.ARRAY, Priority.LOW, 1, 1, 0, 1, "i", 1, null, null, false,
-            false, false, 1, 0, 0, null);
+            "wk-1",
+            "c",
+            "t",
+            JobKind.ARRAY,
+            Priority.LOW,
+            1,
+            1,
+            0,
+            1,
+            "i",
+            1,
+            null,
+            null,
+            false,
+            false,
+            false,
+            1,
+            0,
+            0,
+            null);
     Records.JobRecord record = new Records.JobRecord(spec, System.currentTimeMillis());
     term.add(record);
     assertNotNull(term.scheduler.view("wk-1"));
--- a/src/test/java/org/astershift/standin/StandInCloud.java
+++ b/src/test/java/org/astershift/standin/StandInCloud.java
@@ -86,8 +86,7 @@
       names = new ArrayList<>();
       for (long i = Json.whole(m, "number"); i > 0; i--) {
         String name = String.format("vm-%06d", ++made);
-        machines.put(
-            name, new StandInWorker(name, Json.text(m, "harbor"), controllers, taskMs));
+        machines.put(name, new StandInWorker(name, Json.text(m, "harbor"), controllers, taskMs));
         names.add(name);
       }
       rentals.put(rental, names);
--- a/src/test/java/org/astershift/standin/StandInStore.java
+++ b/src/test/java/org/astershift/standin/StandInStore.java
@@ -71,7 +71,9 @@
     } else if (path.startsWith("/store/")) {
       String key = path.substring("/store/".length());
       Value v = rows.get(key);
-      return v == null ? Response.of(404, Map.of("epoch", revision)) : Response.of(200, row(key, v));
+      return v == null
+          ? Response.of(404, Map.of("epoch", revision))
+          : Response.of(200, row(key, v));
     } else if (path.equals("/multi")) {
       return multi(Json.object(r.body()));
     } else if (path.equals("/watch")) {
