--- a/src/main/java/org/astershift/cloud/CloudClient.java
+++ b/src/main/java/org/astershift/cloud/CloudClient.java
@@ -44,7 +44,7 @@
     try {
       Map<String, MachineType> out = new LinkedHashMap<>();
       for (Object o :
-          Json.list(Json.object(call(RateBudget.Use.END, "GET", "/flavors", null)), "hulls")) {
+          Json.list(Json.object(call(RateBudget.Use.URGENT, "GET", "/flavors", null)), "hulls")) {
         Map<String, Object> m = Json.object(o, "type");
         List<String> zones = new ArrayList<>();
         for (Object z : Json.list(m, "harbors")) {
@@ -83,7 +83,7 @@
     try {
       List<String> names = new ArrayList<>();
       for (Object o :
-          Json.list(Json.object(call(RateBudget.Use.OPEN, "POST", "/hosts", body)), "vessels")) {
+          Json.list(Json.object(call(RateBudget.Use.URGENT, "POST", "/hosts", body)), "vessels")) {
         names.add(String.valueOf(o));
       }
       return names;
@@ -92,9 +92,9 @@
     }
   }
 
-  /** Goes before all other calls: the answer frees the tasks that a silent machine may hold. */
+  /** The answer frees the tasks that a silent machine may hold. */
   public void giveBack(List<String> names) throws IOException {
-    call(RateBudget.Use.ACCEPT, "POST", "/hosts/return", Map.of("vessels", names));
+    call(RateBudget.Use.URGENT, "POST", "/hosts/return", Map.of("vessels", names));
   }
 
   /** The whole list, page by page. */
@@ -105,7 +105,7 @@
     try {
       while (more) {
         String path = "/hosts?limit=500" + (after.isEmpty() ? "" : "&from=" + after);
-        Map<String, Object> m = Json.object(call(RateBudget.Use.END, "GET", path, null));
+        Map<String, Object> m = Json.object(call(RateBudget.Use.LAZY, "GET", path, null));
         List<?> rows = Json.list(m, "vessels");
         for (Object o : rows) {
           Map<String, Object> v = Json.object(o, "machine");
--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -177,6 +177,9 @@
    */
   public static final double FOLLOWER_DEPTH_S = 3;
 
+  /** Share of what may be spent at once that has to be left by what can wait. */
+  public static final double LAZY_LEAVES = 0.5;
+
   /** Seconds without spending once the state service says that the limit is reached. */
   public static final double EXHAUSTED_S = 0.1;
 
--- a/src/main/java/org/astershift/core/Bin.java
+++ b/src/main/java/org/astershift/core/Bin.java
@@ -1,14 +1,10 @@
 package org.astershift.core;
 
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-
 /** Room on one machine that is there, booting or asked for, as a plan for renting fills it. */
 final class Bin {
   private static final double TOLERANCE = 1e-6;
+  final String zone;
   private final MachineType type;
-  private final String zone;
   private final boolean spot;
   private double cpus;
   private double gpus;
@@ -24,30 +20,36 @@
     this.memory = type.memoryGb();
   }
 
-  /**
-   * What is free on a machine now, and what its array tasks will have left {@code soonMs} later, as
-   * far as their estimates tell.
-   */
-  Bin(Machine m, long soonMs, long nowMs) {
+  /** What is free on a machine now. */
+  Bin(Machine m) {
     this(m.kind, m.zone, m.spot);
+    cpus -= m.usedCpus();
+    gpus -= m.usedGpus();
+    memory -= m.usedMemory();
+  }
+
+  /** With what its array tasks will have left at a time, as far as their estimates tell. */
+  static Bin soon(Machine m, long atMs) {
+    Bin bin = new Bin(m);
     for (Run run : m.runs.values()) {
       JobSpec spec = run.job.spec;
-      boolean ends =
-          spec.kind() == JobKind.ARRAY && run.placedMs + spec.estimateS() * 1000 < nowMs + soonMs;
-      if (!run.exited() && !ends) {
-        cpus -= spec.cpus();
-        gpus -= spec.gpus();
-        memory -= spec.memoryGb();
+      if (spec.kind() == JobKind.ARRAY
+          && !run.exited()
+          && run.placedMs + spec.estimateS() * 1000 < atMs) {
+        bin.cpus += spec.cpus();
+        bin.gpus += spec.gpus();
+        bin.memory += spec.memoryGb();
       }
     }
+    return bin;
   }
 
-  private int fits(Job job) {
-    if (!allows(job.spec)) {
+  /** How many tasks like this find room, at most {@code most}. */
+  int fits(JobSpec spec, int most) {
+    if (!allows(spec)) {
       return 0;
     }
-    JobSpec spec = job.spec;
-    double n = spec.tasks();
+    double n = most;
     n = spec.cpus() > 0 ? Math.min(n, (cpus + TOLERANCE) / spec.cpus()) : n;
     n = spec.gpus() > 0 ? Math.min(n, (gpus + TOLERANCE) / spec.gpus()) : n;
     n = spec.memoryGb() > 0 ? Math.min(n, (memory + TOLERANCE) / spec.memoryGb()) : n;
@@ -74,49 +76,4 @@
     memory -= spec.memoryGb();
     return true;
   }
-
-  /**
-   * How many of the tasks find no place in this room. What has to be in one zone is covered only by
-   * one zone's room, and what is spread by no more of a zone than it may use: else such a job would
-   * wait for ever beside room that it cannot take.
-   */
-  static int uncovered(Job job, List<Bin> bins, int tasks) {
-    JobSpec spec = job.spec;
-    String only = null;
-    if (spec.oneZone()) {
-      Map<String, Integer> fits = new HashMap<>();
-      for (Bin bin : bins) {
-        int n = bin.fits(job);
-        if (n > 0 && job.zoneAllowed(bin.zone)) {
-          fits.merge(bin.zone, n, Integer::sum);
-        }
-      }
-      for (Map.Entry<String, Integer> e : fits.entrySet()) {
-        only = e.getValue() >= tasks ? e.getKey() : only;
-      }
-      if (only == null) {
-        return tasks;
-      }
-    }
-    Map<String, Integer> taken = new HashMap<>();
-    int left = tasks;
-    for (Bin bin : bins) {
-      if (left == 0) {
-        return 0;
-      }
-      if (only != null && !only.equals(bin.zone)) {
-        continue;
-      }
-      while (left > 0
-          && (!spec.spread()
-              || job.inZone(bin.zone) + taken.getOrDefault(bin.zone, 0) < spec.spreadLimit())
-          && bin.take(spec)) {
-        if (spec.spread()) {
-          taken.merge(bin.zone, 1, Integer::sum);
-        }
-        left--;
-      }
-    }
-    return left;
-  }
 }
--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 import org.astershift.config.Constants;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -101,6 +102,15 @@
     stir();
   }
 
+  /** Zones in which the cloud has machines. */
+  Set<String> zones() {
+    Set<String> zones = new TreeSet<>();
+    for (MachineType t : types.values()) {
+      zones.addAll(t.zones());
+    }
+    return zones;
+  }
+
   /** Types that a task of the job may go to; those with accelerators only if it needs them. */
   private Set<String> usableTypes(JobSpec spec) {
     Set<String> fitting = new LinkedHashSet<>();
--- a/src/main/java/org/astershift/core/JobSpec.java
+++ b/src/main/java/org/astershift/core/JobSpec.java
@@ -37,6 +37,11 @@
         && (zone == null || type.zones().contains(zone));
   }
 
+  /** Kinds of machines that it may use: spot ones, if at all, first. */
+  public List<Boolean> spotOrNot() {
+    return spot ? List.of(true, false) : List.of(false);
+  }
+
   /** How many tasks a spread job may have in one zone: half of them, rounded up. */
   public int spreadLimit() {
     return (tasks + 1) / 2;
--- a/src/main/java/org/astershift/core/Renting.java
+++ b/src/main/java/org/astershift/core/Renting.java
@@ -1,6 +1,7 @@
 package org.astershift.core;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -20,6 +21,7 @@
   private final Map<String, Decision.Rent> underWay = new LinkedHashMap<>();
   private final Map<Pool, Long> paused = new HashMap<>();
   private final Map<String, Integer> inZone = new HashMap<>();
+  private boolean ready;
 
   /** Machines that the cloud gives or refuses together. */
   private record Pool(String type, String zone, boolean spot) {
@@ -37,64 +39,129 @@
   }
 
   void settled(String rental) {
-    underWay.remove(rental);
+    ready |= underWay.remove(rental) != null;
   }
 
   void refused(Decision.Rent rent, long nowMs) {
     paused.put(Pool.of(rent), nowMs + Constants.NO_CAPACITY_MS);
   }
 
+  /** Whether a call to the cloud has ended since the last plan, so that the next may go out. */
+  boolean ready() {
+    return ready;
+  }
+
+  /**
+   * The calls to the cloud are few: while some are under way, demand gathers, and then each call
+   * asks for as many machines as it may.
+   */
   void plan(List<Decision> out, long nowMs) {
+    ready = false;
+    int calls = Constants.RENT_THREADS - underWay.size();
+    if (calls <= 0) {
+      return;
+    }
+    for (Decision.Rent r : wanted(nowMs)) {
+      if (calls-- == 0) {
+        return;
+      }
+      int n = Math.min(r.count(), Constants.RENT_BATCH);
+      out.add(new Decision.Rent(r.type(), r.zone(), r.spot(), n));
+      LOG.info("renting {} {} in {}{}", n, r.type(), r.zone(), r.spot() ? ", spot" : "");
+    }
+  }
+
+  private Collection<Decision.Rent> wanted(long nowMs) {
     List<Bin> coming = new ArrayList<>();
+    List<Bin> free = new ArrayList<>();
     List<Bin> soon = new ArrayList<>();
-    long soonMs = soonMs();
+    long soonMs = nowMs + soonMs();
     inZone.clear();
     for (Machine m : c.all()) {
       inZone.merge(m.zone, 1, Integer::sum);
       if (m.kind != null && m.state == Machine.State.BOOTING) {
         coming.add(new Bin(m.kind, m.zone, m.spot));
       } else if (m.usable(nowMs)) {
-        soon.add(new Bin(m, soonMs, nowMs));
+        free.add(new Bin(m));
+        soon.add(Bin.soon(m, soonMs));
       }
     }
     for (Decision.Rent r : underWay.values()) {
-      MachineType t = c.types().get(r.type());
-      for (int i = 0; t != null && i < r.count(); i++) {
-        coming.add(new Bin(t, r.zone(), r.spot()));
-      }
+      add(r, coming);
     }
     Map<Pool, Decision.Rent> wanted = new LinkedHashMap<>();
     for (Job job : queue(nowMs)) {
-      int uncovered = concurrency(job, nowMs);
-      if (job.startAimS == null) {
+      Need need = new Need(job, concurrency(job, nowMs));
+      if (job.spec.oneZone()) {
+        need.only(zone(need, free, coming, nowMs));
+      }
+      if (job.spec.kind() == JobKind.GANG) {
+        need.fill(free);
+      } else if (job.startAimS == null) {
         // What is free before a new machine could be up needs no new machine.
-        uncovered = Bin.uncovered(job, soon, uncovered);
+        need.fill(soon);
       }
-      uncovered = Bin.uncovered(job, coming, uncovered);
-      int guard = 0;
-      while (uncovered > 0 && guard++ < Constants.POOLS_A_JOB) {
-        Decision.Rent r = cheapest(job, uncovered, wanted, nowMs);
+      need.fill(coming);
+      for (int i = 0; need.left() > 0 && i < Constants.POOLS_A_JOB; i++) {
+        Decision.Rent r = cheapest(need, nowMs);
         if (r == null) {
           break;
         }
-        MachineType t = c.types().get(r.type());
-        for (int i = 0; i < r.count(); i++) {
-          Bin bin = new Bin(t, r.zone(), r.spot());
-          while (uncovered > 0 && bin.take(job.spec)) {
-            uncovered--;
-          }
-          coming.add(bin);
-        }
-        wanted.put(Pool.of(r), r);
+        int from = coming.size();
+        add(r, coming);
+        need.fill(coming.subList(from, coming.size()));
+        wanted.merge(
+            Pool.of(r),
+            r,
+            (a, b) -> new Decision.Rent(a.type(), a.zone(), a.spot(), a.count() + b.count()));
       }
     }
-    for (Decision.Rent r : wanted.values()) {
-      for (int left = r.count(); left > 0; left -= Constants.RENT_BATCH) {
-        int n = Math.min(left, Constants.RENT_BATCH);
-        out.add(new Decision.Rent(r.type(), r.zone(), r.spot(), n));
+    return wanted.values();
+  }
+
+  /** The zone that lacks least of what the job needs, among those where the rest can be had. */
+  private String zone(Need need, List<Bin> free, List<Bin> coming, long nowMs) {
+    String best = "";
+    double bestCost = Double.MAX_VALUE;
+    for (String zone : c.zones()) {
+      int most = need.allowed(zone);
+      if (most < need.left()) {
+        continue;
+      }
+      int lacking = Math.max(0, most - need.fits(free, zone) - need.fits(coming, zone));
+      double price = lacking == 0 ? 0 : lowestPrice(need.job, zone, nowMs);
+      double cost = lacking * price;
+      if (cost < bestCost) {
+        best = zone;
+        bestCost = cost;
       }
-      LOG.info("renting {} {} in {}{}", r.count(), r.type(), r.zone(), r.spot() ? ", spot" : "");
     }
+    return best;
+  }
+
+  private double lowestPrice(Job job, String zone, long nowMs) {
+    double least = Double.MAX_VALUE;
+    for (String name : job.usableTypes) {
+      MachineType t = c.types().get(name);
+      for (boolean spot : job.spec.spotOrNot()) {
+        if (t.zones().contains(zone) && !paused(new Pool(name, zone, spot), nowMs)) {
+          least = Math.min(least, t.price(spot));
+        }
+      }
+    }
+    return least;
+  }
+
+  private boolean paused(Pool pool, long nowMs) {
+    return paused.getOrDefault(pool, Long.MIN_VALUE) > nowMs;
+  }
+
+  private void add(Decision.Rent r, List<Bin> coming) {
+    MachineType t = c.types().get(r.type());
+    for (int i = 0; t != null && i < r.count(); i++) {
+      coming.add(new Bin(t, r.zone(), r.spot()));
+    }
+    inZone.merge(r.zone(), r.count(), Integer::sum);
   }
 
   private List<Job> queue(long nowMs) {
@@ -141,24 +208,23 @@
     return n;
   }
 
-  /** The cheapest machines for this many tasks of the job; null if none can be had now. */
-  private Decision.Rent cheapest(Job job, int tasks, Map<Pool, Decision.Rent> wanted, long nowMs) {
-    JobSpec spec = job.spec;
+  /** The cheapest machines for what is left of the need; null if none can be had now. */
+  private Decision.Rent cheapest(Need need, long nowMs) {
+    JobSpec spec = need.job.spec;
     Decision.Rent best = null;
     double bestCost = Double.MAX_VALUE;
-    for (String name : job.usableTypes) {
+    for (String name : need.job.usableTypes) {
       MachineType t = c.types().get(name);
       int per = perMachine(spec, t);
-      int count = (tasks + per - 1) / per;
-      for (boolean spot : spec.spot() ? new boolean[] {true, false} : new boolean[] {false}) {
+      int count = (need.left() + per - 1) / per;
+      for (boolean spot : spec.spotOrNot()) {
         for (String zone : t.zones()) {
-          Pool pool = new Pool(name, zone, spot);
-          if (paused.getOrDefault(pool, Long.MIN_VALUE) > nowMs
-              || !job.zoneAllowed(zone)
-              || wanted.containsKey(pool)) {
+          int allowed = need.allowed(zone);
+          if (allowed <= 0 || paused(new Pool(name, zone, spot), nowMs)) {
             continue;
           }
-          int n = spec.spread() || !spec.oneZone() ? Math.min(count, zoneShare(count, t)) : count;
+          int n = Math.min(count, (allowed + per - 1) / per);
+          n = spec.oneZone() ? n : Math.min(n, zoneShare(count, t));
           // A tie goes to the zone with the fewest machines, which spreads the fleet.
           double cost = count * t.price(spot) * (1 + 0.001 * inZone.getOrDefault(zone, 0));
           if (cost < bestCost) {
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -69,9 +69,13 @@
     c.addMachine(m);
   }
 
-  /** Machines a rental brought, still booting. */
+  /** Machines a rental brought, still booting; fewer than asked for: there are no more now. */
   public void rented(String rental, List<String> names, Decision.Rent rent, long nowMs) {
     renting.settled(rental);
+    if (names.size() < rent.count()) {
+      renting.refused(rent, nowMs);
+    }
+    c.stir();
     for (String name : names) {
       if (!c.machines.containsKey(name)) {
         c.addMachine(
@@ -87,6 +91,7 @@
     if (noCapacity) {
       renting.refused(rent, nowMs);
     }
+    c.stir();
   }
 
   /** A rental under this name is under way. */
@@ -341,7 +346,8 @@
     for (Job job : c.completing) {
       ask(out, new Decision.FinishJob(job.spec.id()));
     }
-    if (nowMs - lastPlanMs >= Constants.RENT_PLAN_MS && !c.types().isEmpty()) {
+    boolean planDue = nowMs - lastPlanMs >= Constants.RENT_PLAN_MS || renting.ready();
+    if (planDue && !c.types().isEmpty()) {
       lastPlanMs = nowMs;
       plan(out, nowMs);
     }
--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -341,7 +341,7 @@
     // Done and cancelled exclude each other, also for tries whose answer was lost: the first stays.
     StoreClient.Txn txn =
         t.txn().when(key, 0).put(key, Records.ended(end)).delete(Records.JOB + id);
-    Outcome o = store.commit(txn, RateBudget.Use.END, patienceMs);
+    Outcome o = store.commit(txn, RateBudget.Use.URGENT, patienceMs);
     if (o instanceof Outcome.Conflict && !t.lostBy(o)) {
       try {
         StoreClient.Row row = store.get(key);
--- a/src/main/java/org/astershift/leader/Leadership.java
+++ b/src/main/java/org/astershift/leader/Leadership.java
@@ -131,7 +131,7 @@
         // Left by this node's predecessor, which is dead since this process runs in its place.
         StoreClient.Txn txn =
             new StoreClient.Txn().when(Records.LEADER, row.revision()).delete(Records.LEADER);
-        store.commit(txn, RateBudget.Use.ACCEPT, 1000);
+        store.commit(txn, RateBudget.Use.URGENT, 1000);
       }
       return;
     }
@@ -142,7 +142,7 @@
             .when(Records.LEADER, 0)
             .put(Records.LEADER, Records.leader(node), mine);
     held = true;
-    StoreClient.Outcome outcome = store.commit(txn, RateBudget.Use.ACCEPT, 1000);
+    StoreClient.Outcome outcome = store.commit(txn, RateBudget.Use.URGENT, 1000);
     if (outcome instanceof StoreClient.Outcome.Applied a) {
       lease = mine;
       validUntilNs = sent + lifeNs();
--- a/src/main/java/org/astershift/leader/Machines.java
+++ b/src/main/java/org/astershift/leader/Machines.java
@@ -90,7 +90,7 @@
     stir.run();
     if (other || mirror.row(Records.TYPES) == null) {
       StoreClient.Txn txn = t.txn().put(Records.TYPES, Records.types(learnt));
-      t.lostBy(store.commit(txn, RateBudget.Use.OPEN, Constants.STORE_PATIENCE_MS));
+      t.lostBy(store.commit(txn, RateBudget.Use.URGENT, Constants.STORE_PATIENCE_MS));
     }
   }
 
--- a/src/main/java/org/astershift/leader/Notes.java
+++ b/src/main/java/org/astershift/leader/Notes.java
@@ -242,7 +242,7 @@
    */
   private Outcome write(List<Draft> drafts) throws InterruptedException {
     StoreClient.Txn txn = new StoreClient.Txn().when(Records.LEADER, token);
-    RateBudget.Use use = RateBudget.Use.PROGRESS;
+    RateBudget.Use use = RateBudget.Use.LAZY;
     for (Draft d : drafts) {
       txn.when(d.page().key, d.page().revision);
       if (!d.entries().isEmpty()) {
@@ -251,7 +251,7 @@
         txn.delete(d.page().key);
       }
       if (d.page().kind != Kind.PROGRESS) {
-        use = RateBudget.Use.OPEN;
+        use = RateBudget.Use.URGENT;
       }
     }
     return store.commit(txn, use, Constants.STORE_PATIENCE_MS);
--- a/src/main/java/org/astershift/leader/UserDesk.java
+++ b/src/main/java/org/astershift/leader/UserDesk.java
@@ -60,7 +60,7 @@
             .when(key, 0)
             .when(Records.ENDED + spec.id(), 0)
             .put(key, Records.job(record));
-    Outcome o = store.commit(txn, RateBudget.Use.ACCEPT, Constants.ACCEPT_PATIENCE_MS);
+    Outcome o = store.commit(txn, RateBudget.Use.URGENT, Constants.ACCEPT_PATIENCE_MS);
     if (o instanceof Outcome.Applied) {
       director.accepted(record);
       return new Submitted(201, new JobAnswer(200, "queued", 0, 0));
--- a/src/main/java/org/astershift/store/RateBudget.java
+++ b/src/main/java/org/astershift/store/RateBudget.java
@@ -1,25 +1,21 @@
 package org.astershift.store;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import org.astershift.config.Constants;
 
 /**
- * Spends this node's share of a limit per second that all nodes keep together. Less urgent uses
- * have to leave a part of the allowance for more urgent ones, so that a burst of progress never
- * delays an acceptance.
+ * Spends this node's share of a limit per second that all nodes keep together. What users or starts
+ * wait for is served in the order of asking, so that neither a burst of acceptances nor one of
+ * records keeps the others waiting for ever; what can wait takes what these leave.
  */
 public final class RateBudget {
-  /** Uses, the most urgent first. */
+  /** Uses of the limit. */
   public enum Use {
-    ACCEPT,
-    END,
-    OPEN,
-    ROSTER,
-    PROGRESS;
-
-    /** Share of a second's allowance that has to stay for the more urgent uses. */
-    double reserve() {
-      return ordinal() * 0.12;
-    }
+    /** Somebody waits for it. */
+    URGENT,
+    /** Better soon than late. */
+    LAZY
   }
 
   private final double limit;
@@ -31,6 +27,9 @@
   private double have;
   private long lastNs;
 
+  /** Urgent askers that wait, the first to serve first. */
+  private final Deque<Object> line = new ArrayDeque<>();
+
   /** The whole limit is this node's until {@link #share} says otherwise. */
   public RateBudget(double limit) {
     this.limit = limit;
@@ -48,6 +47,7 @@
     rate = limit * share;
     depth = Math.max(rate * depthS, 1);
     have = Math.min(have, depth);
+    notifyAll();
   }
 
   private void refill() {
@@ -62,25 +62,49 @@
     have = Math.min(have, 1 - rate * Constants.EXHAUSTED_S);
   }
 
-  /** Waits until {@code n} may be spent; false if that would take longer than allowed. */
-  public boolean acquire(Use use, int n, long timeoutMs) throws InterruptedException {
+  /**
+   * Waits until {@code n} may be spent; false, as soon as that is known, if it would take longer
+   * than allowed.
+   */
+  public synchronized boolean acquire(Use use, int n, long timeoutMs) throws InterruptedException {
     long deadline = System.nanoTime() + timeoutMs * 1_000_000;
-    while (true) {
-      long waitMs;
-      synchronized (this) {
+    Object me = new Object();
+    if (use == Use.URGENT) {
+      line.addLast(me);
+    }
+    try {
+      while (true) {
         refill();
-        // A spend larger than the whole allowance may go into debt once the allowance is full.
-        double need = Math.min(n + use.reserve() * depth, depth);
+        // More than one may go into debt: a batch must not wait behind all that asks for little.
+        double need =
+            use == Use.URGENT
+                ? 1 + ahead(me)
+                : Math.min(depth, n + line.size() + Constants.LAZY_LEAVES * depth);
         if (have >= need) {
           have -= n;
           return true;
         }
-        waitMs = Math.max(1, (long) Math.ceil((need - have) / rate * 1000));
+        long waitMs = Math.max(1, (long) Math.ceil((need - have) / rate * 1000));
+        if (System.nanoTime() + waitMs * 1_000_000 > deadline) {
+          return false;
+        }
+        wait(waitMs);
+      }
+    } finally {
+      if (line.remove(me)) {
+        notifyAll();
       }
-      if (System.nanoTime() + waitMs * 1_000_000 > deadline) {
-        return false;
+    }
+  }
+
+  private int ahead(Object me) {
+    int n = 0;
+    for (Object other : line) {
+      if (other == me) {
+        return n;
       }
-      Thread.sleep(waitMs);
+      n++;
     }
+    return n;
   }
 }
--- a/src/main/java/org/astershift/store/StoreClient.java
+++ b/src/main/java/org/astershift/store/StoreClient.java
@@ -248,7 +248,7 @@
 
   private static void acquire(RateBudget budget, int n) throws IOException {
     try {
-      if (!budget.acquire(RateBudget.Use.ACCEPT, n, Constants.STORE_TIMEOUT_MS)) {
+      if (!budget.acquire(RateBudget.Use.URGENT, n, Constants.STORE_TIMEOUT_MS)) {
         throw new Trouble("over this node's share of the limits");
       }
     } catch (InterruptedException e) {
