--- a/src/main/java/org/astershift/core/Gangs.java
+++ b/src/main/java/org/astershift/core/Gangs.java
@@ -3,13 +3,19 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Seats gangs: all tasks in one pass or none; and replaces tasks lost before the gang started. */
+/**
+ * Seats gangs: all tasks in one pass or none; and replaces tasks lost before the gang started. The
+ * first gang that finds too little room in a zone has what is free there kept for it: otherwise
+ * smaller ones take each machine as it becomes free, and a large gang waits for ever.
+ */
 final class Gangs {
   private static final Logger LOG = LoggerFactory.getLogger(Gangs.class);
   private final Cluster c;
@@ -21,38 +27,130 @@
   }
 
   void place(List<Job> jobs, List<Machine> usable, long nowMs) {
+    Set<String> kept = new HashSet<>();
     for (Job job : jobs) {
-      if (job.spec.kind() == JobKind.GANG && !job.waiting.isEmpty()) {
-        place(job, usable, nowMs);
+      if (job.spec.kind() == JobKind.GANG && !job.waiting.isEmpty() && !oldAttemptLeft(job)) {
+        Map<String, Part> parts = parts(job, usable, nowMs);
+        if (!place(job, parts, nowMs) && withinLimit(job)) {
+          keep(job, parts, kept);
+        }
       }
     }
   }
 
-  private void place(Job job, List<Machine> usable, long nowMs) {
-    boolean renewing = !job.runs.isEmpty();
-    if (renewing && (job.gangRan || anyStopping(job))) {
-      return; // the old attempt has to be gone first
+  /** The old attempt has to be gone everywhere before the next one starts. */
+  private static boolean oldAttemptLeft(Job job) {
+    return !job.runs.isEmpty() && (job.gangRan || anyStopping(job));
+  }
+
+  private boolean withinLimit(Job job) {
+    Team team = c.facts.teams().get(job.spec.team());
+    if (team == null) {
+      return false;
     }
+    double[] use = c.teamUse(team.name());
+    int tasks = job.waitingCount();
+    return team.allows(use[0] + tasks * job.spec.cpus(), use[1] + tasks * job.spec.gpus());
+  }
+
+  /** Machines among which all tasks of a gang have to find room: one zone's, or all. */
+  private static final class Part {
+    /** With room now, and with the image where that counts. */
+    final List<Machine> candidates = new ArrayList<>();
+
+    /** With room now. */
+    final List<Machine> free = new ArrayList<>();
+
+    /** Tasks that the candidates can take. */
+    int room;
+
+    /** Tasks that all machines here could take if they were empty. */
+    int capacity;
+  }
+
+  private Map<String, Part> parts(Job job, List<Machine> usable, long nowMs) {
+    Map<String, Part> parts = new LinkedHashMap<>();
+    boolean old = placement.pastAge(job, nowMs);
+    for (Machine m : usable) {
+      if (!placement.allowed(m, job)) {
+        continue;
+      }
+      Part part = parts.computeIfAbsent(job.spec.oneZone() ? m.zone : "", z -> new Part());
+      part.capacity += m.capacity(job.spec);
+      int fits = m.room(job.spec, job.waitingCount());
+      if (fits > 0) {
+        part.free.add(m);
+        if (old || m.score(job.spec.image()) > 0 || c.utilization(m) < c.policy.utilization()) {
+          part.candidates.add(m);
+          part.room += fits;
+        }
+      }
+    }
+    return parts;
+  }
+
+  /** Seats the gang where it finds most images, and among these where least room is left over. */
+  private boolean place(Job job, Map<String, Part> parts, long nowMs) {
     Map<Integer, Machine> best = null;
     int bestHits = -1;
-    for (List<Machine> candidates : candidates(job, usable, nowMs)) {
+    int bestRoom = 0;
+    for (Part part : parts.values()) {
+      if (part.room < job.waitingCount()) {
+        continue;
+      }
       Map<Integer, Machine> plan = new LinkedHashMap<>();
-      int hits = seat(job, candidates, plan);
-      if (plan.size() == job.waitingCount() && hits > bestHits) {
+      int hits = seat(job, part.candidates, plan);
+      if (plan.size() == job.waitingCount()
+          && (hits > bestHits || (hits == bestHits && part.room < bestRoom))) {
         best = plan;
         bestHits = hits;
+        bestRoom = part.room;
       }
     }
     if (best == null) {
-      return;
+      return false;
     }
-    if (!renewing) {
+    if (job.runs.isEmpty()) {
       job.gangAttempt = c.nextAttempt();
     }
+    job.keptIn = null;
     for (Map.Entry<Integer, Machine> e : best.entrySet()) {
       c.place(job, e.getKey(), e.getValue(), job.gangAttempt, nowMs);
       LOG.debug("gang task {}/{} placed on {}", job.spec.id(), e.getKey(), e.getValue().name);
     }
+    return true;
+  }
+
+  /** Keeps what is free for this gang in one zone, if no other gang has that zone already. */
+  private void keep(Job job, Map<String, Part> parts, Set<String> kept) {
+    String best = null;
+    for (Map.Entry<String, Part> e : parts.entrySet()) {
+      if (kept.contains(e.getKey()) || e.getValue().capacity < job.waitingCount()) {
+        continue;
+      }
+      if (e.getKey().equals(job.keptIn)) {
+        best = job.keptIn;
+        break;
+      }
+      if (best == null || e.getValue().free.size() > parts.get(best).free.size()) {
+        best = e.getKey();
+      }
+    }
+    if (best == null) {
+      return;
+    }
+    if (!best.equals(job.keptIn)) {
+      LOG.info(
+          "gang {} of {} finds no room for all: what becomes free in {} is kept for it",
+          job.spec.id(),
+          job.spec.tasks(),
+          best.isEmpty() ? "any zone" : best);
+      job.keptIn = best;
+    }
+    kept.add(best);
+    for (Machine m : parts.get(best).free) {
+      m.reserve(job.spec, m.room(job.spec, job.waitingCount()));
+    }
   }
 
   private static boolean anyStopping(Job job) {
@@ -64,25 +162,6 @@
     return false;
   }
 
-  /** Machines that could hold tasks of the job, apart by zone if it has to be in one. */
-  private Iterable<List<Machine>> candidates(Job job, List<Machine> usable, long nowMs) {
-    Map<String, List<Machine>> byZone = new LinkedHashMap<>();
-    Map<String, Integer> room = new HashMap<>();
-    boolean old = placement.pastAge(job, nowMs);
-    for (Machine m : usable) {
-      int fits = m.room(job.spec, job.waitingCount());
-      if (fits > 0
-          && placement.allowed(m, job)
-          && (old || m.score(job.spec.image()) > 0 || c.utilization(m) < c.policy.utilization())) {
-        String part = job.spec.oneZone() ? m.zone : "";
-        byZone.computeIfAbsent(part, z -> new ArrayList<>()).add(m);
-        room.merge(part, fits, Integer::sum);
-      }
-    }
-    byZone.keySet().removeIf(zone -> room.get(zone) < job.waitingCount());
-    return byZone.values();
-  }
-
   private int seat(Job job, List<Machine> candidates, Map<Integer, Machine> plan) {
     String image = job.spec.image();
     candidates.sort(Comparator.comparingDouble(m -> -m.score(image)));
--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -48,6 +48,9 @@
 
   boolean belowGuarantee;
 
+  /** The zone in which free room is kept for this gang; null while it waits for none. */
+  String keptIn;
+
   long gangAttempt;
   boolean gangRan;
 
--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -69,10 +69,10 @@
   final LinkedHashMap<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
 
   /** Within a pass: room made for tasks that wait for it. */
-  double reservedCpus;
+  private double reservedCpus;
 
-  double reservedGpus;
-  double reservedMemory;
+  private double reservedGpus;
+  private double reservedMemory;
 
   /** Within a pass: tasks given to it. */
   int taken;
@@ -152,9 +152,9 @@
   }
 
   boolean hasRoom(double cpus, double gpus, double memory) {
-    return kind.cpus() - usedCpus - reservedCpus + TOLERANCE >= cpus
-        && kind.gpus() - usedGpus - reservedGpus + TOLERANCE >= gpus
-        && kind.memoryGb() - usedMemory - reservedMemory + TOLERANCE >= memory;
+    return freeCpus() + TOLERANCE >= cpus
+        && freeGpus() + TOLERANCE >= gpus
+        && freeMemory() + TOLERANCE >= memory;
   }
 
   /** How many tasks of this kind find room, at most {@code most}. */
@@ -164,17 +164,55 @@
     }
     double n = most;
     if (s.cpus() > 0) {
-      n = Math.min(n, (kind.cpus() - usedCpus - reservedCpus + TOLERANCE) / s.cpus());
+      n = Math.min(n, (freeCpus() + TOLERANCE) / s.cpus());
     }
     if (s.gpus() > 0) {
-      n = Math.min(n, (kind.gpus() - usedGpus - reservedGpus + TOLERANCE) / s.gpus());
+      n = Math.min(n, (freeGpus() + TOLERANCE) / s.gpus());
     }
     if (s.memoryGb() > 0) {
-      n = Math.min(n, (kind.memoryGb() - usedMemory - reservedMemory + TOLERANCE) / s.memoryGb());
+      n = Math.min(n, (freeMemory() + TOLERANCE) / s.memoryGb());
     }
     return (int) n;
   }
 
+  /** How many such tasks the machine could take if it were empty. */
+  int capacity(JobSpec s) {
+    double n = Integer.MAX_VALUE;
+    n = s.cpus() > 0 ? Math.min(n, (kind.cpus() + TOLERANCE) / s.cpus()) : n;
+    n = s.gpus() > 0 ? Math.min(n, (kind.gpus() + TOLERANCE) / s.gpus()) : n;
+    n = s.memoryGb() > 0 ? Math.min(n, (kind.memoryGb() + TOLERANCE) / s.memoryGb()) : n;
+    return (int) n;
+  }
+
+  void clearReserved() {
+    reservedCpus = 0;
+    reservedGpus = 0;
+    reservedMemory = 0;
+  }
+
+  boolean reserved() {
+    return reservedCpus > 0 || reservedGpus > 0 || reservedMemory > 0;
+  }
+
+  double freeCpus() {
+    return kind.cpus() - usedCpus - reservedCpus;
+  }
+
+  double freeGpus() {
+    return kind.gpus() - usedGpus - reservedGpus;
+  }
+
+  double freeMemory() {
+    return kind.memoryGb() - usedMemory - reservedMemory;
+  }
+
+  /** Keeps room for so many tasks from others, until the next pass. */
+  void reserve(JobSpec s, int tasks) {
+    reservedCpus += tasks * s.cpus();
+    reservedGpus += tasks * s.gpus();
+    reservedMemory += tasks * s.memoryGb();
+  }
+
   boolean holdsAny() {
     return held > 0;
   }
--- a/src/main/java/org/astershift/core/Placement.java
+++ b/src/main/java/org/astershift/core/Placement.java
@@ -36,9 +36,7 @@
     c.recount();
     List<Machine> usable = new ArrayList<>();
     for (Machine m : c.all()) {
-      m.reservedCpus = 0;
-      m.reservedGpus = 0;
-      m.reservedMemory = 0;
+      m.clearReserved();
       m.taken = 0;
       if (m.usable(nowMs)) {
         usable.add(m);
@@ -69,8 +67,8 @@
     if (queue.isEmpty() || !m.usable(nowMs)) {
       return;
     }
-    if (m.reservedCpus > 0 || m.reservedMemory > 0) {
-      c.stir(); // room made for a tight task is given out by a pass, which knows for which
+    if (m.reserved()) {
+      c.stir(); // room kept for some task is given out by a pass, which knows for which
       return;
     }
     m.taken = 0;
--- a/src/main/java/org/astershift/core/Preemption.java
+++ b/src/main/java/org/astershift/core/Preemption.java
@@ -24,9 +24,9 @@
     double memory;
 
     Room(Machine m) {
-      cpus = m.kind.cpus() - m.usedCpus() - m.reservedCpus;
-      gpus = m.kind.gpus() - m.usedGpus() - m.reservedGpus;
-      memory = m.kind.memoryGb() - m.usedMemory() - m.reservedMemory;
+      cpus = m.freeCpus();
+      gpus = m.freeGpus();
+      memory = m.freeMemory();
     }
 
     void add(JobSpec s) {
@@ -146,9 +146,7 @@
   private void take(Choice choice, Job job) {
     Machine m = choice.machine();
     JobSpec spec = job.spec;
-    m.reservedCpus += spec.cpus();
-    m.reservedGpus += spec.gpus();
-    m.reservedMemory += spec.memoryGb();
+    m.reserve(spec, 1);
     for (Run run : choice.victims()) {
       c.stop(run);
       LOG.debug("task {} on {} stops for {}", run.name(), m.name, spec.id());
