--- a/src/main/java/org/astershift/core/Gangs.java
+++ b/src/main/java/org/astershift/core/Gangs.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.astershift.config.Constants;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -31,7 +32,7 @@
     for (Job job : jobs) {
       if (job.spec.kind() == JobKind.GANG && !job.waiting.isEmpty() && !oldAttemptLeft(job)) {
         Map<String, Part> parts = parts(job, usable, nowMs);
-        if (!place(job, parts, nowMs) && withinLimit(job)) {
+        if (!place(job, parts, nowMs) && keeps(job, nowMs) && withinLimit(job)) {
           keep(job, parts, kept);
         }
       }
@@ -43,6 +44,17 @@
     return !job.runs.isEmpty() && (job.gangRan || anyStopping(job));
   }
 
+  /**
+   * Keeping room empty costs others time. It begins when a gang has waited for a good part of its
+   * aim, and ends when the aim is missed, since others may still meet theirs; but nobody waits for
+   * ever.
+   */
+  private static boolean keeps(Job job, long nowMs) {
+    double aimS = job.startAimS == null ? Constants.GANG_AIM_S : job.startAimS;
+    double waited = (nowMs - job.submittedMs) / (aimS * 1000);
+    return waited >= Constants.KEEP_AGAIN || (waited >= Constants.KEEP_FROM && waited < 1);
+  }
+
   private boolean withinLimit(Job job) {
     Team team = c.facts.teams().get(job.spec.team());
     if (team == null) {
