--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -74,11 +74,8 @@
   /** Seconds in which a gang should start where no aim says so; ours. */
   public static final double GANG_AIM_S = 150;
 
-  /** Share of its aim after which free room is kept for a gang that is too large for it. */
-  public static final double KEEP_FROM = 0.4;
-
-  /** Once its aim is missed room is kept again after so many times the aim: nobody starves. */
-  public static final double KEEP_AGAIN = 2;
+  /** Times its aim after which free room is kept for a gang that finds too little. */
+  public static final double KEEP_AFTER = 2;
 
   /** Milliseconds between passes when nothing happens. */
   public static final long PASS_MS = 250;
--- a/src/main/java/org/astershift/core/Gangs.java
+++ b/src/main/java/org/astershift/core/Gangs.java
@@ -3,19 +3,17 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.astershift.config.Constants;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
  * Seats gangs: all tasks in one pass or none; and replaces tasks lost before the gang started. The
- * first gang that finds too little room in a zone has what is free there kept for it: otherwise
- * smaller ones take each machine as it becomes free, and a large gang waits for ever.
+ * first gang that has waited for too long has what becomes free in a zone kept for it: otherwise
+ * smaller ones take each machine, and a large gang waits for ever.
  */
 final class Gangs {
   private static final Logger LOG = LoggerFactory.getLogger(Gangs.class);
@@ -28,12 +26,12 @@
   }
 
   void place(List<Job> jobs, List<Machine> usable, long nowMs) {
-    Set<String> kept = new HashSet<>();
+    boolean keeps = false;
     for (Job job : jobs) {
       if (job.spec.kind() == JobKind.GANG && !job.waiting.isEmpty() && !oldAttemptLeft(job)) {
         Map<String, Part> parts = parts(job, usable, nowMs);
-        if (!place(job, parts, nowMs) && keeps(job, nowMs) && withinLimit(job)) {
-          keep(job, parts, kept);
+        if (!place(job, parts, nowMs) && !keeps && starves(job, nowMs) && withinLimit(job)) {
+          keeps = keep(job, parts, nowMs);
         }
       }
     }
@@ -44,15 +42,10 @@
     return !job.runs.isEmpty() && (job.gangRan || anyStopping(job));
   }
 
-  /**
-   * Keeping room empty costs others time. It begins when a gang has waited for a good part of its
-   * aim, and ends when the aim is missed, since others may still meet theirs; but nobody waits for
-   * ever.
-   */
-  private static boolean keeps(Job job, long nowMs) {
+  /** Keeping room empty costs others their aims, so it begins late; but nobody waits for ever. */
+  private static boolean starves(Job job, long nowMs) {
     double aimS = job.startAimS == null ? Constants.GANG_AIM_S : job.startAimS;
-    double waited = (nowMs - job.submittedMs) / (aimS * 1000);
-    return waited >= Constants.KEEP_AGAIN || (waited >= Constants.KEEP_FROM && waited < 1);
+    return nowMs - job.submittedMs >= aimS * 1000 * Constants.KEEP_AFTER;
   }
 
   private boolean withinLimit(Job job) {
@@ -133,23 +126,20 @@
     return true;
   }
 
-  /** Keeps what is free for this gang in one zone, if no other gang has that zone already. */
-  private void keep(Job job, Map<String, Part> parts, Set<String> kept) {
+  /** Keeps what is free for this gang in one zone. */
+  private boolean keep(Job job, Map<String, Part> parts, long nowMs) {
     String best = null;
     for (Map.Entry<String, Part> e : parts.entrySet()) {
-      if (kept.contains(e.getKey()) || e.getValue().capacity < job.waitingCount()) {
-        continue;
-      }
-      if (e.getKey().equals(job.keptIn)) {
-        best = job.keptIn;
-        break;
-      }
-      if (best == null || e.getValue().free.size() > parts.get(best).free.size()) {
+      if (e.getValue().capacity >= job.waitingCount()
+          && (best == null
+              || e.getKey().equals(job.keptIn)
+              || (!best.equals(job.keptIn)
+                  && e.getValue().free.size() > parts.get(best).free.size()))) {
         best = e.getKey();
       }
     }
     if (best == null) {
-      return;
+      return false;
     }
     if (!best.equals(job.keptIn)) {
       LOG.info(
@@ -159,10 +149,11 @@
           best.isEmpty() ? "any zone" : best);
       job.keptIn = best;
     }
-    kept.add(best);
     for (Machine m : parts.get(best).free) {
       m.reserve(job.spec, m.room(job.spec, job.waitingCount()));
+      m.idleSinceMs = nowMs;
     }
+    return true;
   }
 
   private static boolean anyStopping(Job job) {
--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -156,9 +156,10 @@
         + Math.round(spec.estimateS())
         + " s, deadline "
         + (spec.deadlineS() == null ? "none" : Math.round(spec.deadlineS()) + " s")
-        + "), last start after "
-        + (lastPlacedMs - submittedMs) / 1000
-        + " s, "
+        + "), last start "
+        + (lastPlacedMs == 0
+            ? "before this term, "
+            : "after " + (lastPlacedMs - submittedMs) / 1000 + " s, ")
         + restarts
         + " runs lost";
   }
