--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -71,6 +71,12 @@
    */
   public static final double CROWDED_LOSS = 20;
 
+  /** Seconds in which a gang should start where no aim says so; ours. */
+  public static final double GANG_AIM_S = 150;
+
+  /** Times its aim after which free room is kept for a gang that finds too little. */
+  public static final double KEEP_AFTER = 2;
+
   /** Milliseconds between passes when nothing happens. */
   public static final long PASS_MS = 250;
 
--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -48,6 +48,9 @@
 
   boolean belowGuarantee;
 
+  /** The zone in which free room is kept for this gang; null while it waits for none. */
+  String keptIn;
+
   long gangAttempt;
   boolean gangRan;
 
@@ -153,9 +156,10 @@
         + Math.round(spec.estimateS())
         + " s, deadline "
         + (spec.deadlineS() == null ? "none" : Math.round(spec.deadlineS()) + " s")
-        + "), last start after "
-        + (lastPlacedMs - submittedMs) / 1000
-        + " s, "
+        + "), last start "
+        + (lastPlacedMs == 0
+            ? "before this term, "
+            : "after " + (lastPlacedMs - submittedMs) / 1000 + " s, ")
         + restarts
         + " runs lost";
   }
