--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -112,6 +112,12 @@
   /** A machine costs at least so many milliseconds, so it is not given back sooner; protocol's. */
   public static final long CHARGED_LEAST_MS = 60_000;
 
+  /** Seconds over which it is counted how often idle machines are taken. */
+  public static final double REUSE_WINDOW_S = 60;
+
+  /** Milliseconds that a machine is kept idle even if nothing speaks for its use. */
+  public static final long IDLE_LEAST_MS = 10_000;
+
   /** An idle machine is kept for at least this many times its type's boot time. */
   public static final double IDLE_BOOTS = 1.7;
 
--- a/src/main/java/org/astershift/core/Returning.java
+++ b/src/main/java/org/astershift/core/Returning.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -65,8 +66,10 @@
       }
     }
     boolean believe = believable(nowMs);
+    Set<Machine> needless = needless(nowMs);
     for (Machine m : c.all()) {
-      String why = m.state == Machine.State.RETURNING ? null : whyReturn(m, believe, nowMs);
+      String why =
+          m.state == Machine.State.RETURNING ? null : whyReturn(m, believe, needless, nowMs);
       if (why != null) {
         LOG.info("machine {} ({} in {}) is returned: {}", m.name, m.type, m.zone, why);
         if (silent(m, nowMs)) {
@@ -122,7 +125,7 @@
         && (m.directFailures > 0 || m.addr == null || m.session == 0);
   }
 
-  private String whyReturn(Machine m, boolean believe, long nowMs) {
+  private String whyReturn(Machine m, boolean believe, Set<Machine> needless, long nowMs) {
     MachineType t = m.kind;
     switch (m.state) {
       case BOOTING -> {
@@ -147,7 +150,7 @@
         }
         boolean idle =
             !m.holdsAny()
-                && nowMs - m.idleSinceMs > idleReleaseMs(m)
+                && (nowMs - m.idleSinceMs > idleReleaseMs(m) || needless.contains(m))
                 && nowMs - m.knownMs > Constants.CHARGED_LEAST_MS;
         return idle ? "idle" : null;
       }
@@ -167,6 +170,34 @@
     return keep * (m.spot ? Constants.IDLE_SPOT : 1) * 1000;
   }
 
+  /**
+   * Idle machines that will not be wanted for longer than a new one takes to come: if machines of a
+   * type are taken from idleness at some rate, the tenth idle one waits for ten of them.
+   */
+  private Set<Machine> needless(long nowMs) {
+    Map<String, List<Machine>> idle = new HashMap<>();
+    for (Machine m : c.all()) {
+      if (m.state == Machine.State.LIVE && !m.holdsAny() && m.kind != null) {
+        idle.computeIfAbsent(m.type, t -> new ArrayList<>()).add(m);
+      }
+    }
+    Set<Machine> needless = new HashSet<>();
+    for (Map.Entry<String, List<Machine>> e : idle.entrySet()) {
+      List<Machine> machines = e.getValue();
+      machines.sort(
+          Comparator.comparing((Machine m) -> !m.spot)
+              .thenComparingLong(m -> nowMs - m.idleSinceMs));
+      double wanted =
+          c.reusedPerS(e.getKey(), nowMs) * machines.get(0).kind.bootS() * Constants.IDLE_BOOTS;
+      for (Machine m : machines.subList((int) Math.min(wanted, machines.size()), machines.size())) {
+        if (nowMs - m.idleSinceMs > Constants.IDLE_LEAST_MS) {
+          needless.add(m);
+        }
+      }
+    }
+    return needless;
+  }
+
   /** Nothing it held can be alive any more, so that giving it back loses nothing. */
   private boolean pastLease(Machine m, long nowMs) {
     return nowMs - Math.max(m.seenMs, m.heardMs) > 1.5 * c.facts.leaseS() * 1000;
