--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -118,6 +118,9 @@
   /** Milliseconds that a machine is kept idle even if nothing speaks for its use. */
   public static final long IDLE_LEAST_MS = 10_000;
 
+  /** Share of the fleet's price that idle machines may cost beyond what is likely to be taken. */
+  public static final double IDLE_SHARE = 0.03;
+
   /** An idle machine is kept for at least this many times its type's boot time. */
   public static final double IDLE_BOOTS = 1.7;
 
--- a/src/main/java/org/astershift/core/Returning.java
+++ b/src/main/java/org/astershift/core/Returning.java
@@ -172,16 +172,21 @@
 
   /**
    * Idle machines that will not be wanted for longer than a new one takes to come: if machines of a
-   * type are taken from idleness at some rate, the tenth idle one waits for ten of them.
+   * type are taken from idleness at some rate, the tenth idle one waits for ten of them. The cheap
+   * ones among them may stay as long as all together cost little beside the fleet.
    */
   private Set<Machine> needless(long nowMs) {
     Map<String, List<Machine>> idle = new HashMap<>();
+    double allowance = 0;
     for (Machine m : c.all()) {
-      if (m.state == Machine.State.LIVE && !m.holdsAny() && m.kind != null) {
-        idle.computeIfAbsent(m.type, t -> new ArrayList<>()).add(m);
+      if (m.state == Machine.State.LIVE && m.kind != null) {
+        allowance += m.kind.price(m.spot) * Constants.IDLE_SHARE;
+        if (!m.holdsAny()) {
+          idle.computeIfAbsent(m.type, t -> new ArrayList<>()).add(m);
+        }
       }
     }
-    Set<Machine> needless = new HashSet<>();
+    List<Machine> surplus = new ArrayList<>();
     for (Map.Entry<String, List<Machine>> e : idle.entrySet()) {
       List<Machine> machines = e.getValue();
       machines.sort(
@@ -189,10 +194,14 @@
               .thenComparingLong(m -> nowMs - m.idleSinceMs));
       double wanted =
           c.reusedPerS(e.getKey(), nowMs) * machines.get(0).kind.bootS() * Constants.IDLE_BOOTS;
-      for (Machine m : machines.subList((int) Math.min(wanted, machines.size()), machines.size())) {
-        if (nowMs - m.idleSinceMs > Constants.IDLE_LEAST_MS) {
-          needless.add(m);
-        }
+      surplus.addAll(machines.subList((int) Math.min(wanted, machines.size()), machines.size()));
+    }
+    surplus.sort(Comparator.comparingDouble(m -> m.kind.price(m.spot)));
+    Set<Machine> needless = new HashSet<>();
+    for (Machine m : surplus) {
+      allowance -= m.kind.price(m.spot);
+      if (allowance < 0 && nowMs - m.idleSinceMs > Constants.IDLE_LEAST_MS) {
+        needless.add(m);
       }
     }
     return needless;
