--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -119,7 +119,7 @@
   public static final long IDLE_LEAST_MS = 10_000;
 
   /** Share of the fleet's price that idle machines may cost beyond what is likely to be taken. */
-  public static final double IDLE_SHARE = 0.03;
+  public static final double IDLE_SHARE = 0.015;
 
   /** An idle machine is kept for at least this many times its type's boot time. */
   public static final double IDLE_BOOTS = 1.7;
--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
@@ -369,6 +370,17 @@
     return p.all == 0 ? 0 : p.used / p.all;
   }
 
+  /** For the log: what is used of machines without and with accelerators. */
+  String use() {
+    return String.format(
+        Locale.ROOT,
+        "%.0f of %.0f processors used, beside accelerators %.0f of %.0f",
+        plain.used,
+        plain.all,
+        accelerated.used,
+        accelerated.all);
+  }
+
   Collection<Machine> all() {
     return machines.values();
   }
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -457,7 +457,9 @@
         + booting
         + " booting, "
         + (c.machines.size() - live - booting)
-        + " other; "
+        + " other, "
+        + c.use()
+        + "; "
         + spending;
   }
 
