--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -51,10 +51,10 @@
   /** Deadline assumed for the queue's order where a job has none, seconds. */
   public static final double NO_DEADLINE_S = 600;
 
-  /** Share of its estimate by which a job may start too late before it counts as overdue. */
-  public static final double HOPELESS_SHARE = 0.5;
+  /** Share of its run that a running task has left, on average. */
+  public static final double RUN_LEFT = 0.5;
 
-  /** Overdue jobs queue behind all others of their priority: by more than any deadline. */
+  /** Jobs put off queue behind all others of their priority: by more than any deadline. */
   public static final double OVERDUE_BEHIND_MS = 1e9;
 
   /** Aims on starting up to this many seconds may stop work of lower priority. */
--- a/src/main/java/org/astershift/config/Settings.java
+++ b/src/main/java/org/astershift/config/Settings.java
@@ -101,7 +101,8 @@
               c.text(o, "kind"),
               c.textOr(o, "class", ""),
               c.numberOr(o, "within_s", 0),
-              c.numberOr(o, "share", 0)));
+              c.numberOr(o, "share", 0),
+              c.numberOr(o, "times", 1)));
     }
     int txnOps = (int) c.number(state, "txn_ops", 2, 1e6);
     StoreLimits limits =
--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -63,6 +63,7 @@
   private static final class Pool {
     double used;
     double all;
+    double booting;
   }
 
   Cluster(Facts facts, Policy policy, long token) {
@@ -354,16 +355,24 @@
     for (Pool p : List.of(plain, accelerated)) {
       p.used = 0;
       p.all = 0;
+      p.booting = 0;
     }
     for (Machine m : machines.values()) {
       if (m.state == Machine.State.LIVE && m.kind != null) {
         Pool p = pool(m);
         p.used += m.usedCpus();
         p.all += m.kind.cpus();
+      } else if (m.state == Machine.State.BOOTING && m.kind != null) {
+        pool(m).booting += m.kind.cpus();
       }
     }
   }
 
+  /** Processors of machines without accelerators, there or on their way. */
+  double plainProcessors() {
+    return plain.all + plain.booting;
+  }
+
   /** Busy over allocated processors, of the machines that can stand in for this one. */
   double utilization(Machine m) {
     Pool p = pool(m);
--- a/src/main/java/org/astershift/core/Facts.java
+++ b/src/main/java/org/astershift/core/Facts.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 
 /** What the settings say of the deployment, as far as scheduling needs it. */
 public record Facts(
@@ -24,4 +26,17 @@
     }
     return best;
   }
+
+  /**
+   * By how many times its deadline a job should be done, as far as the operators care; ascending.
+   */
+  public Set<Double> deadlineTimes() {
+    Set<Double> times = new TreeSet<>(Set.of(1.0));
+    for (Objective o : objectives) {
+      if (o.kind().equals("deadline")) {
+        times.add(o.times());
+      }
+    }
+    return times;
+  }
 }
--- a/src/main/java/org/astershift/core/Objective.java
+++ b/src/main/java/org/astershift/core/Objective.java
@@ -1,6 +1,7 @@
 package org.astershift.core;
 
 /**
- * An aim of the operators: {@code kind} as the settings name it, {@code withinS} 0 if it has none.
+ * An aim of the operators: {@code kind} as the settings name it, {@code withinS} 0 if it has none,
+ * {@code times} how many times its deadline a job may take.
  */
-public record Objective(String kind, String jobClass, double withinS, double share) {}
+public record Objective(String kind, String jobClass, double withinS, double share, double times) {}
--- a/src/main/java/org/astershift/core/Placement.java
+++ b/src/main/java/org/astershift/core/Placement.java
@@ -29,11 +29,11 @@
 
   /** All free machines and the whole window. */
   void pass(long nowMs) {
+    c.recount();
     queue.refresh(nowMs);
     if (queue.isEmpty()) {
       return;
     }
-    c.recount();
     List<Machine> usable = new ArrayList<>();
     for (Machine m : c.all()) {
       m.clearReserved();
--- a/src/main/java/org/astershift/core/Queue.java
+++ b/src/main/java/org/astershift/core/Queue.java
@@ -5,7 +5,6 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
-import org.astershift.config.Constants;
 
 /**
  * The wait queue's window: the first tasks that may start now, as jobs, since all tasks of a job
@@ -15,8 +14,11 @@
   private final Cluster c;
   private final Map<Priority, List<Job>> window = new EnumMap<>(Priority.class);
 
+  private final Triage triage;
+
   Queue(Cluster cluster) {
     this.c = cluster;
+    this.triage = new Triage(cluster);
   }
 
   /**
@@ -33,13 +35,21 @@
   void refresh(long nowMs) {
     window.clear();
     List<Job> queue = new ArrayList<>();
+    Map<Priority, List<Job>> timed = new EnumMap<>(Priority.class);
     for (Job job : c.waiting) {
       if (startable(job, nowMs)) {
-        job.urgencyMs = urgencyMs(job, nowMs);
+        job.urgencyMs =
+            job.startAimS != null ? job.submittedMs + job.startAimS * 1000 : Triage.startMs(job);
         job.belowGuarantee = belowGuarantee(job);
         queue.add(job);
+        if (job.startAimS == null
+            && job.spec.kind() == JobKind.ARRAY
+            && job.spec.deadlineS() != null) {
+          timed.computeIfAbsent(job.spec.priority(), p -> new ArrayList<>()).add(job);
+        }
       }
     }
+    timed.forEach((priority, jobs) -> triage.sort(priority, jobs, nowMs));
     queue.sort(
         Comparator.comparing((Job j) -> j.spec.priority())
             .thenComparing(j -> !j.belowGuarantee)
@@ -84,17 +94,4 @@
         ? use[1] + spec.gpus() <= team.gpus() + 1e-9
         : use[0] + spec.cpus() <= team.cpus() + 1e-9;
   }
-
-  /** When the job should be started, on the steady clock; later is less urgent. */
-  private static double urgencyMs(Job job, long nowMs) {
-    JobSpec spec = job.spec;
-    if (job.startAimS != null) {
-      return job.submittedMs + job.startAimS * 1000;
-    }
-    double deadline = spec.deadlineS() != null ? spec.deadlineS() : Constants.NO_DEADLINE_S;
-    double start = job.submittedMs + (deadline - spec.estimateS()) * 1000;
-    // A job that cannot be in time any more must not make others late as well.
-    double hopeless = start + spec.estimateS() * Constants.HOPELESS_SHARE * 1000;
-    return nowMs > hopeless ? start + Constants.OVERDUE_BEHIND_MS : start;
-  }
 }
--- a/src/test/java/org/astershift/core/TracePlayer.java
+++ b/src/test/java/org/astershift/core/TracePlayer.java
@@ -45,7 +45,7 @@
                   w.num("cpus_max", 0),
                   w.num("gpus", 0),
                   w.num("gpus_max", 0)));
-      case "aim" -> objectives.add(new Objective("wait", plain.get(1), w.num("within", 1), 0.9));
+      case "aim" -> objectives.add(new Objective("wait", plain.get(1), w.num("within", 1), 0.9, 1));
       case "policy" ->
           policy =
               new Policy(
