--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -54,6 +54,9 @@
   /** Share of its run that a running task has left, on average. */
   public static final double RUN_LEFT = 0.5;
 
+  /** Share of its estimate by which a job may seem to end too late: estimates are often wrong. */
+  public static final double HOPEFUL_SHARE = 0.5;
+
   /** Jobs put off queue behind all others of their priority: by more than any deadline. */
   public static final double OVERDUE_BEHIND_MS = 1e9;
 
--- a/src/main/java/org/astershift/core/Triage.java
+++ b/src/main/java/org/astershift/core/Triage.java
@@ -65,7 +65,7 @@
       load += work(job);
       chosen.add(job);
       double runMs = job.spec.estimateS() * 1000;
-      double endMs = nowMs + Math.max(runMs, load / perMs + runMs * Constants.RUN_LEFT);
+      double endMs = nowMs + Math.max(runMs, load / perMs) - runMs * Constants.HOPEFUL_SHARE;
       if (endMs > job.submittedMs + times * job.spec.deadlineS() * 1000) {
         Job largest = chosen.remove();
         load -= work(largest);
