--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -51,10 +51,13 @@
   /** Deadline assumed for the queue's order where a job has none, seconds. */
   public static final double NO_DEADLINE_S = 600;
 
-  /** Share of its estimate by which a job may start too late before it counts as overdue. */
-  public static final double HOPELESS_SHARE = 0.5;
+  /** Share of its run that a running task has left, on average. */
+  public static final double RUN_LEFT = 0.5;
 
-  /** Overdue jobs queue behind all others of their priority: by more than any deadline. */
+  /** Share of its estimate by which a job may seem to end too late: estimates are often wrong. */
+  public static final double HOPEFUL_SHARE = 0.5;
+
+  /** Jobs put off queue behind all others of their priority: by more than any deadline. */
   public static final double OVERDUE_BEHIND_MS = 1e9;
 
   /** Aims on starting up to this many seconds may stop work of lower priority. */
@@ -112,6 +115,15 @@
   /** A machine costs at least so many milliseconds, so it is not given back sooner; protocol's. */
   public static final long CHARGED_LEAST_MS = 60_000;
 
+  /** Seconds over which it is counted how often idle machines are taken. */
+  public static final double REUSE_WINDOW_S = 60;
+
+  /** Milliseconds that a machine is kept idle even if nothing speaks for its use. */
+  public static final long IDLE_LEAST_MS = 10_000;
+
+  /** Share of the fleet's price that idle machines may cost beyond what is likely to be taken. */
+  public static final double IDLE_SHARE = 0.015;
+
   /** An idle machine is kept for at least this many times its type's boot time. */
   public static final double IDLE_BOOTS = 1.7;
 
--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
@@ -53,6 +54,7 @@
   private final List<Decision.Strike> struck = new ArrayList<>();
   private final Pool plain = new Pool();
   private final Pool accelerated = new Pool();
+  private final Map<String, Decaying> reuse = new HashMap<>();
   private long attempts;
   private int unheard;
   private boolean restless;
@@ -61,6 +63,7 @@
   private static final class Pool {
     double used;
     double all;
+    double booting;
   }
 
   Cluster(Facts facts, Policy policy, long token) {
@@ -240,6 +243,9 @@
   }
 
   Run place(Job job, int index, Machine m, long attempt, long nowMs) {
+    if (!m.holdsAny()) {
+      reuse.computeIfAbsent(m.type, t -> new Decaying(Constants.REUSE_WINDOW_S)).add(nowMs);
+    }
     Run run = new Run(job, index, attempt, m, nowMs);
     m.add(run);
     hold(run);
@@ -252,6 +258,12 @@
     return run;
   }
 
+  /** How many machines of a type are taken from idleness in a second, lately. */
+  double reusedPerS(String type, long nowMs) {
+    Decaying d = reuse.get(type);
+    return d == null ? 0 : d.perS(nowMs);
+  }
+
   /** A task found on a machine; it is the job's unless another attempt is, or nobody wants it. */
   void adopt(Run run) {
     run.machine.add(run);
@@ -343,22 +355,41 @@
     for (Pool p : List.of(plain, accelerated)) {
       p.used = 0;
       p.all = 0;
+      p.booting = 0;
     }
     for (Machine m : machines.values()) {
       if (m.state == Machine.State.LIVE && m.kind != null) {
         Pool p = pool(m);
         p.used += m.usedCpus();
         p.all += m.kind.cpus();
+      } else if (m.state == Machine.State.BOOTING && m.kind != null) {
+        pool(m).booting += m.kind.cpus();
       }
     }
   }
 
+  /** Processors of machines without accelerators, there or on their way. */
+  double plainProcessors() {
+    return plain.all + plain.booting;
+  }
+
   /** Busy over allocated processors, of the machines that can stand in for this one. */
   double utilization(Machine m) {
     Pool p = pool(m);
     return p.all == 0 ? 0 : p.used / p.all;
   }
 
+  /** For the log: what is used of machines without and with accelerators. */
+  String use() {
+    return String.format(
+        Locale.ROOT,
+        "%.0f of %.0f processors used, beside accelerators %.0f of %.0f",
+        plain.used,
+        plain.all,
+        accelerated.used,
+        accelerated.all);
+  }
+
   Collection<Machine> all() {
     return machines.values();
   }
