--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -49,7 +49,9 @@
   /** Jobs with done tasks that no record holds yet. */
   final Set<Job> unsaved = new LinkedHashSet<>();
 
+  private static final double TOLERANCE = 1e-6;
   private Map<String, MachineType> types = Map.of();
+  private final Map<String, Spare> spare = new HashMap<>();
   private final Map<String, double[]> teamUse = new HashMap<>();
   private final List<Decision.Strike> struck = new ArrayList<>();
   private final Pool plain = new Pool();
@@ -98,13 +100,59 @@
     for (Machine m : machines.values()) {
       m.kind = known.get(m.type);
     }
+    spare.clear();
     for (Job job : jobs.values()) {
-      job.usableTypes = usableTypes(job.spec);
+      fit(job);
     }
     recount();
     stir();
   }
 
+  /** Finds the types for the job, and what it leaves over on those with accelerators. */
+  private void fit(Job job) {
+    job.usableTypes = usableTypes(job.spec);
+    job.spareTypes = new LinkedHashSet<>();
+    for (MachineType t : types.values()) {
+      if (t.gpus() > 0 && job.spec.fits(t)) {
+        if (job.spec.gpus() > 0) {
+          spare.computeIfAbsent(t.name(), n -> new Spare(t)).leave(t, job.spec);
+        } else if (job.spec.kind() == JobKind.ARRAY && !job.usableTypes.contains(t.name())) {
+          job.spareTypes.add(t.name());
+        }
+      }
+    }
+  }
+
+  /**
+   * Whether a task without accelerators fits beside those with, on what these cannot use anyway: it
+   * never keeps one of them from the machine. Only while one is there, so that it may go when idle.
+   */
+  boolean spareHolds(Machine m, Job job) {
+    Spare s = spare.get(m.type);
+    return s != null
+        && m.usedGpus() > 0
+        && job.spareTypes.contains(m.type)
+        && m.plainCpus() + job.spec.cpus() <= s.cpus + TOLERANCE
+        && m.plainMemory() + job.spec.memoryGb() <= s.memory + TOLERANCE;
+  }
+
+  /** What is left of a machine with accelerators by the work that needs these. */
+  private static final class Spare {
+    private double cpus;
+    private double memory;
+
+    Spare(MachineType t) {
+      cpus = t.cpus();
+      memory = t.memoryGb();
+    }
+
+    void leave(MachineType t, JobSpec s) {
+      int n = t.capacity(s);
+      cpus = Math.min(cpus, t.cpus() - n * s.cpus());
+      memory = Math.min(memory, t.memoryGb() - n * s.memoryGb());
+    }
+  }
+
   /** Zones in which the cloud has machines. */
   Set<String> zones() {
     Set<String> zones = new TreeSet<>();
@@ -133,7 +181,7 @@
   // ---- jobs ----
 
   void addJob(Job job) {
-    job.usableTypes = usableTypes(job.spec);
+    fit(job);
     jobs.put(job.spec.id(), job);
     if (!job.waiting.isEmpty()) {
       waiting.add(job);
@@ -243,7 +291,7 @@
   }
 
   Run place(Job job, int index, Machine m, long attempt, long nowMs) {
-    if (!m.holdsAny()) {
+    if (m.idle()) {
       reuse.computeIfAbsent(m.type, t -> new Decaying(Constants.REUSE_WINDOW_S)).add(nowMs);
     }
     Run run = new Run(job, index, attempt, m, nowMs);
--- a/src/main/java/org/astershift/core/Gangs.java
+++ b/src/main/java/org/astershift/core/Gangs.java
@@ -77,11 +77,11 @@
     Map<String, Part> parts = new LinkedHashMap<>();
     boolean old = placement.pastAge(job, nowMs);
     for (Machine m : usable) {
-      if (!placement.allowed(m, job)) {
+      if (!job.usableTypes.contains(m.type) || !placement.allowed(m, job)) {
         continue;
       }
       Part part = parts.computeIfAbsent(job.spec.oneZone() ? m.zone : "", z -> new Part());
-      part.capacity += m.capacity(job.spec);
+      part.capacity += m.kind.capacity(job.spec);
       int fits = m.room(job.spec, job.waitingCount());
       if (fits > 0) {
         part.free.add(m);
--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -40,6 +40,11 @@
   /** Types of machines that its tasks may go to. */
   Set<String> usableTypes = Set.of();
 
+  /**
+   * Types with accelerators that its tasks need not: they may have what others leave over there.
+   */
+  Set<String> spareTypes = Set.of();
+
   /** Within a pass: waiting tasks for which room is being made. */
   int covered;
 
--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -84,6 +84,8 @@
   private double usedGpus;
   private double usedMemory;
   private double replicaCpus;
+  private double plainCpus;
+  private double plainMemory;
   private int held;
 
   Machine(
@@ -123,6 +125,10 @@
     usedGpus += sign * s.gpus();
     usedMemory += sign * s.memoryGb();
     replicaCpus += s.kind() == JobKind.SERVICE ? sign * s.cpus() : 0;
+    if (s.gpus() == 0) {
+      plainCpus += sign * s.cpus();
+      plainMemory += sign * s.memoryGb();
+    }
     held += sign;
     needed.merge(s.image(), sign, (a, b) -> a + b == 0 ? null : a + b);
     if (held == 0) {
@@ -131,6 +137,8 @@
       usedGpus = 0;
       usedMemory = 0;
       replicaCpus = 0;
+      plainCpus = 0;
+      plainMemory = 0;
     }
   }
 
@@ -146,6 +154,20 @@
     return usedMemory;
   }
 
+  /** Processors that tasks without accelerators take. */
+  double plainCpus() {
+    return plainCpus;
+  }
+
+  double plainMemory() {
+    return plainMemory;
+  }
+
+  /** Nothing is here of what the machine is for. */
+  boolean idle() {
+    return kind != null && kind.gpus() > 0 ? usedGpus <= TOLERANCE : held == 0;
+  }
+
   /** Processors that replicas of services take. */
   double replicaCpus() {
     return replicaCpus;
@@ -175,15 +197,6 @@
     return (int) n;
   }
 
-  /** How many such tasks the machine could take if it were empty. */
-  int capacity(JobSpec s) {
-    double n = Integer.MAX_VALUE;
-    n = s.cpus() > 0 ? Math.min(n, (kind.cpus() + TOLERANCE) / s.cpus()) : n;
-    n = s.gpus() > 0 ? Math.min(n, (kind.gpus() + TOLERANCE) / s.gpus()) : n;
-    n = s.memoryGb() > 0 ? Math.min(n, (kind.memoryGb() + TOLERANCE) / s.memoryGb()) : n;
-    return (int) n;
-  }
-
   void clearReserved() {
     reservedCpus = 0;
     reservedGpus = 0;
--- a/src/main/java/org/astershift/core/MachineType.java
+++ b/src/main/java/org/astershift/core/MachineType.java
@@ -19,4 +19,13 @@
   public double price(boolean spot) {
     return spot ? spotPrice : price;
   }
+
+  /** How many such tasks an empty machine can take. */
+  public int capacity(JobSpec s) {
+    double n = Integer.MAX_VALUE;
+    n = s.cpus() > 0 ? Math.min(n, cpus / s.cpus()) : n;
+    n = s.gpus() > 0 ? Math.min(n, gpus / s.gpus()) : n;
+    n = s.memoryGb() > 0 ? Math.min(n, memoryGb / s.memoryGb()) : n;
+    return (int) (n + 1e-6);
+  }
 }
--- a/src/main/java/org/astershift/core/Placement.java
+++ b/src/main/java/org/astershift/core/Placement.java
@@ -75,7 +75,7 @@
     List<Machine> only = List.of(m);
     for (Priority priority : Priority.values()) {
       List<Job> jobs = singles(queue.tier(priority));
-      jobs.removeIf(job -> !queue.startable(job, nowMs) || m.room(job.spec, 1) == 0);
+      jobs.removeIf(job -> !queue.startable(job, nowMs) || !fits(m, job));
       if (!jobs.isEmpty()) {
         fill(only, jobs, 1, true, nowMs);
         fill(only, jobs, 0.1, true, nowMs);
@@ -135,7 +135,7 @@
   }
 
   private void fill(Machine m, Job job, double least, boolean thin, long nowMs) {
-    if (job.waiting.isEmpty() || m.room(job.spec, 1) == 0 || !allowed(m, job)) {
+    if (job.waiting.isEmpty() || !fits(m, job) || !allowed(m, job)) {
       return;
     }
     double score = m.score(job.spec.image());
@@ -147,7 +147,7 @@
         && (score == 1 || job.waitingCount() > job.covered)
         && !(thin && crowded(m, job))
         && m.taken < c.policy.batch()
-        && m.room(job.spec, 1) > 0) {
+        && fits(m, job)) {
       if (score == 0 && !pastAge(job, nowMs) && c.utilization(m) >= c.policy.utilization()) {
         return;
       }
@@ -163,6 +163,11 @@
     }
   }
 
+  /** Whether there is room for one more task of the job on a machine that it may use. */
+  private boolean fits(Machine m, Job job) {
+    return m.room(job.spec, 1) > 0 && (job.usableTypes.contains(m.type) || c.spareHolds(m, job));
+  }
+
   boolean pastAge(Job job, long nowMs) {
     double age = c.policy.waitingAgeS();
     if (job.startAimS != null) {
@@ -195,7 +200,6 @@
 
   boolean allowed(Machine m, Job job) {
     return (!m.spot || job.spec.spot())
-        && job.usableTypes.contains(m.type)
         && job.zoneAllowed(m.zone)
         && !(job.everRan && job.failedOn.contains(m.name));
   }
--- a/src/main/java/org/astershift/core/Preemption.java
+++ b/src/main/java/org/astershift/core/Preemption.java
@@ -98,7 +98,7 @@
   private Choice choice(Machine m, Job job, boolean onlyHits, long nowMs) {
     JobSpec spec = job.spec;
     boolean hit = m.images.containsKey(spec.image());
-    if ((onlyHits && !hit) || !placement.allowed(m, job)) {
+    if ((onlyHits && !hit) || !job.usableTypes.contains(m.type) || !placement.allowed(m, job)) {
       return null;
     }
     List<Run> victims = victims(m, spec, nowMs);
--- a/src/main/java/org/astershift/core/Renting.java
+++ b/src/main/java/org/astershift/core/Renting.java
@@ -215,7 +215,7 @@
     double bestCost = Double.MAX_VALUE;
     for (String name : need.job.usableTypes) {
       MachineType t = c.types().get(name);
-      int per = perMachine(spec, t);
+      int per = Math.max(1, t.capacity(spec));
       int count = (need.left() + per - 1) / per;
       for (boolean spot : spec.spotOrNot()) {
         for (String zone : t.zones()) {
@@ -240,15 +240,4 @@
   private static int zoneShare(int count, MachineType t) {
     return Math.max(1, (count + t.zones().size() - 1) / t.zones().size());
   }
-
-  private static int perMachine(JobSpec spec, MachineType t) {
-    double per = t.memoryGb() / Math.max(spec.memoryGb(), 1e-9);
-    if (spec.cpus() > 0) {
-      per = Math.min(per, t.cpus() / spec.cpus());
-    }
-    if (spec.gpus() > 0) {
-      per = Math.min(per, t.gpus() / spec.gpus());
-    }
-    return Math.max(1, (int) Math.floor(per + 1e-6));
-  }
 }
--- a/src/main/java/org/astershift/core/Reports.java
+++ b/src/main/java/org/astershift/core/Reports.java
@@ -94,7 +94,7 @@
     for (Report.Item item : strange) {
       adopt(m, item, r.seq(), nowMs);
     }
-    if (m.holdsAny()) {
+    if (!m.idle()) {
       m.idleSinceMs = nowMs;
     }
     return true;
--- a/src/main/java/org/astershift/core/Returning.java
+++ b/src/main/java/org/astershift/core/Returning.java
@@ -149,7 +149,7 @@
           return m.holdsAny() ? null : "faulty";
         }
         boolean idle =
-            !m.holdsAny()
+            m.idle()
                 && (nowMs - m.idleSinceMs > idleReleaseMs(m) || needless.contains(m))
                 && nowMs - m.knownMs > Constants.CHARGED_LEAST_MS;
         return idle ? "idle" : null;
@@ -181,7 +181,7 @@
     for (Machine m : c.all()) {
       if (m.state == Machine.State.LIVE && m.kind != null) {
         allowance += m.kind.price(m.spot) * Constants.IDLE_SHARE;
-        if (!m.holdsAny()) {
+        if (m.idle()) {
           idle.computeIfAbsent(m.type, t -> new ArrayList<>()).add(m);
         }
       }
--- a/src/main/java/org/astershift/core/Spending.java
+++ b/src/main/java/org/astershift/core/Spending.java
@@ -29,7 +29,7 @@
       switch (m.state) {
         case BOOTING -> booting += cost;
         case LIVE -> {
-          if (m.holdsAny()) {
+          if (!m.idle()) {
             used += cost * share;
             unused += cost * (1 - share);
           } else {
