A zone that falls silent is taken to be cut off; silent machines are all asked at once

Change: questions have 64 threads of their own; a zone of which 60% is silent counts as cut off, its machines go back at once, nothing is rented there until it is heard; machines with overdue reports get no new tasks. Done tasks are forgotten by workers only once on record again: a task must not run again after a takeover.

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -145,6 +145,12 @@
   /** More than this share of the fleet silent at once is put down to the network here. */
   public static final double SILENT_SHARE = 0.25;
 
+  /** From this share of a zone's machines silent at once the zone is taken to be cut off. */
+  public static final double ZONE_CUT_SHARE = 0.6;
+
+  /** Milliseconds after which a zone that was cut off is tried again, though nothing was heard. */
+  public static final long ZONE_CUT_MS = 60_000;
+
   /** Machines given back as silent count as silent for so many milliseconds. */
   public static final long SILENCE_MS = 10_000;
 
@@ -258,7 +264,7 @@
   public static final long TYPES_MS = 60_000;
 
   /** Milliseconds between saves of progress. */
-  public static final long SAVE_MS = 4000;
+  public static final long SAVE_MS = 2000;
 
   // ---- http ----
 
@@ -291,8 +297,14 @@
   /** Stack of a connection's thread, bytes. */
   public static final long STACK_BYTES = 192 * 1024;
 
-  /** Threads that send direct orders: a machine behind a cut holds one for the deadline. */
-  public static final int ORDER_THREADS = 12;
+  /** Threads that send direct orders. */
+  public static final int ORDER_THREADS = 24;
+
+  /**
+   * Threads that ask silent machines whether they are there: each is held for the deadline, and all
+   * machines of a zone may fall silent at once.
+   */
+  public static final int QUESTION_THREADS = 64;
 
   /** A kept connection of ours is not used again after this many nanoseconds without use. */
   public static final long KEEP_CLIENT_NS = 20_000_000_000L;
--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -56,6 +56,7 @@
   private final List<Decision.Strike> struck = new ArrayList<>();
   private final Pool plain = new Pool();
   private final Pool accelerated = new Pool();
+  private final Map<String, Long> cutZones = new HashMap<>();
   private final Map<String, Decaying> reuse = new HashMap<>();
   private long attempts;
   private int unheard;
@@ -284,6 +285,36 @@
     return out;
   }
 
+  /** Whether new tasks may go there: not to a machine whose report is overdue. */
+  boolean usable(Machine m, long nowMs) {
+    return m.usable(nowMs) && m.silenceMs(nowMs) <= suspectMs();
+  }
+
+  /** Silence after which a machine is asked directly: its report is overdue. */
+  long suspectMs() {
+    return (long) (facts.reportS() * 1000 * Constants.REPORT_LATEST) + Constants.SUSPECT_MS;
+  }
+
+  /** So many machines of the zone fell silent that it must be cut off. */
+  void cutOff(String zone, long nowMs) {
+    if (cutZones.put(zone, nowMs) == null) {
+      LOG.info("zone {} is taken to be cut off: its machines have fallen silent", zone);
+    }
+  }
+
+  /** Whether nothing can be expected from the zone now. */
+  boolean isCutOff(String zone, long nowMs) {
+    Long at = cutZones.get(zone);
+    return at != null && nowMs - at < Constants.ZONE_CUT_MS;
+  }
+
+  /** A machine of the zone has spoken. */
+  void heardFrom(String zone) {
+    if (cutZones.remove(zone) != null) {
+      LOG.info("zone {} is heard again", zone);
+    }
+  }
+
   // ---- holding and releasing ----
 
   long nextAttempt() {
--- a/src/main/java/org/astershift/core/Commands.java
+++ b/src/main/java/org/astershift/core/Commands.java
@@ -22,7 +22,7 @@
     for (Run run : m.runs.values()) {
       if (run.exited()) {
         // Forgetting an attempt whose start may still arrive would let that start run it again.
-        if (!run.doubtful && !run.inFlight) {
+        if (!run.doubtful && !run.inFlight && forgettable(run)) {
           orders.add(Order.forget(run));
         }
       } else if (run.unwanted()) {
@@ -46,6 +46,15 @@
     return orders;
   }
 
+  /**
+   * What a machine says is done is kept there until it is on record: a successor may ask for it.
+   */
+  private static boolean forgettable(Run run) {
+    return run.job.state != Job.State.LIVE
+        || !"done".equals(run.cause)
+        || run.job.doneDurable.get(run.index);
+  }
+
   /** Whether a command waits that should not wait for the machine's next report. */
   static boolean due(Machine m) {
     for (Run run : m.runs.values()) {
@@ -94,7 +103,7 @@
       return null;
     }
     boolean claim = !m.claimed && m.inherited;
-    boolean probe = m.session > 0 && nowMs - Math.max(m.seenMs, m.heardMs) > suspectMs();
+    boolean probe = m.session > 0 && m.silenceMs(nowMs) > c.suspectMs();
     return claim || probe ? direct(m, List.of(), Constants.PROBE_TIMEOUT_MS, nowMs) : null;
   }
 
@@ -114,9 +123,4 @@
       }
     }
   }
-
-  /** Silence after which a machine is asked directly: its report is overdue. */
-  long suspectMs() {
-    return (long) (c.facts.reportS() * 1000 * Constants.REPORT_LATEST) + Constants.SUSPECT_MS;
-  }
 }
--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -31,6 +31,9 @@
   boolean cancelWanted;
   final BitSet done;
 
+  /** Those of them that are on record. */
+  final BitSet doneDurable;
+
   /** Tasks neither done nor held by a machine. */
   final BitSet waiting;
 
@@ -81,6 +84,7 @@
     this.startAimS = startAimS;
     this.opened = opened;
     this.done = done;
+    this.doneDurable = (BitSet) done.clone();
     this.doneCount = done.cardinality();
     this.waiting = new BitSet(spec.tasks());
     this.waiting.set(0, spec.tasks());
--- a/src/main/java/org/astershift/core/Placement.java
+++ b/src/main/java/org/astershift/core/Placement.java
@@ -38,7 +38,7 @@
     for (Machine m : c.all()) {
       m.clearReserved();
       m.taken = 0;
-      if (m.usable(nowMs)) {
+      if (c.usable(m, nowMs)) {
         usable.add(m);
       }
     }
--- a/src/main/java/org/astershift/core/Renting.java
+++ b/src/main/java/org/astershift/core/Renting.java
@@ -79,9 +79,9 @@
     inZone.clear();
     for (Machine m : c.all()) {
       inZone.merge(m.zone, 1, Integer::sum);
-      if (m.kind != null && m.state == Machine.State.BOOTING) {
+      if (m.kind != null && m.state == Machine.State.BOOTING && !c.isCutOff(m.zone, nowMs)) {
         coming.add(new Bin(m.kind, m.zone, m.spot));
-      } else if (m.usable(nowMs)) {
+      } else if (c.usable(m, nowMs)) {
         free.add(new Bin(m));
         soon.add(Bin.soon(m, soonMs));
       }
@@ -153,7 +153,8 @@
   }
 
   private boolean paused(Pool pool, long nowMs) {
-    return paused.getOrDefault(pool, Long.MIN_VALUE) > nowMs;
+    // What is rented in a zone that is cut off does not come up.
+    return paused.getOrDefault(pool, Long.MIN_VALUE) > nowMs || c.isCutOff(pool.zone(), nowMs);
   }
 
   private void add(Decision.Rent r, List<Bin> coming) {
--- a/src/main/java/org/astershift/core/Reports.java
+++ b/src/main/java/org/astershift/core/Reports.java
@@ -38,6 +38,7 @@
     }
     m.addr = r.addr();
     m.seenMs = nowMs;
+    c.heardFrom(m.zone);
     if (r.token() == c.token) {
       c.claim(m);
     }
--- a/src/main/java/org/astershift/core/Returning.java
+++ b/src/main/java/org/astershift/core/Returning.java
@@ -20,15 +20,13 @@
   private static final int NAMES_A_CALL = 100;
 
   private final Cluster c;
-  private final Commands commands;
   private final ArrayDeque<Long> silentReturns = new ArrayDeque<>();
   private final Set<String> failedNames = new HashSet<>();
   private final Set<String> asked = new HashSet<>();
   private final Map<String, Long> returned = new HashMap<>();
 
-  Returning(Cluster cluster, Commands commands) {
+  Returning(Cluster cluster) {
     this.c = cluster;
-    this.commands = commands;
   }
 
   /** A failed machine stays listed until it is deleted. */
@@ -72,9 +70,8 @@
           m.state == Machine.State.RETURNING ? null : whyReturn(m, believe, needless, nowMs);
       if (why != null) {
         LOG.info("machine {} ({} in {}) is returned: {}", m.name, m.type, m.zone, why);
-        if (silent(m, nowMs)) {
+        if (silent(m, nowMs) && !c.isCutOff(m.zone, nowMs)) {
           silentReturns.addLast(nowMs);
-          believe = believable(nowMs);
         }
         c.enter(m, Machine.State.RETURNING);
       }
@@ -88,40 +85,61 @@
   }
 
   /**
-   * Whether silence may be put down to the machines. If many fall silent at once the trouble is
-   * more likely between them and this leader, which must not give a healthy fleet away.
+   * Whether silence may be put down to the machines, or to a zone that is cut off. If many fall
+   * silent all over the fleet the trouble is more likely between them and this leader, which must
+   * not give a healthy fleet away.
    */
   private boolean believable(long nowMs) {
     while (!silentReturns.isEmpty() && nowMs - silentReturns.peekFirst() > Constants.SILENCE_MS) {
       silentReturns.removeFirst();
     }
-    int[] n = silentAndAll(nowMs);
-    int all = n[1] + silentReturns.size();
-    return n[0] + silentReturns.size()
-        <= Math.max(Constants.SILENT_FEW, all * Constants.SILENT_SHARE);
+    int silent = silentReturns.size();
+    int all = silentReturns.size();
+    for (Map.Entry<String, Silence> e : silence(nowMs).entrySet()) {
+      Silence zone = e.getValue();
+      if (zone.silent > Constants.SILENT_FEW
+          && zone.silent >= zone.all * Constants.ZONE_CUT_SHARE) {
+        c.cutOff(e.getKey(), nowMs);
+      } else {
+        silent += zone.silent;
+      }
+      all += zone.all;
+    }
+    return silent <= Math.max(Constants.SILENT_FEW, all * Constants.SILENT_SHARE)
+        && !isolated(nowMs);
   }
 
-  private int[] silentAndAll(long nowMs) {
-    int silent = 0;
-    int all = 0;
+  /** Machines of one zone that should report, and those of them that do not answer. */
+  private static final class Silence {
+    int silent;
+    int all;
+  }
+
+  private Map<String, Silence> silence(long nowMs) {
+    Map<String, Silence> zones = new HashMap<>();
     for (Machine m : c.all()) {
       if (m.state != Machine.State.BOOTING && m.state != Machine.State.RETURNING) {
-        all++;
-        silent += silent(m, nowMs) ? 1 : 0;
+        Silence zone = zones.computeIfAbsent(m.zone, z -> new Silence());
+        zone.all++;
+        zone.silent += silent(m, nowMs) ? 1 : 0;
       }
     }
-    return new int[] {silent, all};
+    return zones;
   }
 
   /** Whether most machines do not answer: another controller may reach them better. */
   boolean isolated(long nowMs) {
-    int[] n = silentAndAll(nowMs);
-    return n[0] > Constants.SILENT_FEW && n[0] * 2 > n[1];
+    int silent = 0;
+    int all = 0;
+    for (Silence zone : silence(nowMs).values()) {
+      silent += zone.silent;
+      all += zone.all;
+    }
+    return silent > Constants.SILENT_FEW && silent * 2 > all;
   }
 
   private boolean silent(Machine m, long nowMs) {
-    long silence = nowMs - Math.max(m.seenMs, m.heardMs);
-    return silence > commands.suspectMs() + Constants.SILENT_MS
+    return m.silenceMs(nowMs) > c.suspectMs() + Constants.SILENT_MS
         && (m.directFailures > 0 || m.addr == null || m.session == 0);
   }
 
@@ -209,6 +227,6 @@
 
   /** Nothing it held can be alive any more, so that giving it back loses nothing. */
   private boolean pastLease(Machine m, long nowMs) {
-    return nowMs - Math.max(m.seenMs, m.heardMs) > 1.5 * c.facts.leaseS() * 1000;
+    return m.silenceMs(nowMs) > 1.5 * c.facts.leaseS() * 1000;
   }
 }
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -39,7 +39,7 @@
     this.reports = new Reports(c);
     this.commands = new Commands(c);
     this.placement = new Placement(c);
-    this.returning = new Returning(c, commands);
+    this.returning = new Returning(c);
     this.renting = new Renting(c);
   }
 
@@ -436,6 +436,14 @@
     return out;
   }
 
+  /** These tasks of the job are done on record. */
+  public void saved(String id, BitSet done) {
+    Job job = c.jobs.get(id);
+    if (job != null) {
+      job.doneDurable.or(done);
+    }
+  }
+
   /** One line for the log. */
   public String summary() {
     int live = 0;
--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -38,6 +38,7 @@
   private volatile Term term;
 
   private final ExecutorService orderPool = Threads.pool("order", Constants.ORDER_THREADS);
+  private final ExecutorService questionPool = Threads.pool("question", Constants.QUESTION_THREADS);
   private final ExecutorService endPool = Threads.pool("end", Constants.END_THREADS);
   private final Object wake = new Object();
   private boolean stirred;
@@ -211,7 +212,9 @@
 
   private void carryOut(Term t, Decision d) {
     if (d instanceof Decision.Direct o) {
-      orderPool.execute(Threads.guarded("order", () -> direct(t, o)));
+      // Silent machines hold a thread until the deadline: the others' orders must not wait behind.
+      (o.orders().isEmpty() ? questionPool : orderPool)
+          .execute(Threads.guarded("order", () -> direct(t, o)));
     } else if (d instanceof Decision.OpenJob o) {
       t.notes.put(Notes.Kind.OPENED, o.job(), 1, 0);
     } else if (d instanceof Decision.FinishJob f) {
@@ -253,7 +256,13 @@
           }
         }
         case RENTAL -> machines.noted(t, key, value);
-        default -> {}
+        case PROGRESS -> {
+          BitSet done = new BitSet();
+          String job = Records.merge(done, key, value);
+          synchronized (t) {
+            t.scheduler.saved(job, done);
+          }
+        }
       }
     } catch (Json.Bad e) {
       throw new IllegalStateException("a note of ours cannot be read: " + key, e);
@@ -376,7 +385,7 @@
 
   private static void save(Term t, String job, BitSet done) {
     for (int i = 0; i < Records.segments(done.length()); i++) {
-      String key = job + "/" + i;
+      String key = Records.progress(job, i);
       if (t.keeps(job)) { // not after its end: its progress would stay for ever
         t.notes.put(Notes.Kind.PROGRESS, key, Records.segment(done, i), 0);
       }
--- a/src/main/java/org/astershift/leader/Machines.java
+++ b/src/main/java/org/astershift/leader/Machines.java
@@ -70,7 +70,7 @@
         Thread.sleep(Constants.LIST_MS);
       } catch (IOException e) {
         LOG.info("the cloud does not answer as it should: {}", e.getMessage());
-        Threads.pause();
+        sleep();
       } catch (InterruptedException e) {
         return;
       } catch (RuntimeException e) {
--- a/src/main/java/org/astershift/leader/Term.java
+++ b/src/main/java/org/astershift/leader/Term.java
@@ -84,13 +84,12 @@
         .entries(Notes.Kind.PROGRESS)
         .forEach(
             (key, value) -> {
-              int slash = key.lastIndexOf('/');
               try {
-                int segment = Integer.parseInt(key.substring(slash + 1));
-                BitSet bits = done.computeIfAbsent(key.substring(0, slash), j -> new BitSet());
-                Records.merge(bits, segment, value);
-              } catch (Json.Bad | RuntimeException e) {
-                LOG.error("progress of {} cannot be read: {}", key, e.getMessage());
+                BitSet part = new BitSet();
+                String job = Records.merge(part, key, value);
+                done.computeIfAbsent(job, j -> new BitSet()).or(part);
+              } catch (Json.Bad e) {
+                LOG.error(e.getMessage());
               }
             });
     for (StoreClient.Row row : mirror.below(Records.JOB)) {
--- a/src/main/java/org/astershift/store/Records.java
+++ b/src/main/java/org/astershift/store/Records.java
@@ -128,17 +128,22 @@
     return Base64.getEncoder().encodeToString(part.toByteArray());
   }
 
-  public static void merge(BitSet done, int segment, Object value) throws Json.Bad {
-    byte[] bytes;
+  public static String progress(String job, int segment) {
+    return job + "/" + segment;
+  }
+
+  /** Adds one note of done tasks; gives the job that it is about. */
+  public static String merge(BitSet done, String key, Object value) throws Json.Bad {
+    int slash = key.lastIndexOf('/');
     try {
-      bytes = Base64.getDecoder().decode(String.valueOf(value));
-    } catch (IllegalArgumentException e) {
-      throw new Json.Bad("bits are not base64");
-    }
-    BitSet part = BitSet.valueOf(bytes);
-    int from = segment * Constants.SEGMENT_TASKS;
-    for (int i = part.nextSetBit(0); i >= 0; i = part.nextSetBit(i + 1)) {
-      done.set(from + i);
+      int from = Integer.parseInt(key.substring(slash + 1)) * Constants.SEGMENT_TASKS;
+      BitSet part = BitSet.valueOf(Base64.getDecoder().decode(String.valueOf(value)));
+      for (int i = part.nextSetBit(0); i >= 0; i = part.nextSetBit(i + 1)) {
+        done.set(from + i);
+      }
+      return key.substring(0, slash);
+    } catch (RuntimeException e) {
+      throw new Json.Bad("not a note of done tasks: " + key);
     }
   }
 
--- a/src/test/java/org/astershift/core/TracePlayer.java
+++ b/src/test/java/org/astershift/core/TracePlayer.java
@@ -17,6 +17,7 @@
   private final List<Objective> objectives = new ArrayList<>();
   private final Map<String, MachineType> types = new LinkedHashMap<>();
   private Policy policy = Operator.defaults();
+  private final Map<String, Report> last = new HashMap<>();
   private Scheduler scheduler;
 
   List<String> event(String line) {
@@ -105,7 +106,27 @@
     switch (p.get(1)) {
       case "job" -> s.addJob(spec(w), w.flag("opened"), new BitSet(), now);
       case "report" -> {
-        return orders(s.report(report(w), now));
+        last.put(p.get(2), report(w));
+        return orders(s.report(last.get(p.get(2)), now));
+      }
+      case "alive" -> {
+        for (String name : p.subList(2, p.size())) {
+          Report r = last.get(name);
+          Report next =
+              new Report(
+                  name,
+                  r.addr(),
+                  r.type(),
+                  r.zone(),
+                  r.spot(),
+                  r.session(),
+                  r.seq() + 1,
+                  TOKEN,
+                  r.noticeS(),
+                  r.tasks());
+          last.put(name, next);
+          s.report(next, now);
+        }
       }
       case "answered" -> s.directResult(p.get(2), false, report(w), now);
       case "unanswered" -> s.directResult(p.get(2), true, null, now);
@@ -134,6 +155,11 @@
       }
       case "refused" ->
           s.notRented("r", new Decision.Rent(p.get(2), p.get(3), w.flag("spot"), 1), true, now);
+      case "saved" -> {
+        BitSet done = new BitSet();
+        done.set((int) w.num("task", 0));
+        s.saved(p.get(2), done);
+      }
       case "list" -> {
         List<Scheduler.Listed> listed = new ArrayList<>();
         for (String name : p.subList(2, p.size())) {
--- a/src/test/java/org/astershift/store/RecordsTest.java
+++ b/src/test/java/org/astershift/store/RecordsTest.java
@@ -19,7 +19,7 @@
     for (int segment = 0; segment < Records.segments(100_000); segment++) {
       String value = Records.segment(done, segment);
       assertTrue(value.length() <= Constants.PAGE_BYTES, "segment of " + value.length());
-      Records.merge(back, segment, value);
+      assertEquals("wk-1", Records.merge(back, Records.progress("wk-1", segment), value));
     }
     assertEquals(done, back);
   }
