A leader of doubtful validity proves nothing by leases and returns only what is silent

Cause: the run-out of a lease was counted from this leader's own silence, also while it was cut off, stood still, or before the machine had shown its token; another leader may have answered meanwhile. Machines' leases now count only while the leadership is certain and from the claim on; overdue reports count against believing silence; a node that stood still listens first.

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -89,6 +89,9 @@
   /** After a pass its own length is rested so many times: reports and answers come first. */
   public static final long PASS_REST = 2;
 
+  /** Milliseconds by which a pass comes too late that show that the node stood still. */
+  public static final long STOOD_STILL_MS = 1500;
+
   /** Milliseconds between looks for leases that ran out and machines that are silent. */
   public static final long SWEEP_MS = 250;
 
--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -59,6 +59,7 @@
   private final Map<String, Long> cutZones = new HashMap<>();
   private final Map<String, Decaying> reuse = new HashMap<>();
   private long attempts;
+  private long resumedMs = Long.MIN_VALUE / 2;
   private int unheard;
   private boolean restless;
 
@@ -90,6 +91,21 @@
     restless = false;
   }
 
+  /** What machines said while this node stood still is not read yet: silence counts from now. */
+  void resumed(long nowMs) {
+    resumedMs = nowMs;
+  }
+
+  /** How long nothing at all has come from the machine, while this node listened. */
+  long silenceMs(Machine m, long nowMs) {
+    return nowMs - Math.max(resumedMs, Math.max(m.seenMs, m.heardMs));
+  }
+
+  /** Its report is overdue. */
+  boolean overdue(Machine m, long nowMs) {
+    return silenceMs(m, nowMs) > suspectMs();
+  }
+
   // ---- machine types ----
 
   Map<String, MachineType> types() {
@@ -231,12 +247,16 @@
     enter(m, m.state);
   }
 
-  /** The machine now belongs to this term's token. */
-  void claim(Machine m) {
+  /**
+   * The machine now belongs to this term's token. Up to now an older leader may have answered its
+   * reports, so its lease counts from here.
+   */
+  void claim(Machine m, long nowMs) {
     if (m.claimed) {
       return;
     }
     m.claimed = true;
+    m.heardMs = nowMs;
     if (m.inherited) {
       LOG.info("machine {} answers to token {}", m.name, token);
       unheard--;
@@ -287,14 +307,19 @@
 
   /** Whether new tasks may go there: not to a machine whose report is overdue. */
   boolean usable(Machine m, long nowMs) {
-    return m.usable(nowMs) && m.silenceMs(nowMs) <= suspectMs();
+    return m.usable(nowMs) && !overdue(m, nowMs);
   }
 
   /** Silence after which a machine is asked directly: its report is overdue. */
-  long suspectMs() {
+  private long suspectMs() {
     return (long) (facts.reportS() * 1000 * Constants.REPORT_LATEST) + Constants.SUSPECT_MS;
   }
 
+  /** Silence after which a machine that does not answer either is given back. */
+  long patienceMs() {
+    return suspectMs() + Constants.SILENT_MS;
+  }
+
   /** So many machines of the zone fell silent that it must be cut off. */
   void cutOff(String zone, long nowMs) {
     if (cutZones.put(zone, nowMs) == null) {
--- a/src/main/java/org/astershift/core/Commands.java
+++ b/src/main/java/org/astershift/core/Commands.java
@@ -103,7 +103,7 @@
       return null;
     }
     boolean claim = !m.claimed && m.inherited;
-    boolean probe = m.session > 0 && m.silenceMs(nowMs) > c.suspectMs();
+    boolean probe = m.session > 0 && c.overdue(m, nowMs);
     return claim || probe ? direct(m, List.of(), Constants.PROBE_TIMEOUT_MS, nowMs) : null;
   }
 
--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -102,11 +102,6 @@
     this.idleSinceMs = nowMs;
   }
 
-  /** How long nothing at all has come from it. */
-  long silenceMs(long nowMs) {
-    return nowMs - Math.max(seenMs, heardMs);
-  }
-
   boolean usable(long nowMs) {
     return state == State.LIVE
         && enrolled
--- a/src/main/java/org/astershift/core/Reports.java
+++ b/src/main/java/org/astershift/core/Reports.java
@@ -40,7 +40,7 @@
     m.seenMs = nowMs;
     c.heardFrom(m.zone);
     if (r.token() == c.token) {
-      c.claim(m);
+      c.claim(m, nowMs);
     }
     if (m.state == Machine.State.BOOTING || m.state == Machine.State.LOST) {
       LOG.info(
--- a/src/main/java/org/astershift/core/Returning.java
+++ b/src/main/java/org/astershift/core/Returning.java
@@ -56,7 +56,11 @@
     return returned.containsKey(name);
   }
 
-  void plan(List<Decision> out, long nowMs) {
+  /**
+   * {@code sole}: no other node can lead. Otherwise another leader may use what seems needless
+   * here, and only silence counts, which it may be that nobody else can end.
+   */
+  void plan(List<Decision> out, boolean sole, long nowMs) {
     List<String> names = new ArrayList<>();
     for (String name : failedNames) {
       if (asked.add(name)) {
@@ -66,9 +70,13 @@
     boolean believe = believable(nowMs);
     Set<Machine> needless = needless(nowMs);
     for (Machine m : c.all()) {
-      String why =
-          m.state == Machine.State.RETURNING ? null : whyReturn(m, believe, needless, nowMs);
-      if (why != null) {
+      String why = null;
+      if (silent(m, nowMs)) {
+        why = believe || pastLease(m, nowMs) ? "silent with " + m.heldCount() + " tasks" : null;
+      } else if (sole) {
+        why = whyReturn(m, needless, nowMs);
+      }
+      if (why != null && m.state != Machine.State.RETURNING) {
         LOG.info("machine {} ({} in {}) is returned: {}", m.name, m.type, m.zone, why);
         if (silent(m, nowMs) && !c.isCutOff(m.zone, nowMs)) {
           silentReturns.addLast(nowMs);
@@ -93,7 +101,7 @@
     while (!silentReturns.isEmpty() && nowMs - silentReturns.peekFirst() > Constants.SILENCE_MS) {
       silentReturns.removeFirst();
     }
-    int silent = silentReturns.size();
+    int overdue = silentReturns.size();
     int all = silentReturns.size();
     for (Map.Entry<String, Silence> e : silence(nowMs).entrySet()) {
       Silence zone = e.getValue();
@@ -101,17 +109,21 @@
           && zone.silent >= zone.all * Constants.ZONE_CUT_SHARE) {
         c.cutOff(e.getKey(), nowMs);
       } else {
-        silent += zone.silent;
+        overdue += zone.overdue;
       }
       all += zone.all;
     }
-    return silent <= Math.max(Constants.SILENT_FEW, all * Constants.SILENT_SHARE)
+    return overdue <= Math.max(Constants.SILENT_FEW, all * Constants.SILENT_SHARE)
         && !isolated(nowMs);
   }
 
-  /** Machines of one zone that should report, and those of them that do not answer. */
+  /**
+   * Machines of one zone that should report, those whose report is overdue, and of these the ones
+   * given up. What cuts this node off makes many overdue before the first is given up.
+   */
   private static final class Silence {
     int silent;
+    int overdue;
     int all;
   }
 
@@ -121,29 +133,41 @@
       if (m.state != Machine.State.BOOTING && m.state != Machine.State.RETURNING) {
         Silence zone = zones.computeIfAbsent(m.zone, z -> new Silence());
         zone.all++;
+        zone.overdue += c.overdue(m, nowMs) ? 1 : 0;
         zone.silent += silent(m, nowMs) ? 1 : 0;
       }
     }
     return zones;
   }
 
-  /** Whether most machines do not answer: another controller may reach them better. */
+  /**
+   * Whether most machines are overdue and those asked did not answer: another controller may reach
+   * them better.
+   */
   boolean isolated(long nowMs) {
-    int silent = 0;
+    int overdue = 0;
     int all = 0;
     for (Silence zone : silence(nowMs).values()) {
-      silent += zone.silent;
+      overdue += zone.overdue;
       all += zone.all;
     }
-    return silent > Constants.SILENT_FEW && silent * 2 > all;
+    if (overdue <= Constants.SILENT_FEW || overdue * 2 <= all) {
+      return false;
+    }
+    int unanswered = 0;
+    for (Machine m : c.all()) {
+      unanswered += c.overdue(m, nowMs) && m.directFailures > 0 ? 1 : 0;
+    }
+    return unanswered > Constants.SILENT_FEW;
   }
 
   private boolean silent(Machine m, long nowMs) {
-    return m.silenceMs(nowMs) > c.suspectMs() + Constants.SILENT_MS
+    return m.state != Machine.State.BOOTING
+        && c.silenceMs(m, nowMs) > c.patienceMs()
         && (m.directFailures > 0 || m.addr == null || m.session == 0);
   }
 
-  private String whyReturn(Machine m, boolean believe, Set<Machine> needless, long nowMs) {
+  private String whyReturn(Machine m, Set<Machine> needless, long nowMs) {
     MachineType t = m.kind;
     switch (m.state) {
       case BOOTING -> {
@@ -153,13 +177,7 @@
                 : t.bootS() * 1000 * Constants.BOOT_PATIENCE + Constants.BOOT_PATIENCE_MS;
         return nowMs - m.knownMs > limit ? "not up after " + (nowMs - m.knownMs) + " ms" : null;
       }
-      case UNHEARD, LOST -> {
-        return (believe || pastLease(m, nowMs)) && silent(m, nowMs) ? "silent" : null;
-      }
       case LIVE -> {
-        if ((believe || pastLease(m, nowMs)) && silent(m, nowMs)) {
-          return "silent with " + m.heldCount() + " tasks";
-        }
         if (m.condemned) {
           for (Run run : m.held()) {
             c.stop(run);
@@ -227,6 +245,6 @@
 
   /** Nothing it held can be alive any more, so that giving it back loses nothing. */
   private boolean pastLease(Machine m, long nowMs) {
-    return m.silenceMs(nowMs) > 1.5 * c.facts.leaseS() * 1000;
+    return c.silenceMs(m, nowMs) > 1.5 * c.facts.leaseS() * 1000;
   }
 }
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -185,6 +185,11 @@
     return c.restless();
   }
 
+  /** This node did nothing for a while, though clocks ran on. */
+  public void resumed(long nowMs) {
+    c.resumed(nowMs);
+  }
+
   // ---- workers ----
 
   /** A report that is being answered under this token; gives the commands for the answer. */
@@ -303,15 +308,18 @@
 
   // ---- the pass ----
 
-  /** One pass: placement, commands, records, and from time to time what is due by the clock. */
-  public List<Decision> pass(long nowMs) {
+  /**
+   * One pass: placement, commands, records, and from time to time what is due by the clock. Up to
+   * {@code soleUntilMs} no other node can have led beside this one.
+   */
+  public List<Decision> pass(long nowMs, long soleUntilMs) {
     c.calm();
     List<Decision> out = new ArrayList<>();
     boolean sweep = nowMs - lastSweepMs >= Constants.SWEEP_MS;
     if (sweep) {
       lastSweepMs = nowMs;
       for (Machine m : c.all()) {
-        expire(m, nowMs);
+        expire(m, Math.min(nowMs, soleUntilMs));
       }
       isolated = returning.isolated(nowMs);
     }
@@ -349,15 +357,15 @@
     boolean planDue = nowMs - lastPlanMs >= Constants.RENT_PLAN_MS || renting.ready();
     if (planDue && !c.types().isEmpty()) {
       lastPlanMs = nowMs;
-      plan(out, nowMs);
+      plan(out, nowMs, nowMs < soleUntilMs);
     }
     out.addAll(c.struck());
     return out;
   }
 
-  private void plan(List<Decision> out, long nowMs) {
+  private void plan(List<Decision> out, long nowMs, boolean sole) {
     spending.add(c.all(), nowMs);
-    returning.plan(out, nowMs);
+    returning.plan(out, sole, nowMs);
     firstPlanMs = firstPlanMs < 0 ? nowMs : firstPlanMs;
     // What is still to be heard of will take most of the queue, or runs it already.
     if (!c.unheard() || nowMs - firstPlanMs > Constants.RENT_AFTER_TAKEOVER_MS) {
@@ -382,14 +390,19 @@
     return d.toString();
   }
 
-  private void expire(Machine m, long nowMs) {
+  /**
+   * A lease that has run out proves that the machine's tasks are gone, but only for the time in
+   * which this node alone can have answered its reports: a leader that was cut off or stood still
+   * must not take its own silence for the silence of all.
+   */
+  private void expire(Machine m, long soleMs) {
     boolean counts = m.state == Machine.State.LIVE || m.state == Machine.State.RETURNING;
-    if (!counts || !m.claimed || nowMs - m.heardMs <= leaseMs()) {
+    if (!counts || !m.claimed || soleMs - m.heardMs <= leaseMs()) {
       return;
     }
     if (m.state == Machine.State.LIVE || !m.runs.isEmpty()) {
       LOG.info(
-          "machine {} was not heard for {} ms: its lease has run out", m.name, nowMs - m.heardMs);
+          "machine {} was not heard for {} ms: its lease has run out", m.name, soleMs - m.heardMs);
     }
     for (Run run : new ArrayList<>(m.runs.values())) {
       c.drop(run);
--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -170,6 +170,7 @@
 
   private void passLoop(Term t) throws InterruptedException {
     long told = 0;
+    long dueMs = Long.MAX_VALUE;
     while (!t.over()) {
       synchronized (wake) {
         if (!stirred) {
@@ -178,13 +179,18 @@
         stirred = false;
       }
       long began = System.nanoTime();
+      long stoodStillMs = Term.nowMs() - dueMs;
       try {
         List<Decision> decisions;
         String summary = null;
         boolean isolated;
         synchronized (t) {
           long now = Term.nowMs();
-          decisions = t.scheduler.pass(now);
+          if (stoodStillMs > Constants.STOOD_STILL_MS) {
+            LOG.info("{} stood still for {} ms", settings.node(), stoodStillMs);
+            t.scheduler.resumed(now);
+          }
+          decisions = t.scheduler.pass(now, leadership.soleUntilMs());
           isolated = t.scheduler.isolated();
           if (now - told > Constants.SUMMARY_MS) {
             told = now;
@@ -206,7 +212,9 @@
       }
       // Events gather meanwhile: reports and answers come first where processor time is short.
       long tookMs = (System.nanoTime() - began) / 1_000_000;
-      Thread.sleep(Math.max(Constants.PASS_GAP_MS, tookMs * Constants.PASS_REST));
+      long restMs = Math.max(Constants.PASS_GAP_MS, tookMs * Constants.PASS_REST);
+      dueMs = Term.nowMs() + restMs + Constants.PASS_MS;
+      Thread.sleep(restMs);
     }
   }
 
--- a/src/main/java/org/astershift/leader/Leadership.java
+++ b/src/main/java/org/astershift/leader/Leadership.java
@@ -62,6 +62,11 @@
     return token == ofToken && ofToken != 0 && System.nanoTime() - validUntilNs < 0;
   }
 
+  /** Until when, on the steady clock, no other node can have become leader. */
+  long soleUntilMs() {
+    return validUntilNs / 1_000_000;
+  }
+
   /** The node that leads as far as known here, or null. */
   public String leader() {
     StoreClient.Row row = mirror.row(Records.LEADER);
--- a/src/test/java/org/astershift/core/TracePlayer.java
+++ b/src/test/java/org/astershift/core/TracePlayer.java
@@ -133,11 +133,14 @@
       case "unsent" -> s.directResult(p.get(2), false, null, now);
       case "pass" -> {
         List<String> out = new ArrayList<>();
-        for (Decision d : s.pass(now)) {
+        // sole=S: until when no other node can lead; without it, for ever.
+        long soleUntil = (long) (w.num("sole", 1e9) * 1000);
+        for (Decision d : s.pass(now, soleUntil)) {
           out.add(words(d));
         }
         return out;
       }
+      case "resumed" -> s.resumed(now);
       case "opened" -> s.opened(p.get(2));
       case "enrolled" -> s.enrolled(p.get(2));
       case "ended" -> s.ended(p.get(2), w.flag("cancelled"), now);
