Blame for failed tasks follows distinct machines and distinct jobs

Now a job is suspected after two machines and probed by one task at a time with growing pauses, not rented or made room for; two jobs convict a machine, and what one verdict explains no longer counts for the other.

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -101,11 +101,29 @@
   /** Milliseconds without new starts on a machine where a task failed. */
   public static final long FAILED_HOLD_MS = 1500;
 
-  /** Failures in a row, without a completed task between, that convict a machine. */
+  /**
+   * Jobs that failed on a machine, or failures there of jobs that are sound elsewhere, that convict
+   * it, without a completed task between.
+   */
   public static final int FAILURES_TO_CONDEMN = 2;
 
-  /** First pause of a job that fails everywhere; doubled with each further machine. */
-  public static final long ERROR_PAUSE_MS = 1000;
+  /** Machines on which a job failed, without ever completing a task, that make it a suspect. */
+  public static final int MACHINES_TO_SUSPECT = 2;
+
+  /** Milliseconds that a task has run after which its job is no job that fails on every machine. */
+  public static final long PROVEN_MS = 10_000;
+
+  /** Milliseconds in which a job that failed on a machine goes to others. */
+  public static final long FAILED_AVOID_MS = 30_000;
+
+  /** Milliseconds between the first probes of a job that is probably broken; doubled each time. */
+  public static final long PROBE_PAUSE_MS = 4000;
+
+  /** So often at the most: about four minutes, since a sound one should not wait for ever. */
+  public static final int PROBE_DOUBLINGS = 6;
+
+  /** Milliseconds without starts of a job that a machine does not know: its upload may be late. */
+  public static final long UNKNOWN_PAUSE_MS = 1000;
 
   /** Milliseconds between tries to make an inherited machine show this leader's token. */
   public static final long CLAIM_RETRY_MS = 1000;
--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -226,7 +226,6 @@
   }
 
   void markDone(Job job, int index) {
-    job.everRan = true;
     job.markDone(index);
     if (job.waiting.isEmpty()) {
       waiting.remove(job);
--- a/src/main/java/org/astershift/core/Gangs.java
+++ b/src/main/java/org/astershift/core/Gangs.java
@@ -30,7 +30,11 @@
     for (Job job : jobs) {
       if (job.spec.kind() == JobKind.GANG && !job.waiting.isEmpty() && !oldAttemptLeft(job)) {
         Map<String, Part> parts = parts(job, usable, nowMs);
-        if (!place(job, parts, nowMs) && !keeps && starves(job, nowMs) && withinLimit(job)) {
+        if (!place(job, parts, nowMs)
+            && !keeps
+            && !job.suspect()
+            && starves(job, nowMs)
+            && withinLimit(job)) {
           keeps = keep(job, parts, nowMs);
         }
       }
@@ -77,7 +81,7 @@
     Map<String, Part> parts = new LinkedHashMap<>();
     boolean old = placement.pastAge(job, nowMs);
     for (Machine m : usable) {
-      if (!job.usableTypes.contains(m.type) || !placement.allowed(m, job)) {
+      if (!job.usableTypes.contains(m.type) || !placement.allowed(m, job, nowMs)) {
         continue;
       }
       Part part = parts.computeIfAbsent(job.spec.oneZone() ? m.zone : "", z -> new Part());
--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -2,9 +2,9 @@
 
 import java.util.BitSet;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import org.astershift.config.Constants;
 
 /** A job the leader looks after, with where its tasks are. */
 final class Job {
@@ -70,7 +70,12 @@
   /** A task of it has completed, so it is no job that fails everywhere. */
   boolean everRan;
 
-  final Set<String> failedOn = new HashSet<>();
+  /** Machines on which its tasks failed, and when; faulty machines are taken out again. */
+  final Map<String, Long> failedOn = new HashMap<>();
+
+  /** How often it has failed since it was taken to be broken; 0: it is not. */
+  int probes;
+
   long pausedUntilMs;
 
   private final Map<String, Integer> zones = new HashMap<>();
@@ -90,6 +95,20 @@
     this.waiting.set(0, spec.tasks());
     this.waiting.andNot(done);
     this.waitingCount = waiting.cardinality();
+    this.everRan = doneCount > 0;
+  }
+
+  /**
+   * It failed on several machines and never completed a task: probably submitted with a mistake.
+   */
+  boolean suspect() {
+    return probes > 0;
+  }
+
+  /** Whether it failed there so lately that another machine should have it. */
+  boolean avoids(Machine m, long nowMs) {
+    Long at = failedOn.get(m.name);
+    return at != null && !suspect() && nowMs - at < Constants.FAILED_AVOID_MS;
   }
 
   boolean complete() {
--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** A machine as the leader knows it. */
 final class Machine {
@@ -55,7 +57,13 @@
   int directFailures;
   long listedMs = -1;
   Double noticeS;
-  int failures;
+
+  /** Jobs not known to be sound that failed here since a task last completed here. */
+  final Set<Job> failedJobs = new HashSet<>();
+
+  /** Failures here since then of jobs that are sound elsewhere. */
+  int failedProven;
+
   boolean condemned;
   long idleSinceMs;
   long holdUntilMs;
@@ -102,6 +110,11 @@
     this.idleSinceMs = nowMs;
   }
 
+  /** Tasks failed here lately, so it gets one at a time until one completes. */
+  boolean doubted() {
+    return failedProven > 0 || !failedJobs.isEmpty();
+  }
+
   boolean usable(long nowMs) {
     return state == State.LIVE
         && enrolled
--- a/src/main/java/org/astershift/core/Placement.java
+++ b/src/main/java/org/astershift/core/Placement.java
@@ -135,7 +135,7 @@
   }
 
   private void fill(Machine m, Job job, double least, boolean thin, long nowMs) {
-    if (job.waiting.isEmpty() || !fits(m, job) || !allowed(m, job)) {
+    if (job.waiting.isEmpty() || !fits(m, job) || !allowed(m, job, nowMs)) {
       return;
     }
     double score = m.score(job.spec.image());
@@ -146,7 +146,8 @@
     while (index >= 0
         && (score == 1 || job.waitingCount() > job.covered)
         && !(thin && crowded(m, job))
-        && m.taken < c.policy.batch()
+        && m.taken < (m.doubted() ? 1 : c.policy.batch())
+        && !(job.suspect() && !job.runs.isEmpty())
         && fits(m, job)) {
       if (score == 0 && !pastAge(job, nowMs) && c.utilization(m) >= c.policy.utilization()) {
         return;
@@ -198,9 +199,7 @@
     return false;
   }
 
-  boolean allowed(Machine m, Job job) {
-    return (!m.spot || job.spec.spot())
-        && job.zoneAllowed(m.zone)
-        && !(job.everRan && job.failedOn.contains(m.name));
+  boolean allowed(Machine m, Job job, long nowMs) {
+    return (!m.spot || job.spec.spot()) && job.zoneAllowed(m.zone) && !job.avoids(m, nowMs);
   }
 }
--- a/src/main/java/org/astershift/core/Preemption.java
+++ b/src/main/java/org/astershift/core/Preemption.java
@@ -56,6 +56,7 @@
         job.covered = 0;
       }
       if (job.waiting.isEmpty()
+          || job.suspect()
           || job.startAimS == null
           || job.startAimS > Constants.TIGHT_START_S
           || !c.teamAllows(job)) {
@@ -98,7 +99,9 @@
   private Choice choice(Machine m, Job job, boolean onlyHits, long nowMs) {
     JobSpec spec = job.spec;
     boolean hit = m.images.containsKey(spec.image());
-    if ((onlyHits && !hit) || !job.usableTypes.contains(m.type) || !placement.allowed(m, job)) {
+    if ((onlyHits && !hit)
+        || !job.usableTypes.contains(m.type)
+        || !placement.allowed(m, job, nowMs)) {
       return null;
     }
     List<Run> victims = victims(m, spec, nowMs);
--- a/src/main/java/org/astershift/core/Queue.java
+++ b/src/main/java/org/astershift/core/Queue.java
@@ -43,6 +43,7 @@
         job.belowGuarantee = belowGuarantee(job);
         queue.add(job);
         if (job.startAimS == null
+            && !job.suspect()
             && job.spec.kind() == JobKind.ARRAY
             && job.spec.deadlineS() != null) {
           timed.computeIfAbsent(job.spec.priority(), p -> new ArrayList<>()).add(job);
@@ -52,6 +53,7 @@
     timed.forEach((priority, jobs) -> triage.sort(priority, jobs, nowMs));
     queue.sort(
         Comparator.comparing((Job j) -> j.spec.priority())
+            .thenComparing(Job::suspect)
             .thenComparing(j -> !j.belowGuarantee)
             .thenComparingDouble(j -> j.urgencyMs)
             .thenComparingLong(j -> j.submittedMs));
@@ -73,6 +75,10 @@
         || nowMs < job.pausedUntilMs) {
       return false;
     }
+    // A broken job is probed by one task at a time.
+    if (job.suspect() && !job.runs.isEmpty()) {
+      return false;
+    }
     // What is not heard may hold tasks of opened jobs, or use up the limit of a team.
     return !c.unheard() || !(job.inherited || limitTouches(job));
   }
--- a/src/main/java/org/astershift/core/Renting.java
+++ b/src/main/java/org/astershift/core/Renting.java
@@ -190,6 +190,10 @@
   /** How many of the waiting tasks should run at once for the job to be in time. */
   private int concurrency(Job job, long nowMs) {
     JobSpec spec = job.spec;
+    if (job.suspect()) {
+      // A probe needs no more; a gang that is probably broken waits for what is there.
+      return spec.kind() == JobKind.GANG || !job.runs.isEmpty() ? 0 : 1;
+    }
     int n = job.waitingCount();
     Team team = c.facts.teams().get(spec.team());
     if (team != null) {
--- a/src/main/java/org/astershift/core/Reports.java
+++ b/src/main/java/org/astershift/core/Reports.java
@@ -11,10 +11,12 @@
 final class Reports {
   private static final Logger LOG = LoggerFactory.getLogger(Reports.class);
   private final Cluster c;
+  private final Blame blame;
   private boolean deposed;
 
   Reports(Cluster cluster) {
     this.c = cluster;
+    this.blame = new Blame(cluster);
   }
 
   /** A worker showed a higher token: another leader has taken over. */
@@ -144,20 +146,20 @@
     }
     switch (cause) {
       case "done" -> {
-        m.failures = 0;
+        blame.succeeded(job, m);
         if (job.spec.kind() != JobKind.SERVICE) {
           c.markDone(job, run.index);
         }
       }
       case "error" -> {
         LOG.info("task {} failed on {}", run.name(), m.name);
-        failure(job, m, nowMs);
+        blame.failed(run, nowMs);
       }
       case "no_room", "in_use", "unknown" -> {
         LOG.info("start of {} refused by {}: {}", run.name(), m.name, cause);
         m.holdUntilMs = nowMs + Constants.REFUSED_HOLD_MS;
         if (cause.equals("unknown")) {
-          job.pausedUntilMs = nowMs + Constants.ERROR_PAUSE_MS;
+          job.pausedUntilMs = nowMs + Constants.UNKNOWN_PAUSE_MS;
         }
       }
       default -> {
@@ -167,28 +169,6 @@
     }
   }
 
-  /**
-   * A job submitted with a mistake fails on every machine, a faulty machine fails every job. A job
-   * that has failed on several machines and never finished a task convicts nobody and is retried
-   * with growing pauses; otherwise repeated failures convict the machine.
-   */
-  private void failure(Job job, Machine m, long nowMs) {
-    c.stir();
-    job.failedOn.add(m.name);
-    boolean suspectJob = !job.everRan && job.failedOn.size() >= 3;
-    if (suspectJob) {
-      int step = Math.min(job.failedOn.size(), 6);
-      job.pausedUntilMs = nowMs + (Constants.ERROR_PAUSE_MS << step);
-      return;
-    }
-    m.failures++;
-    m.holdUntilMs = nowMs + Constants.FAILED_HOLD_MS;
-    if (m.failures >= Constants.FAILURES_TO_CONDEMN && !m.condemned) {
-      m.condemned = true;
-      LOG.info("machine {} fails its tasks: no more work, to be returned", m.name);
-    }
-  }
-
   private void adopt(Machine m, Report.Item item, long seq, long nowMs) {
     Job job = c.jobs.get(item.job());
     if (job == null || item.index() >= job.spec.tasks()) {
