A node that alone has lost the state service is not ready and asks others who leads

Cause: a node refused or cut off by the state service alone stayed ready, so users kept coming and got 503 after the full deadlines; a leader in that place learnt of its successor only from workers. It cannot tell this from an outage by itself, so it asks the others. Known to be lost, the state service is not asked on a user's time. A leader resigns again at once if another has led since.

--- a/src/main/java/org/astershift/Main.java
+++ b/src/main/java/org/astershift/Main.java
@@ -22,7 +22,6 @@
 import org.astershift.http.HttpServer;
 import org.astershift.leader.Director;
 import org.astershift.leader.UserDesk;
-import org.astershift.peer.JobAnswer;
 import org.astershift.peer.PeerClient;
 import org.astershift.peer.PeerServer;
 import org.astershift.store.Mirror;
@@ -117,23 +116,15 @@
 
   private static void start(Settings settings, Policy policy) throws IOException {
     StoreClient store = new StoreClient(settings);
-    Director director = new Director(settings, policy, store, new Mirror(store));
     Map<String, UserDesk.Asker> askers = new HashMap<>();
     for (Settings.Peer p : settings.peers()) {
       PeerClient client = new PeerClient(p.endpoint());
       askers.put(p.node(), client::ask);
     }
+    Director director = new Director(settings, policy, store, new Mirror(store), askers);
     UserDesk desk = new UserDesk(director, store, askers);
     PeerServer peers =
-        new PeerServer(
-            settings.peerListen().host(),
-            settings.peerListen().port(),
-            (op, job) ->
-                switch (op) {
-                  case "poll" -> desk.poll(job, false);
-                  case "cancel" -> desk.cancel(job, false);
-                  default -> JobAnswer.UNDECIDED;
-                });
+        new PeerServer(settings.peerListen().host(), settings.peerListen().port(), desk::answer);
     int most = (int) (settings.sockets() * Constants.INCOMING_SHARE);
     HttpServer http =
         new HttpServer(
--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -236,6 +236,23 @@
    */
   public static final int STORE_TIMEOUT_MS = 1500;
 
+  /** Milliseconds without service after which this node asks the others whether it is an outage. */
+  public static final long STORE_LOST_MS = 1500;
+
+  /**
+   * Milliseconds without an answer after which a node that needs nothing asks for a sign of life.
+   */
+  public static final long STORE_IDLE_MS = 700;
+
+  /** Milliseconds between questions to the others while the state service does not answer. */
+  public static final long REACH_MS = 500;
+
+  /** Deadline of such a question, milliseconds: it is answered from memory. */
+  public static final int REACH_TIMEOUT_MS = 400;
+
+  /** Milliseconds in which a controller that did not answer is not asked again. */
+  public static final long PEER_REST_MS = 1000;
+
   /** Deadline of one cloud call, milliseconds: replies take about a hundred. */
   public static final int CLOUD_TIMEOUT_MS = 5000;
 
--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -34,6 +34,7 @@
   private final OrderSender sender = new OrderSender();
   private final Leadership leadership;
   private final Machines machines;
+  private final Reach reach;
   private final EndedJobs ended = new EndedJobs();
   private volatile Term term;
 
@@ -43,27 +44,49 @@
   private final Object wake = new Object();
   private boolean stirred;
 
-  public Director(Settings settings, Policy policy, StoreClient store, Mirror mirror) {
+  /** {@code askers}: the ways to the other nodes, by their names. */
+  public Director(
+      Settings settings,
+      Policy policy,
+      StoreClient store,
+      Mirror mirror,
+      Map<String, UserDesk.Asker> askers) {
     this.settings = settings;
     this.policy = policy;
     this.store = store;
     this.mirror = mirror;
     this.leadership = new Leadership(settings.node(), store, mirror, this);
     this.machines = new Machines(settings, store, mirror, this::stir);
+    this.reach = new Reach(store, askers, this);
   }
 
   public void start() {
     mirror.start(this::changed);
     leadership.start();
+    reach.start();
   }
 
   public boolean ready() {
-    return mirror.loaded();
+    return mirror.loaded() && !reach.apart();
+  }
+
+  /** The leader's key as far as known here, or null. */
+  StoreClient.Row leaderRow() {
+    return leadership.row();
+  }
+
+  /** Another node says that the leader has this token. */
+  void leaderTold(long token) {
+    leadership.told(token);
+  }
+
+  Reach reach() {
+    return reach;
   }
 
   /** The other node that leads, as far as known here, or null. */
   public String otherLeader() {
-    String name = leadership.leader();
+    String name = reach.apart() ? reach.leader() : leadership.leader();
     return settings.node().equals(name) ? null : name;
   }
 
--- a/src/main/java/org/astershift/leader/Leadership.java
+++ b/src/main/java/org/astershift/leader/Leadership.java
@@ -32,6 +32,9 @@
   /** This process has tried to lead: a key with its node's name may be its own. */
   private boolean held;
 
+  /** Another node has led since this one resigned. */
+  private volatile boolean othersLed;
+
   private final Object wake = new Object();
 
   /** Takes up and lays down the leader's work. */
@@ -67,9 +70,22 @@
     return validUntilNs / 1_000_000;
   }
 
+  /** Another node says who leads: if that one came later, this one does no longer. */
+  void told(long otherToken) {
+    long mine = token;
+    if (otherToken > mine) {
+      stepDown(mine, "another node says that a later one leads, with token " + otherToken);
+    }
+  }
+
+  /** The leader's key as far as known here, or null. */
+  StoreClient.Row row() {
+    return mirror.row(Records.LEADER);
+  }
+
   /** The node that leads as far as known here, or null. */
   public String leader() {
-    StoreClient.Row row = mirror.row(Records.LEADER);
+    StoreClient.Row row = row();
     return row == null ? null : String.valueOf(row.data().get("node"));
   }
 
@@ -90,14 +106,15 @@
   }
 
   /**
-   * Lets another node lead, because this one reaches too few workers; not twice in a short time,
-   * since then the others reach no more.
+   * Lets another node lead, because this one reaches too few workers; not twice in a short time if
+   * nobody else took it, since then the others reach no more.
    */
   public void resign(long ofToken, String why) {
     long now = System.nanoTime();
-    if (now - mayResignNs < 0 || token != ofToken) {
+    if ((now - mayResignNs < 0 && !othersLed) || token != ofToken) {
       return;
     }
+    othersLed = false;
     mayResignNs = now + Constants.RESIGN_AGAIN_MS * 1_000_000;
     contestNs = now + Constants.RESIGN_PAUSE_MS * 1_000_000;
     stepDown(ofToken, why);
@@ -130,8 +147,12 @@
     if (!mirror.loaded() || System.nanoTime() - contestNs < 0) {
       return;
     }
+    if (store.silenceMs() > Constants.STORE_IDLE_MS) {
+      store.get(Records.LEADER); // a sign of life, so that this node notices if it is cut off
+    }
     StoreClient.Row row = mirror.row(Records.LEADER);
     if (row != null) {
+      othersLed |= !node.equals(row.data().get("node"));
       if (!held && node.equals(row.data().get("node"))) {
         // Left by this node's predecessor, which is dead since this process runs in its place.
         StoreClient.Txn txn =
--- a/src/main/java/org/astershift/leader/UserDesk.java
+++ b/src/main/java/org/astershift/leader/UserDesk.java
@@ -46,6 +46,9 @@
     if (end != null) {
       return new Submitted(200, answer(end));
     }
+    if (store.lost()) {
+      return new Submitted(503, null);
+    }
     String key = Records.JOB + spec.id();
     if (refuse) {
       // What was accepted once is not refused later, whatever the types are now.
@@ -105,6 +108,9 @@
 
   /** Never older than the call: the live record first, since an ended job has lost it before. */
   private JobAnswer fromStore(String id) {
+    if (store.lost()) {
+      return JobAnswer.UNDECIDED; // at once: nobody waits for the deadline of a read
+    }
     try {
       StoreClient.Row live = store.get(Records.JOB + id);
       if (live.data() != null) {
@@ -175,6 +181,16 @@
     return JobAnswer.UNDECIDED;
   }
 
+  /** Answers another node. */
+  public JobAnswer answer(String op, String job) throws InterruptedException {
+    return switch (op) {
+      case "poll" -> poll(job, false);
+      case "cancel" -> cancel(job, false);
+      case "state" -> director.reach().answer();
+      default -> JobAnswer.UNDECIDED;
+    };
+  }
+
   private void remember(String id, JobAnswer a) {
     if ("done".equals(a.phase()) || "withdrawn".equals(a.phase())) {
       ended.put(id, new Records.Ended(a.phase().equals("withdrawn"), a.done()));
--- a/src/main/java/org/astershift/store/StoreClient.java
+++ b/src/main/java/org/astershift/store/StoreClient.java
@@ -20,6 +20,7 @@
   private final RateBudget requests;
   private final RateBudget writes;
   private final int others;
+  private volatile long answeredNs = System.nanoTime();
 
   public StoreClient(Settings settings) {
     String host = settings.store().host();
@@ -42,6 +43,23 @@
     }
   }
 
+  /** Whether the service has not served this node for a while. */
+  public boolean lost() {
+    return silenceMs() > Constants.STORE_LOST_MS;
+  }
+
+  /** Milliseconds since it last served this node. */
+  public long silenceMs() {
+    return (System.nanoTime() - answeredNs) / 1_000_000;
+  }
+
+  private HttpClient.Answer noted(HttpClient.Answer a) {
+    if (a.status() != 503) {
+      answeredNs = System.nanoTime();
+    }
+    return a;
+  }
+
   /** One key; {@code data} null if it does not exist. */
   public record Row(String key, Map<String, Object> data, long revision) {}
 
@@ -151,7 +169,9 @@
         "/watch?starts=" + prefix + "&from=" + after + "&block_ms=" + Constants.WATCH_BLOCK_MS;
     acquire(requests, 1);
     HttpClient.Answer a =
-        watching.call("GET", path, null, Constants.WATCH_BLOCK_MS + Constants.STORE_TIMEOUT_MS);
+        noted(
+            watching.call(
+                "GET", path, null, Constants.WATCH_BLOCK_MS + Constants.STORE_TIMEOUT_MS));
     if (a.status() == 410) {
       return new Changes(List.of(), after, true);
     }
@@ -194,7 +214,7 @@
   private Outcome once(Map<String, Object> body) {
     try {
       HttpClient.Answer a =
-          http.call("POST", "/multi", Json.bytes(body), Constants.STORE_TIMEOUT_MS);
+          noted(http.call("POST", "/multi", Json.bytes(body), Constants.STORE_TIMEOUT_MS));
       switch (a.status()) {
         case 200 -> {
           return new Outcome.Applied(Json.whole(Json.object(a.body()), "epoch"));
@@ -243,7 +263,7 @@
 
   private HttpClient.Answer call(String method, String path, byte[] body) throws IOException {
     acquire(requests, 1);
-    return http.call(method, path, body, Constants.STORE_TIMEOUT_MS);
+    return noted(http.call(method, path, body, Constants.STORE_TIMEOUT_MS));
   }
 
   private static void acquire(RateBudget budget, int n) throws IOException {
