--- a/src/test/java/org/astershift/EndToEndTest.java
+++ b/src/test/java/org/astershift/EndToEndTest.java
@@ -32,6 +32,7 @@
   @TempDir Path dir;
   private final List<Integer> ports = new ArrayList<>();
   private final List<Process> nodes = new ArrayList<>();
+  private final List<StandInStore.Door> doors = new ArrayList<>();
   private StandInStore store;
   private StandInCloud cloud;
 
@@ -45,6 +46,7 @@
     store = new StandInStore(0);
     cloud = new StandInCloud(0, ports.subList(0, 3), 700);
     for (int i = 0; i < 3; i++) {
+      doors.add(store.door());
       nodes.add(node(i));
     }
     for (int i = 0; i < 3; i++) {
@@ -58,6 +60,9 @@
       p.destroyForcibly().waitFor();
     }
     cloud.close();
+    for (StandInStore.Door door : doors) {
+      door.close();
+    }
     store.close();
   }
 
@@ -75,7 +80,7 @@
             .replace("127.0.0.1:18080", "127.0.0.1:" + ports.get(i))
             .replace("127.0.0.1:18081", "127.0.0.1:" + ports.get(3 + i))
             .replace("127.0.0.1:18443", "127.0.0.1:" + cloud.port())
-            .replace("127.0.0.1:18379", "127.0.0.1:" + store.port())
+            .replace("127.0.0.1:18379", "127.0.0.1:" + doors.get(i).port())
             .replace("[external]", others + "[external]");
     Path file = Files.writeString(dir.resolve("n" + i + ".toml"), text);
     return new ProcessBuilder(
@@ -197,4 +202,38 @@
     }
     assertEquals(200, call(1, "POST", "/v2/runs", job("wk-000005", "sweep", 40)).status());
   }
+
+  private void awaitStatus(int node, String path, int status) throws Exception {
+    while (call(node, "GET", path, null).status() != status) {
+      synchronized (this) {
+        wait(50);
+      }
+    }
+  }
+
+  /**
+   * Whichever node the state service refuses, the leader or another: it stops being ready, says so
+   * at once to those who still submit to it, and asks the others who leads; jobs go on meanwhile.
+   */
+  @Test
+  void aNodeRefusedByTheStateServiceAloneSendsUsersElsewhere() throws Exception {
+    for (int i = 0; i < 3; i++) {
+      int other = (i + 1) % 3;
+      String before = "wk-00001" + i;
+      String during = "wk-00002" + i;
+      await(i, "POST", "/v2/runs", job(before, "sweep", 3), before);
+      doors.get(i).refuse(true);
+      awaitStatus(i, "/ready", 503);
+      assertEquals(503, call(i, "POST", "/v2/runs", job(during, "sweep", 3)).status());
+      assertEquals(200, call(other, "GET", "/ready", null).status());
+      await(other, "POST", "/v2/runs", job(during, "sweep", 3), during);
+      await(other, "GET", "/v2/runs/" + during, null, "\"done\",");
+      await(i, "GET", "/v2/runs/" + during, null, "\"done\",");
+      await(i, "GET", "/v2/runs/" + before, null, "\"done\",");
+      doors.get(i).refuse(false);
+      awaitStatus(i, "/ready", 200);
+    }
+    List<String> starts = started();
+    assertEquals(new HashSet<>(starts).size(), starts.size(), "started twice: " + starts);
+  }
 }
--- a/src/test/java/org/astershift/standin/StandInStore.java
+++ b/src/test/java/org/astershift/standin/StandInStore.java
@@ -35,6 +35,38 @@
     return http.port();
   }
 
+  /** A way in for one node, which can be refused there while all others are served. */
+  public final class Door implements AutoCloseable {
+    private final HttpServer server;
+    private volatile boolean refused;
+
+    private Door() throws IOException {
+      server = new HttpServer("127.0.0.1", 0, 200, r -> refused ? no() : handle(r));
+      server.start();
+    }
+
+    private Response no() {
+      return Response.error(503, "trouble");
+    }
+
+    public int port() {
+      return server.port();
+    }
+
+    public void refuse(boolean is) {
+      refused = is;
+    }
+
+    @Override
+    public void close() throws IOException {
+      server.close();
+    }
+  }
+
+  public Door door() throws IOException {
+    return new Door();
+  }
+
   /** While down every request gets 503; afterwards each lease has its full time again. */
   public synchronized void down(boolean is) {
     down = is;
