What nobody aims at comes last and does not fragment the room that aimed work waits for

Jobs of classes without any aim in the settings now queue last within their priority and take no room where aimed tasks wait; an aim on finishing stands in for a missing deadline. Attempt numbers have 28 bits instead of 20, and a term that has used them up ends.

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -28,8 +28,15 @@
   /** Pause between tries to become leader while another holds the lease. */
   public static final long ELECTION_POLL_MS = 300;
 
-  /** Bits of an attempt number left to the counter within one term; the term's token is above. */
-  public static final int ATTEMPT_BITS = 20;
+  /**
+   * Bits of an attempt number left to the counter within one term; the term's token is above. Huge
+   * arrays start a few hundred tasks a second, so a term has numbers for weeks; a term that has
+   * used them up ends, since a number must never come twice.
+   */
+  public static final int ATTEMPT_BITS = 28;
+
+  /** Attempt numbers with which a term ends: more than two passes use. */
+  public static final long ATTEMPTS_LEFT = 1_000_000;
 
   // ---- scheduling ----
 
--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -341,6 +341,11 @@
 
   // ---- holding and releasing ----
 
+  /** Attempt numbers are about to run out: only a new token brings new ones. */
+  boolean usedUp() {
+    return attempts >= (1L << Constants.ATTEMPT_BITS) - Constants.ATTEMPTS_LEFT;
+  }
+
   long nextAttempt() {
     return (token << Constants.ATTEMPT_BITS) | ++attempts;
   }
--- a/src/main/java/org/astershift/core/Facts.java
+++ b/src/main/java/org/astershift/core/Facts.java
@@ -16,15 +16,22 @@
     double cancelS,
     double listLagS) {
 
-  /** The tightest aim on starting a task of this class, in seconds; null if there is none. */
-  public Double startAim(String jobClass) {
-    Double best = null;
+  /** What is aimed at for this class. */
+  public Aims aims(String jobClass) {
+    Double startS = null;
+    Double finishS = null;
+    boolean any = false;
     for (Objective o : objectives) {
-      if (o.kind().equals("wait") && o.jobClass().equals(jobClass)) {
-        best = best == null ? o.withinS() : Math.min(best, o.withinS());
+      if (o.jobClass().equals(jobClass)) {
+        any = true;
+        if (o.kind().equals("wait")) {
+          startS = startS == null ? o.withinS() : Math.min(startS, o.withinS());
+        } else if (o.kind().equals("finished")) {
+          finishS = finishS == null ? o.withinS() : Math.min(finishS, o.withinS());
+        }
       }
     }
-    return best;
+    return new Aims(startS, finishS, any);
   }
 
   /**
--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -20,6 +20,12 @@
   /** The tightest aim on starting its tasks, seconds; null if there is none. */
   final Double startAimS;
 
+  /** Its deadline, or else what is aimed at for its class; null if there is neither. */
+  final Double dueS;
+
+  /** The operators aim at something for its class. */
+  final boolean aimed;
+
   State state = State.LIVE;
 
   /** Commands for it may have gone out: durable, and set by this leader or an earlier one. */
@@ -56,6 +62,9 @@
 
   boolean belowGuarantee;
 
+  /** Within a sort of the queue: nobody aims at anything for it, nor is it guaranteed anything. */
+  boolean spare;
+
   /** The zone in which free room is kept for this gang; null while it waits for none. */
   String keptIn;
 
@@ -83,10 +92,12 @@
   private int waitingCount;
   private int running;
 
-  Job(JobSpec spec, long submittedMs, boolean opened, BitSet done, Double startAimS) {
+  Job(JobSpec spec, long submittedMs, boolean opened, BitSet done, Aims aims) {
     this.spec = spec;
     this.submittedMs = submittedMs;
-    this.startAimS = startAimS;
+    this.startAimS = aims.startS();
+    this.dueS = spec.deadlineS() != null ? spec.deadlineS() : aims.finishS();
+    this.aimed = aims.any();
     this.opened = opened;
     this.done = done;
     this.doneDurable = (BitSet) done.clone();
--- a/src/main/java/org/astershift/core/Placement.java
+++ b/src/main/java/org/astershift/core/Placement.java
@@ -135,7 +135,10 @@
   }
 
   private void fill(Machine m, Job job, double least, boolean thin, long nowMs) {
-    if (job.waiting.isEmpty() || !fits(m, job) || !allowed(m, job, nowMs)) {
+    if (job.waiting.isEmpty()
+        || !fits(m, job)
+        || !allowed(m, job, nowMs)
+        || (job.spare && queue.aimedWaits(m))) {
       return;
     }
     double score = m.score(job.spec.image());
--- a/src/main/java/org/astershift/core/Queue.java
+++ b/src/main/java/org/astershift/core/Queue.java
@@ -14,6 +14,9 @@
   private final Cluster c;
   private final Map<Priority, List<Job>> window = new EnumMap<>(Priority.class);
 
+  /** Those of them for which something is aimed at, gangs apart. */
+  private final List<Job> aimed = new ArrayList<>();
+
   private final Triage triage;
 
   Queue(Cluster cluster) {
@@ -28,6 +31,23 @@
     return window.getOrDefault(priority, List.of());
   }
 
+  /**
+   * Whether a job with an aim waits that may use the machine: then room that is too small for its
+   * tasks must not go to those with no aim, or it would never become large enough.
+   */
+  boolean aimedWaits(Machine m) {
+    for (Job job : aimed) {
+      if (!job.waiting.isEmpty()
+          && (job.spec.spot() || !m.spot)
+          && job.usableTypes.contains(m.type)
+          && job.zoneAllowed(m.zone)
+          && c.teamAllows(job)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   boolean isEmpty() {
     return window.isEmpty();
   }
@@ -41,11 +61,12 @@
         job.urgencyMs =
             job.startAimS != null ? job.submittedMs + job.startAimS * 1000 : Triage.startMs(job);
         job.belowGuarantee = belowGuarantee(job);
+        job.spare = !job.aimed && !job.belowGuarantee;
         queue.add(job);
         if (job.startAimS == null
             && !job.suspect()
             && job.spec.kind() == JobKind.ARRAY
-            && job.spec.deadlineS() != null) {
+            && job.dueS != null) {
           timed.computeIfAbsent(job.spec.priority(), p -> new ArrayList<>()).add(job);
         }
       }
@@ -55,10 +76,15 @@
         Comparator.comparing((Job j) -> j.spec.priority())
             .thenComparing(Job::suspect)
             .thenComparing(j -> !j.belowGuarantee)
+            .thenComparing(j -> j.spare)
             .thenComparingDouble(j -> j.urgencyMs)
             .thenComparingLong(j -> j.submittedMs));
     int tasks = 0;
+    aimed.clear();
     for (Job job : queue) {
+      if (job.aimed && job.spec.kind() != JobKind.GANG && !job.suspect()) {
+        aimed.add(job);
+      }
       window.computeIfAbsent(job.spec.priority(), p -> new ArrayList<>()).add(job);
       tasks += job.waitingCount();
       if (tasks >= c.policy.window()) {
--- a/src/main/java/org/astershift/core/Renting.java
+++ b/src/main/java/org/astershift/core/Renting.java
@@ -174,7 +174,7 @@
         queue.add(job);
       }
     }
-    queue.sort(Comparator.comparing((Job j) -> j.spec.priority()));
+    queue.sort(Comparator.comparing((Job j) -> j.spec.priority()).thenComparing(j -> !j.aimed));
     return queue;
   }
 
@@ -205,8 +205,8 @@
         n = (int) Math.min(n, Math.max(0, (team.gpusMax() - use[1]) / spec.gpus() + 1e-6));
       }
     }
-    if (spec.kind() == JobKind.ARRAY && spec.deadlineS() != null && spec.estimateS() > 0) {
-      double left = spec.deadlineS() - (nowMs - job.submittedMs) / 1000.0 - spec.estimateS() / 2;
+    if (spec.kind() == JobKind.ARRAY && job.dueS != null && spec.estimateS() > 0) {
+      double left = job.dueS - (nowMs - job.submittedMs) / 1000.0 - spec.estimateS() / 2;
       double rounds = Math.max(1, left / spec.estimateS());
       n = (int) Math.min(n, Math.ceil(n / rounds));
     }
--- a/src/main/java/org/astershift/core/Reports.java
+++ b/src/main/java/org/astershift/core/Reports.java
@@ -236,7 +236,7 @@
             0,
             true,
             new BitSet(),
-            null);
+            Aims.NONE);
     job.state = Job.State.CANCELLED;
     return job;
   }
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -55,7 +55,7 @@
     if (c.jobs.containsKey(spec.id())) {
       return;
     }
-    Job job = new Job(spec, submittedMs, opened, done, c.facts.startAim(spec.jobClass()));
+    Job job = new Job(spec, submittedMs, opened, done, c.facts.aims(spec.jobClass()));
     job.inherited = opened;
     c.addJob(job);
   }
@@ -180,6 +180,11 @@
     return isolated;
   }
 
+  /** Whether this term has no attempt numbers left, so that it has to end. */
+  public boolean usedUp() {
+    return c.usedUp();
+  }
+
   /** Whether something happened that a pass may act on. */
   public boolean restless() {
     return c.restless();
--- a/src/main/java/org/astershift/core/Triage.java
+++ b/src/main/java/org/astershift/core/Triage.java
@@ -66,7 +66,7 @@
       chosen.add(job);
       double runMs = job.spec.estimateS() * 1000;
       double endMs = nowMs + Math.max(runMs, load / perMs) - runMs * Constants.HOPEFUL_SHARE;
-      if (endMs > job.submittedMs + times * job.spec.deadlineS() * 1000) {
+      if (endMs > job.submittedMs + times * job.dueS * 1000) {
         Job largest = chosen.remove();
         load -= work(largest);
         late.add(largest);
@@ -83,7 +83,7 @@
 
   /** When its tasks should start, on the steady clock. */
   static double startMs(Job job) {
-    double deadline = job.spec.deadlineS() != null ? job.spec.deadlineS() : Constants.NO_DEADLINE_S;
+    double deadline = job.dueS != null ? job.dueS : Constants.NO_DEADLINE_S;
     return job.submittedMs + (deadline - job.spec.estimateS()) * 1000;
   }
 }
--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -207,6 +207,7 @@
         List<Decision> decisions;
         String summary = null;
         boolean isolated;
+        boolean usedUp;
         synchronized (t) {
           long now = Term.nowMs();
           if (stoodStillMs > Constants.STOOD_STILL_MS) {
@@ -215,6 +216,7 @@
           }
           decisions = t.scheduler.pass(now, leadership.soleUntilMs());
           isolated = t.scheduler.isolated();
+          usedUp = t.scheduler.usedUp();
           if (now - told > Constants.SUMMARY_MS) {
             told = now;
             summary = t.scheduler.summary();
@@ -223,6 +225,9 @@
         if (isolated) {
           leadership.resign(t.token, "most machines do not answer here");
         }
+        if (usedUp) {
+          leadership.stepDown(t.token, "its attempt numbers are used up");
+        }
         if (summary != null) {
           LOG.info(summary);
         }
