Idle accelerators are lent to arrays of lower priority while other machines are full

Arrays of lower priority than any work with accelerators may use such a machine while nothing waits for it; a gang stops them.

--- a/src/main/java/org/astershift/core/Queue.java
+++ b/src/main/java/org/astershift/core/Queue.java
@@ -53,6 +53,7 @@
   }
 
   void refresh(long nowMs) {
+    c.lend();
     window.clear();
     List<Job> queue = new ArrayList<>();
     Map<Priority, List<Job>> timed = new EnumMap<>(Priority.class);
