--- a/src/main/java/org/astershift/core/Renting.java
+++ b/src/main/java/org/astershift/core/Renting.java
@@ -82,7 +82,7 @@
       if (m.kind != null && m.state == Machine.State.BOOTING && !c.isCutOff(m.zone, nowMs)) {
         coming.add(new Bin(m.kind, m.zone, m.spot));
       } else if (c.usable(m, nowMs)) {
-        free.add(new Bin(m));
+        free.add(Bin.forAccelerators(m));
         soon.add(Bin.soon(m, soonMs));
       }
     }
@@ -174,7 +174,7 @@
         queue.add(job);
       }
     }
-    queue.sort(Comparator.comparing((Job j) -> j.spec.priority()));
+    queue.sort(Comparator.comparing((Job j) -> j.spec.priority()).thenComparing(j -> !j.aimed));
     return queue;
   }
 
@@ -205,8 +205,8 @@
         n = (int) Math.min(n, Math.max(0, (team.gpusMax() - use[1]) / spec.gpus() + 1e-6));
       }
     }
-    if (spec.kind() == JobKind.ARRAY && spec.deadlineS() != null && spec.estimateS() > 0) {
-      double left = spec.deadlineS() - (nowMs - job.submittedMs) / 1000.0 - spec.estimateS() / 2;
+    if (spec.kind() == JobKind.ARRAY && job.dueS != null && spec.estimateS() > 0) {
+      double left = job.dueS - (nowMs - job.submittedMs) / 1000.0 - spec.estimateS() / 2;
       double rounds = Math.max(1, left / spec.estimateS());
       n = (int) Math.min(n, Math.ceil(n / rounds));
     }
