--- a/src/main/java/org/astershift/core/Bin.java
+++ b/src/main/java/org/astershift/core/Bin.java
@@ -12,27 +12,12 @@
 
   /** An empty machine. */
   Bin(MachineType type, String zone, boolean spot) {
-    this(type, zone, spot, type.cpus(), type.gpus(), type.memoryGb());
-  }
-
-  /** A machine with so much free. */
-  Bin(MachineType type, String zone, boolean spot, double cpus, double gpus, double memory) {
     this.type = type;
     this.zone = zone;
     this.spot = spot;
-    this.cpus = cpus;
-    this.gpus = gpus;
-    this.memory = memory;
-  }
-
-  /** What work with accelerators finds free on a machine: others give way there. */
-  static Bin forAccelerators(Machine m) {
-    Bin bin = new Bin(m);
-    if (m.kind.gpus() > 0) {
-      bin.cpus += m.plainCpus();
-      bin.memory += m.plainMemory();
-    }
-    return bin;
+    this.cpus = type.cpus();
+    this.gpus = type.gpus();
+    this.memory = type.memoryGb();
   }
 
   /** What is free on a machine now. */
--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -52,13 +52,6 @@
   private static final double TOLERANCE = 1e-6;
   private Map<String, MachineType> types = Map.of();
   private final Map<String, Spare> spare = new HashMap<>();
-
-  /** Types with accelerators for which nothing waits that needs these. */
-  private final Set<String> lendable = new LinkedHashSet<>();
-
-  /** The lowest priority of work with accelerators: only what is below it can be stopped for it. */
-  private Priority acceleratorPriority = Priority.PRODUCTION;
-
   private final Map<String, double[]> teamUse = new HashMap<>();
   private final List<Decision.Strike> struck = new ArrayList<>();
   private final Pool plain = new Pool();
@@ -149,46 +142,17 @@
 
   /**
    * Whether a task without accelerators fits beside those with, on what these cannot use anyway: it
-   * never keeps one of them from the machine. An idle machine may be filled while others are full
-   * and no work waits for accelerators; it is still given back when it has been idle for long
-   * enough, and what needs accelerators stops such tasks.
+   * never keeps one of them from the machine. Only while one is there, so that it may go when idle.
    */
   boolean spareHolds(Machine m, Job job) {
-    if (!job.spareTypes.contains(m.type)) {
-      return false;
-    }
-    if (m.usedGpus() == 0) {
-      return lendable.contains(m.type)
-          && job.spec.priority().compareTo(acceleratorPriority) > 0
-          && plain.used >= policy.utilization() * plain.all;
-    }
     Spare s = spare.get(m.type);
     return s != null
+        && m.usedGpus() > 0
+        && job.spareTypes.contains(m.type)
         && m.plainCpus() + job.spec.cpus() <= s.cpus + TOLERANCE
         && m.plainMemory() + job.spec.memoryGb() <= s.memory + TOLERANCE;
   }
 
-  /** Looks anew at which idle machines with accelerators others may use. */
-  void lend() {
-    lendable.clear();
-    acceleratorPriority = Priority.PRODUCTION;
-    for (MachineType t : types.values()) {
-      if (t.gpus() > 0) {
-        lendable.add(t.name());
-      }
-    }
-    for (Job job : jobs.values()) {
-      if (job.spec.gpus() > 0) {
-        if (job.spec.priority().compareTo(acceleratorPriority) > 0) {
-          acceleratorPriority = job.spec.priority();
-        }
-        if (!job.waiting.isEmpty() && !job.suspect() && teamAllows(job)) {
-          lendable.removeAll(job.usableTypes);
-        }
-      }
-    }
-  }
-
   /** What is left of a machine with accelerators by the work that needs these. */
   private static final class Spare {
     private double cpus;
@@ -387,7 +351,7 @@
   }
 
   Run place(Job job, int index, Machine m, long attempt, long nowMs) {
-    if (m.idle() && (m.kind.gpus() == 0 || job.spec.gpus() > 0)) {
+    if (m.idle()) {
       reuse.computeIfAbsent(m.type, t -> new Decaying(Constants.REUSE_WINDOW_S)).add(nowMs);
     }
     Run run = new Run(job, index, attempt, m, nowMs);
@@ -432,8 +396,7 @@
   private void use(Run run, int sign) {
     JobSpec s = run.job.spec;
     run.machine.use(s, sign);
-    Pool pool = pool(run.machine);
-    pool.used += pool == plain || s.gpus() > 0 ? sign * s.cpus() : 0;
+    pool(run.machine).used += sign * s.cpus();
     double[] u = teamUse.computeIfAbsent(s.team(), t -> new double[2]);
     u[0] += sign * s.cpus();
     u[1] += sign * s.gpus();
@@ -505,7 +468,7 @@
     for (Machine m : machines.values()) {
       if (m.state == Machine.State.LIVE && m.kind != null) {
         Pool p = pool(m);
-        p.used += m.usedCpus() - (p == accelerated ? m.plainCpus() : 0);
+        p.used += m.usedCpus();
         p.all += m.kind.cpus();
       } else if (m.state == Machine.State.BOOTING && m.kind != null) {
         pool(m).booting += m.kind.cpus();
--- a/src/main/java/org/astershift/core/Gangs.java
+++ b/src/main/java/org/astershift/core/Gangs.java
@@ -31,11 +31,10 @@
       if (job.spec.kind() == JobKind.GANG && !job.waiting.isEmpty() && !oldAttemptLeft(job)) {
         Map<String, Part> parts = parts(job, usable, nowMs);
         if (!place(job, parts, nowMs)
-            && !job.suspect()
-            && withinLimit(job)
-            && !evict(job, usable, nowMs)
             && !keeps
-            && starves(job, nowMs)) {
+            && !job.suspect()
+            && starves(job, nowMs)
+            && withinLimit(job)) {
           keeps = keep(job, parts, nowMs);
         }
       }
@@ -131,79 +130,6 @@
     return true;
   }
 
-  /** A machine that the gang could use if the tasks that only borrow it stopped. */
-  private record Lent(Machine machine, List<Run> borrowers, int room) {}
-
-  /**
-   * Stops tasks of lower priority that use accelerators' processors without need, where that makes
-   * room for the whole gang; a later pass seats it. False if it would not.
-   */
-  private boolean evict(Job job, List<Machine> usable, long nowMs) {
-    if (job.spec.gpus() == 0) {
-      return false;
-    }
-    Map<String, List<Lent>> parts = new LinkedHashMap<>();
-    for (Machine m : usable) {
-      if (job.usableTypes.contains(m.type) && placement.allowed(m, job, nowMs)) {
-        Lent lent = lent(m, job.spec);
-        if (lent.room() > 0) {
-          parts.computeIfAbsent(job.spec.oneZone() ? m.zone : "", z -> new ArrayList<>()).add(lent);
-        }
-      }
-    }
-    List<Lent> best = null;
-    int fewest = Integer.MAX_VALUE;
-    for (List<Lent> part : parts.values()) {
-      part.sort(Comparator.comparingInt(l -> l.borrowers().size()));
-      int need = job.waitingCount();
-      int stops = 0;
-      List<Lent> chosen = new ArrayList<>();
-      for (Lent l : part) {
-        if (need <= 0) {
-          break;
-        }
-        chosen.add(l);
-        need -= l.room();
-        stops += l.borrowers().size();
-      }
-      if (need <= 0 && stops < fewest) {
-        best = chosen;
-        fewest = stops;
-      }
-    }
-    if (best == null) {
-      return false;
-    }
-    for (Lent l : best) {
-      for (Run run : l.borrowers()) {
-        if (!run.unwanted()) {
-          LOG.debug("task {} on {} gives way to {}", run.name(), l.machine().name, job.spec.id());
-          c.stop(run);
-        }
-      }
-    }
-    return true;
-  }
-
-  private static Lent lent(Machine m, JobSpec spec) {
-    double cpus = m.freeCpus();
-    double memory = m.freeMemory();
-    List<Run> borrowers = new ArrayList<>(0);
-    for (Run run : m.runs.values()) {
-      JobSpec other = run.job.spec;
-      if (!run.exited()
-          && other.gpus() == 0
-          && other.kind() == JobKind.ARRAY
-          && (run.unwanted() || other.priority().compareTo(spec.priority()) > 0)) {
-        borrowers.add(run);
-        cpus += other.cpus();
-        memory += other.memoryGb();
-      }
-    }
-    int room = new Bin(m.kind, m.zone, m.spot, cpus, m.freeGpus(), memory).fits(spec, spec.tasks());
-    return new Lent(m, borrowers, room);
-  }
-
   /** Keeps what is free for this gang in one zone. */
   private boolean keep(Job job, Map<String, Part> parts, long nowMs) {
     String best = null;
--- a/src/main/java/org/astershift/core/Queue.java
+++ b/src/main/java/org/astershift/core/Queue.java
@@ -53,7 +53,6 @@
   }
 
   void refresh(long nowMs) {
-    c.lend();
     window.clear();
     List<Job> queue = new ArrayList<>();
     Map<Priority, List<Job>> timed = new EnumMap<>(Priority.class);
--- a/src/main/java/org/astershift/core/Renting.java
+++ b/src/main/java/org/astershift/core/Renting.java
@@ -82,7 +82,7 @@
       if (m.kind != null && m.state == Machine.State.BOOTING && !c.isCutOff(m.zone, nowMs)) {
         coming.add(new Bin(m.kind, m.zone, m.spot));
       } else if (c.usable(m, nowMs)) {
-        free.add(Bin.forAccelerators(m));
+        free.add(new Bin(m));
         soon.add(Bin.soon(m, soonMs));
       }
     }
