--- a/src/main/java/org/astershift/leader/Leadership.java
+++ b/src/main/java/org/astershift/leader/Leadership.java
@@ -144,12 +144,12 @@
   }
 
   private void contest() throws IOException, InterruptedException {
-    if (!mirror.loaded() || System.nanoTime() - contestNs < 0) {
-      return;
-    }
     if (store.silenceMs() > Constants.STORE_IDLE_MS) {
       store.get(Records.LEADER); // a sign of life, so that this node notices if it is cut off
     }
+    if (!mirror.loaded() || System.nanoTime() - contestNs < 0) {
+      return;
+    }
     StoreClient.Row row = mirror.row(Records.LEADER);
     if (row != null) {
       othersLed |= !node.equals(row.data().get("node"));
