--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -220,9 +220,12 @@
 
   // ---- outside ----
 
-  /** The leader's share of the state service's limits; the others have equal parts of the rest. */
+  /** The leader's share of the state service's limits; the others have parts of the rest. */
   public static final double LEADER_BUDGET = 0.6;
 
+  /** Times their equal part of the rest that each of the others may spend: rarely all do. */
+  public static final double FOLLOWERS_AT_ONCE = 2;
+
   /**
    * Seconds of its share that a follower may spend at once: it only accepts jobs, which come in
    * bursts on one node while the others rest.
--- a/src/main/java/org/astershift/store/StoreClient.java
+++ b/src/main/java/org/astershift/store/StoreClient.java
@@ -33,10 +33,16 @@
     leading(false);
   }
 
-  /** Whether this node spends as leader or as one of the others: all shares together are one. */
+  /**
+   * Whether this node spends as leader or as one of the others. Together the shares are more than
+   * one: jobs come to some nodes more than to others, and the service says when it is too much.
+   */
   public void leading(boolean leader) {
     if (others > 0) {
-      double share = leader ? Constants.LEADER_BUDGET : (1 - Constants.LEADER_BUDGET) / others;
+      double share =
+          leader
+              ? Constants.LEADER_BUDGET
+              : Math.min(1, Constants.FOLLOWERS_AT_ONCE * (1 - Constants.LEADER_BUDGET) / others);
       double depthS = leader ? 1 : Constants.FOLLOWER_DEPTH_S;
       requests.share(share, depthS);
       writes.share(share, depthS);
