--- a/src/main/java/org/astershift/api/PublicApi.java
+++ b/src/main/java/org/astershift/api/PublicApi.java
@@ -27,6 +27,7 @@
   private final Director director;
   private final UserDesk desk;
   private final Map<String, Team> teams;
+  private final Traffic traffic = new Traffic();
 
   public PublicApi(Director director, UserDesk desk, Map<String, Team> teams) {
     this.director = director;
@@ -49,7 +50,7 @@
           : Response.error(503, "starting");
     }
     if (path.equals(JOBS)) {
-      return r.method().equals("POST") ? submit(r) : wrongMethod();
+      return r.method().equals("POST") ? noted(Traffic.Kind.SUBMISSION, submit(r)) : wrongMethod();
     }
     if (path.startsWith(JOBS + "/")) {
       String rest = path.substring(JOBS.length() + 1);
@@ -64,11 +65,18 @@
       if (!JobCodec.isId(id)) {
         return Response.error(400, "not a job's id");
       }
-      return answer(id, cancel ? desk.cancel(id, true) : desk.poll(id, true));
+      return cancel
+          ? noted(Traffic.Kind.CANCELLATION, answer(id, desk.cancel(id, true)))
+          : noted(Traffic.Kind.QUESTION, answer(id, desk.poll(id, true)));
     }
     return Response.error(404, "no such path");
   }
 
+  private Response noted(Traffic.Kind kind, Response r) {
+    traffic.note(kind, r.status());
+    return r;
+  }
+
   private static Response wrongMethod() {
     return Response.error(405, "wrong method");
   }
