--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -224,7 +224,7 @@
   public static final double LEADER_BUDGET = 0.6;
 
   /** Times their equal part of the rest that each of the others may spend: rarely all do. */
-  public static final double FOLLOWERS_AT_ONCE = 2;
+  public static final double FOLLOWERS_AT_ONCE = 4;
 
   /**
    * Seconds of its share that a follower may spend at once: it only accepts jobs, which come in
