--- a/src/main/java/org/astershift/core/Preemption.java
+++ b/src/main/java/org/astershift/core/Preemption.java
@@ -9,7 +9,9 @@
 
 /**
  * Stops work of lower priority for tasks with a tight aim that found no room. First where their
- * image is: fetching it may take longer than the aim. These tasks then wait for the room made.
+ * image is: fetching it may take longer than the aim. These tasks then wait for the room made. Work
+ * at which nobody aims makes room for any of higher priority with an aim: it only fills gaps, and
+ * its long tasks would else hold the machines for as long as they run.
  */
 final class Preemption {
   private static final Logger LOG = LoggerFactory.getLogger(Preemption.class);
@@ -51,24 +53,47 @@
   }
 
   void makeRoom(List<Job> jobs, List<Machine> usable, boolean onlyHits, long nowMs) {
+    List<Machine> filled = null;
     for (Job job : jobs) {
       if (onlyHits) {
         job.covered = 0;
       }
-      if (job.waiting.isEmpty()
-          || job.suspect()
-          || job.startAimS == null
-          || job.startAimS > Constants.TIGHT_START_S
-          || !c.teamAllows(job)) {
+      if (job.waiting.isEmpty() || job.suspect() || !job.aimed || !c.teamAllows(job)) {
         continue;
       }
+      filled = filled == null ? filled(usable) : filled;
+      List<Machine> where = tight(job) ? usable : filled;
       int need = job.waitingCount() - job.covered;
-      if (need > 0) {
-        job.covered += makeRoom(job, need, usable, onlyHits, nowMs);
+      if (need > 0 && !where.isEmpty()) {
+        job.covered += makeRoom(job, need, where, onlyHits, nowMs);
       }
     }
   }
 
+  private static boolean tight(Job job) {
+    return job.startAimS != null && job.startAimS <= Constants.TIGHT_START_S;
+  }
+
+  /** Machines with tasks at which nobody aims. */
+  private List<Machine> filled(List<Machine> usable) {
+    boolean any = false;
+    for (Job job : c.jobs.values()) {
+      any |= !job.aimed && !job.runs.isEmpty();
+    }
+    List<Machine> filled = new ArrayList<>();
+    if (any) {
+      for (Machine m : usable) {
+        for (Run run : m.runs.values()) {
+          if (!run.exited() && !run.job.aimed) {
+            filled.add(m);
+            break;
+          }
+        }
+      }
+    }
+    return filled;
+  }
+
   /** Makes room for up to {@code need} tasks where it loses least; says for how many. */
   private int makeRoom(Job job, int need, List<Machine> usable, boolean onlyHits, long nowMs) {
     List<Choice> choices = new ArrayList<>();
@@ -104,7 +129,7 @@
         || !placement.allowed(m, job, nowMs)) {
       return null;
     }
-    List<Run> victims = victims(m, spec, nowMs);
+    List<Run> victims = victims(m, job, nowMs);
     if (victims == null) {
       return null;
     }
@@ -117,7 +142,8 @@
   }
 
   /** What has to stop for one task, the cheapest first; null if that would not be enough. */
-  private static List<Run> victims(Machine m, JobSpec spec, long nowMs) {
+  private static List<Run> victims(Machine m, Job job, long nowMs) {
+    JobSpec spec = job.spec;
     Room room = new Room(m);
     List<Run> candidates = new ArrayList<>();
     for (Run run : m.runs.values()) {
@@ -127,6 +153,7 @@
       if (run.unwanted()) {
         room.add(run.job.spec);
       } else if (run.job.spec.kind() != JobKind.SERVICE
+          && (tight(job) || !run.job.aimed)
           && run.job.spec.priority().compareTo(spec.priority()) > 0) {
         candidates.add(run);
       }
