--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -68,7 +68,7 @@
   public static final double OVERDUE_BEHIND_MS = 1e9;
 
   /** Aims on starting up to this many seconds may stop work of lower priority. */
-  public static final double TIGHT_START_S = 10;
+  public static final double TIGHT_START_S = 5;
 
   /** Processor seconds of stopped work that a second of image fetch is worth to a tight aim. */
   public static final double FETCH_LOSS = 10;
