--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -70,9 +70,6 @@
   /** Aims on starting up to this many seconds may stop work of lower priority. */
   public static final double TIGHT_START_S = 5;
 
-  /** Share of a longer aim on starting after which it does so too: the rest is for the start. */
-  public static final double TIGHT_SHARE = 0.4;
-
   /** Processor seconds of stopped work that a second of image fetch is worth to a tight aim. */
   public static final double FETCH_LOSS = 10;
 
--- a/src/main/java/org/astershift/core/Preemption.java
+++ b/src/main/java/org/astershift/core/Preemption.java
@@ -62,7 +62,7 @@
         continue;
       }
       filled = filled == null ? filled(usable) : filled;
-      List<Machine> where = tight(job, nowMs) ? usable : filled;
+      List<Machine> where = tight(job) ? usable : filled;
       int need = job.waitingCount() - job.covered;
       if (need > 0 && !where.isEmpty()) {
         job.covered += makeRoom(job, need, where, onlyHits, nowMs);
@@ -70,11 +70,8 @@
     }
   }
 
-  /** Its aim on starting is short, or a good part of it has passed without room for all. */
-  private static boolean tight(Job job, long nowMs) {
-    return job.startAimS != null
-        && (job.startAimS <= Constants.TIGHT_START_S
-            || nowMs - job.submittedMs >= job.startAimS * Constants.TIGHT_SHARE * 1000);
+  private static boolean tight(Job job) {
+    return job.startAimS != null && job.startAimS <= Constants.TIGHT_START_S;
   }
 
   /** Machines with tasks at which nobody aims. */
@@ -156,7 +153,7 @@
       if (run.unwanted()) {
         room.add(run.job.spec);
       } else if (run.job.spec.kind() != JobKind.SERVICE
-          && (tight(job, nowMs) || !run.job.aimed)
+          && (tight(job) || !run.job.aimed)
           && run.job.spec.priority().compareTo(spec.priority()) > 0) {
         candidates.add(run);
       }
