One walk counts silent, overdue and unanswered machines; a job that is being probed has one name

From reading the change again; behaviour as before. Machines were walked again for each look at isolation, machines with unaimed work were looked for where no job needed them, and the condition of a probe stood in three places.

--- a/src/main/java/org/astershift/core/Blame.java
+++ b/src/main/java/org/astershift/core/Blame.java
@@ -1,7 +1,6 @@
 package org.astershift.core;
 
 import java.util.ArrayList;
-import java.util.List;
 import org.astershift.config.Constants;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -108,7 +107,7 @@
         m.name,
         m.type,
         m.zone);
-    for (Job job : List.copyOf(c.jobs.values())) {
+    for (Job job : c.jobs.values()) {
       if (job.failedOn.remove(m.name) != null
           && job.suspect()
           && job.failedOn.size() < Constants.MACHINES_TO_SUSPECT) {
--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -116,6 +116,11 @@
     return probes > 0;
   }
 
+  /** Its probe is out: no further task of it starts. */
+  boolean beingProbed() {
+    return suspect() && !runs.isEmpty();
+  }
+
   /** Whether it failed there so lately that another machine should have it. */
   boolean avoids(Machine m, long nowMs) {
     Long at = failedOn.get(m.name);
--- a/src/main/java/org/astershift/core/Placement.java
+++ b/src/main/java/org/astershift/core/Placement.java
@@ -150,7 +150,7 @@
         && (score == 1 || job.waitingCount() > job.covered)
         && !(thin && crowded(m, job))
         && m.taken < (m.doubted() ? 1 : c.policy.batch())
-        && !(job.suspect() && !job.runs.isEmpty())
+        && !job.beingProbed()
         && fits(m, job)) {
       if (score == 0 && !pastAge(job, nowMs) && c.utilization(m) >= c.policy.utilization()) {
         return;
--- a/src/main/java/org/astershift/core/Preemption.java
+++ b/src/main/java/org/astershift/core/Preemption.java
@@ -61,7 +61,9 @@
       if (job.waiting.isEmpty() || job.suspect() || !job.aimed || !c.teamAllows(job)) {
         continue;
       }
-      filled = filled == null ? filled(usable) : filled;
+      if (!tight(job) && filled == null) {
+        filled = filled(usable);
+      }
       List<Machine> where = tight(job) ? usable : filled;
       int need = job.waitingCount() - job.covered;
       if (need > 0 && !where.isEmpty()) {
--- a/src/main/java/org/astershift/core/Queue.java
+++ b/src/main/java/org/astershift/core/Queue.java
@@ -102,7 +102,7 @@
       return false;
     }
     // A broken job is probed by one task at a time.
-    if (job.suspect() && !job.runs.isEmpty()) {
+    if (job.beingProbed()) {
       return false;
     }
     // What is not heard may hold tasks of opened jobs, or use up the limit of a team.
--- a/src/main/java/org/astershift/core/Renting.java
+++ b/src/main/java/org/astershift/core/Renting.java
@@ -192,7 +192,7 @@
     JobSpec spec = job.spec;
     if (job.suspect()) {
       // A probe needs no more; a gang that is probably broken waits for what is there.
-      return spec.kind() == JobKind.GANG || !job.runs.isEmpty() ? 0 : 1;
+      return spec.kind() == JobKind.GANG || job.beingProbed() ? 0 : 1;
     }
     int n = job.waitingCount();
     Team team = c.facts.teams().get(spec.team());
--- a/src/main/java/org/astershift/core/Returning.java
+++ b/src/main/java/org/astershift/core/Returning.java
@@ -103,7 +103,8 @@
     }
     int overdue = silentReturns.size();
     int all = silentReturns.size();
-    for (Map.Entry<String, Silence> e : silence(nowMs).entrySet()) {
+    Map<String, Silence> zones = silence(nowMs);
+    for (Map.Entry<String, Silence> e : zones.entrySet()) {
       Silence zone = e.getValue();
       if (zone.silent > Constants.SILENT_FEW
           && zone.silent >= zone.all * Constants.ZONE_CUT_SHARE) {
@@ -114,7 +115,7 @@
       all += zone.all;
     }
     return overdue <= Math.max(Constants.SILENT_FEW, all * Constants.SILENT_SHARE)
-        && !isolated(nowMs);
+        && !isolated(zones);
   }
 
   /**
@@ -124,16 +125,22 @@
   private static final class Silence {
     int silent;
     int overdue;
+
+    /** Machines, also those on their way back, that are overdue and did not answer when asked. */
+    int unanswered;
+
     int all;
   }
 
   private Map<String, Silence> silence(long nowMs) {
     Map<String, Silence> zones = new HashMap<>();
     for (Machine m : c.all()) {
+      Silence zone = zones.computeIfAbsent(m.zone, z -> new Silence());
+      boolean overdue = c.overdue(m, nowMs);
+      zone.unanswered += overdue && m.directFailures > 0 ? 1 : 0;
       if (m.state != Machine.State.BOOTING && m.state != Machine.State.RETURNING) {
-        Silence zone = zones.computeIfAbsent(m.zone, z -> new Silence());
         zone.all++;
-        zone.overdue += c.overdue(m, nowMs) ? 1 : 0;
+        zone.overdue += overdue ? 1 : 0;
         zone.silent += silent(m, nowMs) ? 1 : 0;
       }
     }
@@ -145,20 +152,19 @@
    * them better.
    */
   boolean isolated(long nowMs) {
+    return isolated(silence(nowMs));
+  }
+
+  private static boolean isolated(Map<String, Silence> zones) {
     int overdue = 0;
+    int unanswered = 0;
     int all = 0;
-    for (Silence zone : silence(nowMs).values()) {
+    for (Silence zone : zones.values()) {
       overdue += zone.overdue;
+      unanswered += zone.unanswered;
       all += zone.all;
     }
-    if (overdue <= Constants.SILENT_FEW || overdue * 2 <= all) {
-      return false;
-    }
-    int unanswered = 0;
-    for (Machine m : c.all()) {
-      unanswered += c.overdue(m, nowMs) && m.directFailures > 0 ? 1 : 0;
-    }
-    return unanswered > Constants.SILENT_FEW;
+    return overdue > Constants.SILENT_FEW && overdue * 2 > all && unanswered > Constants.SILENT_FEW;
   }
 
   private boolean silent(Machine m, long nowMs) {
