Threads within the platform's limit; reports keep their places in a storm of users

A node took 0.75 of its sockets as connections, a thread each: 2,604 threads at 3,473 sockets, where a process may have 2,000. A connection whose thread could not be started stayed open with nobody serving it, and pools forgot their work. One cap served workers and users: a storm of users closed workers' connections.

Connections now have places: what is left of 85% of the threads by all that a node starts itself, and of the sockets the same share as before. Users have at most three tenths of them; a new connection may take any place until its first request. What finds no place is told 503 and when to come back. A thread that cannot start is an exception that loops handle, not an error that ends them; pools keep the work, a term that cannot start its loops is given up. Tests cause each: with all places open to users, as it was, the storm's test fails.

--- a/src/main/java/org/astershift/Main.java
+++ b/src/main/java/org/astershift/Main.java
@@ -20,6 +20,7 @@
 import org.astershift.config.Settings;
 import org.astershift.core.Policy;
 import org.astershift.http.HttpServer;
+import org.astershift.http.Places;
 import org.astershift.leader.Director;
 import org.astershift.leader.UserDesk;
 import org.astershift.peer.PeerClient;
@@ -125,12 +126,13 @@
     UserDesk desk = new UserDesk(director, store, askers);
     PeerServer peers =
         new PeerServer(settings.peerListen().host(), settings.peerListen().port(), desk::answer);
-    int most = (int) (settings.sockets() * Constants.INCOMING_SHARE);
+    int most = Constants.connections(settings.sockets());
     HttpServer http =
         new HttpServer(
             settings.listen().host(),
             settings.listen().port(),
-            most,
+            new Places(most, (int) (most * Constants.USERS_SHARE)),
+            PublicApi::isReport,
             new PublicApi(director, desk, settings.facts().teams()));
     peers.start();
     director.start();
--- a/src/main/java/org/astershift/api/PublicApi.java
+++ b/src/main/java/org/astershift/api/PublicApi.java
@@ -23,6 +23,7 @@
 public final class PublicApi implements Handler {
   private static final Logger LOG = LoggerFactory.getLogger(PublicApi.class);
   private static final String JOBS = "/v2/runs";
+  private static final String REPORT = "/agent/beat";
   private static final String CANCEL = "/withdraw";
   private final Director director;
   private final UserDesk desk;
@@ -35,10 +36,15 @@
     this.teams = teams;
   }
 
+  /** Whether a request for this path is a worker's. */
+  public static boolean isReport(String path) {
+    return path.equals(REPORT);
+  }
+
   @Override
   public Response handle(Request r) throws InterruptedException {
     String path = r.path();
-    if (path.equals("/agent/beat")) {
+    if (isReport(path)) {
       return r.method().equals("POST") ? report(r) : wrongMethod();
     }
     if (path.equals("/ready")) {
--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -333,12 +333,36 @@
   /** A started request has to arrive whole within this many milliseconds. */
   public static final int REQUEST_TIMEOUT_MS = 5000;
 
+  /** Threads that a process may have: what the platform allows (the operators' letter: 2,000). */
+  public static final int THREADS_ALLOWED = 2000;
+
+  /** Share of them that is used: the runtime's own and those about to end come on top. */
+  public static final double THREADS_SHARE = 0.85;
+
+  /** Threads of the loops of a node and of two terms, of which one is ending. */
+  public static final int LOOP_THREADS = 24;
+
+  /** Threads that the Java runtime starts for itself: compiler, collector, references, signals. */
+  public static final int RUNTIME_THREADS = 16;
+
   /**
-   * Share of the sockets allowed that incoming connections may take: each worker keeps one, and
-   * those to the workers are at most {@link #KEPT_WORKERS} and {@link #ORDER_THREADS}.
+   * Share of the sockets allowed that incoming connections may take: those to the workers are at
+   * most {@link #KEPT_WORKERS} and {@link #ORDER_THREADS}.
    */
   public static final double INCOMING_SHARE = 0.75;
 
+  /**
+   * Share of the incoming connections that users may take; the rest is for workers, one each. The
+   * largest deployments have about 1,100 machines, all of which may report to one node.
+   */
+  public static final double USERS_SHARE = 0.3;
+
+  /**
+   * Connections that may wait to be taken. After a restart of a node all its workers and users come
+   * at once, and those refused try another node only a second later.
+   */
+  public static final int BACKLOG = 1024;
+
   /** Connections to workers that are kept for the next order. */
   public static final int KEPT_WORKERS = 100;
 
@@ -360,6 +384,9 @@
   /** Threads that end jobs: each waits for one write. */
   public static final int END_THREADS = 4;
 
+  /** Threads that give machines back: one call takes a hundred names. */
+  public static final int RETURN_THREADS = 1;
+
   /** Threads that rent: the cloud's limit allows a few calls a second. */
   public static final int RENT_THREADS = 2;
 
@@ -390,4 +417,25 @@
 
   /** Rows asked for in one list of the state service. */
   public static final int LIST_ROWS = 1000;
+
+  // ---- shared out ----
+
+  /** Threads left for incoming connections by what the node itself starts. */
+  public static int connectionThreads() {
+    int own =
+        ORDER_THREADS
+            + QUESTION_THREADS
+            + END_THREADS
+            + RENT_THREADS
+            + RETURN_THREADS
+            + PEER_CONNECTIONS
+            + LOOP_THREADS
+            + RUNTIME_THREADS;
+    return (int) (THREADS_ALLOWED * THREADS_SHARE) - own;
+  }
+
+  /** Incoming connections that a node may keep, each with a thread and one of {@code sockets}. */
+  public static int connections(int sockets) {
+    return Math.min(connectionThreads(), (int) (sockets * INCOMING_SHARE));
+  }
 }
--- a/src/main/java/org/astershift/http/HttpServer.java
+++ b/src/main/java/org/astershift/http/HttpServer.java
@@ -8,8 +8,10 @@
 import java.net.SocketTimeoutException;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.ThreadFactory;
+import java.util.function.Predicate;
 import org.astershift.config.Constants;
+import org.astershift.http.Places.Connection;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -39,16 +41,40 @@
 
   private final ServerSocket server;
   private final Handler handler;
-  private final int most;
-  private final Map<Socket, AtomicLong> open = new ConcurrentHashMap<>();
+  private final Places places;
+  private final Predicate<String> reserved;
+  private final ThreadFactory threads;
+  private final Map<Connection, Socket> open = new ConcurrentHashMap<>();
   private volatile boolean closed;
+  private long toldNs = System.nanoTime();
 
+  /** {@code most} connections, none of them with a place of its own. */
   public HttpServer(String host, int port, int most, Handler handler) throws IOException {
+    this(host, port, new Places(most, most), path -> false, handler, Threads.connections());
+  }
+
+  /** Connections that ask for a {@code reserved} path have places that others cannot take. */
+  public HttpServer(
+      String host, int port, Places places, Predicate<String> reserved, Handler handler)
+      throws IOException {
+    this(host, port, places, reserved, handler, Threads.connections());
+  }
+
+  HttpServer(
+      String host,
+      int port,
+      Places places,
+      Predicate<String> reserved,
+      Handler handler,
+      ThreadFactory threads)
+      throws IOException {
     this.handler = handler;
-    this.most = most;
+    this.places = places;
+    this.reserved = reserved;
+    this.threads = threads;
     this.server = new ServerSocket();
     server.setReuseAddress(true);
-    server.bind(new InetSocketAddress(InetAddress.getByName(host), port), 128);
+    server.bind(new InetSocketAddress(InetAddress.getByName(host), port), Constants.BACKLOG);
   }
 
   public int port() {
@@ -56,14 +82,14 @@
   }
 
   public void start() {
-    Threads.start("http-accept", this::acceptLoop);
+    Threads.startLoop("http-accept", this::acceptLoop);
   }
 
   @Override
   public void close() throws IOException {
     closed = true;
     server.close();
-    for (Socket s : open.keySet()) {
+    for (Socket s : open.values()) {
       s.close();
     }
   }
@@ -72,13 +98,11 @@
     while (!closed) {
       try {
         Socket socket = server.accept();
-        if (open.size() >= most) {
-          closeIdlest();
-        }
-        AtomicLong idleSince = new AtomicLong(System.nanoTime());
-        open.put(socket, idleSince);
-        Threads.start("http", () -> serve(socket, idleSince));
-      } catch (IOException | OutOfMemoryError e) {
+        Connection c = new Connection(System.nanoTime());
+        open.put(c, socket);
+        take(c, socket);
+        tell();
+      } catch (IOException | Threads.NoThread e) {
         if (!closed) {
           LOG.info("a connection could not be taken: {}", e.toString());
           Threads.pause();
@@ -87,42 +111,57 @@
     }
   }
 
-  /** A full node gives up the connection that has been idle for longest. */
-  private void closeIdlest() {
-    Socket idlest = null;
-    long since = Long.MAX_VALUE;
-    for (Map.Entry<Socket, AtomicLong> e : open.entrySet()) {
-      long at = e.getValue().get();
-      if (at < since) {
-        since = at;
-        idlest = e.getKey();
-      }
+  private void take(Connection c, Socket socket) {
+    for (Connection over : places.enter(c)) {
+      drop(over);
+    }
+    if (!open.containsKey(c)) {
+      return; // all others were at work: it was told to come back
     }
-    if (idlest != null) {
-      open.remove(idlest);
-      quietly(idlest);
+    try {
+      Threads.start(threads, () -> serve(c, socket));
+    } catch (Threads.NoThread e) {
+      // Nobody will serve it: kept, it would hang for its user and count as open for ever.
+      places.leave(c);
+      drop(c);
+      throw e;
     }
   }
 
-  private static void quietly(Socket socket) {
-    try {
-      socket.close();
+  /** Closes a connection that has no place, at its request or before one. */
+  private void drop(Connection c) {
+    Socket socket = open.remove(c);
+    if (socket == null) {
+      return;
+    }
+    try (socket) {
+      if (!c.asked()) {
+        send(socket, Response.error(503, "no place for more connections"), true);
+      }
     } catch (IOException e) {
       LOG.debug("closing: {}", e.toString());
     }
   }
 
-  private void serve(Socket socket, AtomicLong idleSince) {
+  private void tell() {
+    long now = System.nanoTime();
+    if (now - toldNs >= Constants.SUMMARY_MS * 1_000_000) {
+      toldNs = now;
+      LOG.info("connections: {}; {} threads", places, Thread.activeCount());
+    }
+  }
+
+  private void serve(Connection c, Socket socket) {
     try (socket) {
       socket.setTcpNoDelay(true);
       Wire wire = new Wire(socket);
       while (!closed) {
-        idleSince.set(System.nanoTime());
+        c.idleSince(System.nanoTime());
         if (!wire.await(Constants.IDLE_TIMEOUT_MS)) {
           return;
         }
-        idleSince.set(Long.MAX_VALUE);
-        boolean keep = one(socket, wire);
+        c.busy();
+        boolean keep = one(c, socket, wire);
         if (!keep) {
           return;
         }
@@ -131,14 +170,15 @@
       LOG.debug("a connection was idle or slow for too long");
     } catch (IOException e) {
       LOG.debug("connection: {}", e.toString());
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       LOG.error("connection ended by", e);
     } finally {
-      open.remove(socket);
+      open.remove(c);
+      places.leave(c);
     }
   }
 
-  private boolean one(Socket socket, Wire wire) throws IOException {
+  private boolean one(Connection c, Socket socket, Wire wire) throws IOException {
     Wire.Message m;
     String[] start;
     try {
@@ -154,6 +194,13 @@
     int query = start[1].indexOf('?');
     String path = query < 0 ? start[1] : start[1].substring(0, query);
     String rest = query < 0 ? "" : start[1].substring(query + 1);
+    for (Connection over : places.asks(c, reserved.test(path))) {
+      if (over == c) {
+        send(socket, Response.error(503, "no place for more connections"), true);
+        return false;
+      }
+      drop(over);
+    }
     Response response;
     try {
       response = handler.handle(new Request(start[0], path, rest, m.body()));
--- /dev/null
+++ b/src/main/java/org/astershift/http/Places.java
@@ -0,0 +1,146 @@
+package org.astershift.http;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Which connections a node keeps: each holds a thread and a socket, and both are limited. Workers'
+ * reports keep leases alive, so they have a part of the places that users cannot take, however many
+ * come. A new connection may take any place until its first request says whose it is; then a group
+ * that has more than its part gives up its connection that has been idle for longest. Decides only:
+ * the server closes what is given up.
+ */
+public final class Places {
+  /** Whose a connection is. */
+  private enum Side {
+    NEW,
+    OTHER,
+    RESERVED
+  }
+
+  /** One connection as far as its place is concerned. */
+  static final class Connection {
+    private Side side = Side.NEW;
+    private volatile long idleSinceNs;
+    private volatile boolean busy;
+
+    Connection(long nowNs) {
+      this.idleSinceNs = nowNs;
+    }
+
+    /** It waits for its next request. */
+    void idleSince(long nowNs) {
+      idleSinceNs = nowNs;
+      busy = false;
+    }
+
+    /** A request of it is being read or answered: it is not given up. */
+    void busy() {
+      busy = true;
+    }
+
+    /** Its first request has come. */
+    boolean asked() {
+      return side != Side.NEW;
+    }
+  }
+
+  private final int most;
+  private final int others;
+  private final Set<Connection> all = new LinkedHashSet<>();
+  private int reservedNow;
+  private int othersNow;
+  private int peak;
+  private long givenUp;
+
+  /**
+   * {@code most} places in all, of which at most {@code others} for connections without a reserved
+   * place.
+   */
+  public Places(int most, int others) {
+    this.most = most;
+    this.others = others;
+  }
+
+  /** A connection comes; gives those to close, itself if no other can go. */
+  synchronized List<Connection> enter(Connection c) {
+    all.add(c);
+    List<Connection> over = new ArrayList<>(1);
+    if (all.size() > most) {
+      // Users' and new connections go first: a worker's is only given up beyond the workers' part.
+      Connection idlest = idlest(c, Side.OTHER, Side.NEW);
+      if (idlest == null && reservedNow > most - others) {
+        idlest = idlest(c, Side.RESERVED, Side.RESERVED);
+      }
+      giveUp(idlest == null ? c : idlest, over);
+    }
+    peak = Math.max(peak, all.size());
+    return over;
+  }
+
+  /** Its request is for a reserved path, or not; gives those to close. */
+  synchronized List<Connection> asks(Connection c, boolean reserved) {
+    List<Connection> over = new ArrayList<>(0);
+    if (!all.contains(c)) {
+      return over; // given up a moment ago
+    }
+    Side side = reserved ? Side.RESERVED : Side.OTHER;
+    if (c.side != side) {
+      count(c.side, -1);
+      c.side = side;
+      count(side, 1);
+      if (othersNow > others) {
+        Connection idlest = idlest(c, Side.OTHER, Side.OTHER);
+        giveUp(idlest == null ? c : idlest, over);
+      }
+    }
+    return over;
+  }
+
+  /** The connection is closed. */
+  synchronized void leave(Connection c) {
+    if (all.remove(c)) {
+      count(c.side, -1);
+    }
+  }
+
+  private void giveUp(Connection c, List<Connection> over) {
+    leave(c);
+    givenUp++;
+    over.add(c);
+  }
+
+  private void count(Side side, int by) {
+    reservedNow += side == Side.RESERVED ? by : 0;
+    othersNow += side == Side.OTHER ? by : 0;
+  }
+
+  private Connection idlest(Connection but, Side one, Side other) {
+    Connection idlest = null;
+    for (Connection c : all) {
+      boolean may = c != but && !c.busy && (c.side == one || c.side == other);
+      if (may && (idlest == null || c.idleSinceNs - idlest.idleSinceNs < 0)) {
+        idlest = c;
+      }
+    }
+    return idlest;
+  }
+
+  @Override
+  public synchronized String toString() {
+    return reservedNow
+        + " of workers, "
+        + othersNow
+        + " of users, "
+        + (all.size() - reservedNow - othersNow)
+        + " new, at most "
+        + peak
+        + " of "
+        + most
+        + " at once, "
+        + givenUp
+        + " given up for want of places";
+  }
+}
--- a/src/main/java/org/astershift/http/Threads.java
+++ b/src/main/java/org/astershift/http/Threads.java
@@ -1,7 +1,7 @@
 package org.astershift.http;
 
-import java.util.concurrent.ExecutorService;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.astershift.config.Constants;
@@ -19,36 +19,114 @@
     void run() throws Exception;
   }
 
+  /** A thread could not be started: the process has as many as the system allows. */
+  public static final class NoThread extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    NoThread(String name, OutOfMemoryError cause) {
+      super("no thread for " + name + ": " + cause.getMessage(), cause);
+    }
+  }
+
+  /**
+   * Starts a thread, or throws {@link NoThread}. The system's refusal comes as an error, which
+   * would pass by every loop's handler and end the loop; as an exception it is handled there.
+   */
   public static void start(String name, Body body) {
-    thread(name, guarded(name, body)).start();
+    start(thread(name, guarded(name, body)));
+  }
+
+  /** As {@link #start(String, Body)}, with a way of making threads that tests choose. */
+  static void start(ThreadFactory factory, Runnable body) {
+    start(factory.newThread(guarded("connection", body::run)));
+  }
+
+  private static void start(Thread t) {
+    try {
+      t.start();
+    } catch (OutOfMemoryError e) {
+      throw new NoThread(t.getName(), e);
+    }
+  }
+
+  /** A loop that has to live as long as the process: whatever ends its body, it begins again. */
+  public static void startLoop(String name, Body body) {
+    Runnable once = guarded(name, body);
+    start(
+        thread(
+            name,
+            () -> {
+              while (!Thread.currentThread().isInterrupted()) {
+                once.run();
+                pause();
+              }
+            }));
   }
 
   /** Threads come with the work and go when there is none; what waits is bounded by its askers. */
-  public static ExecutorService pool(String name, int threads) {
-    ThreadPoolExecutor p =
-        new ThreadPoolExecutor(
-            threads,
-            threads,
-            Constants.POOL_IDLE_S,
-            TimeUnit.SECONDS,
-            new LinkedBlockingQueue<>(),
-            r -> thread(name, r));
-    p.allowCoreThreadTimeOut(true);
-    return p;
+  public static Pool pool(String name, int threads) {
+    return new Pool(threads, r -> thread(name, r));
   }
 
+  /**
+   * A pool that never loses work because a thread could not be started: the plain one throws the
+   * refusal at the caller and forgets the work, whose asker then waits for ever. Here it stays in
+   * line for the threads there are, or for {@link #tend}.
+   */
+  public static final class Pool {
+    private final ThreadPoolExecutor threads;
+
+    Pool(int threads, ThreadFactory factory) {
+      this.threads =
+          new ThreadPoolExecutor(
+              threads,
+              threads,
+              Constants.POOL_IDLE_S,
+              TimeUnit.SECONDS,
+              new LinkedBlockingQueue<>(),
+              factory);
+      this.threads.allowCoreThreadTimeOut(true);
+    }
+
+    public void execute(String what, Body body) {
+      threads.getQueue().add(guarded(what, body));
+      grow();
+    }
+
+    /** Starts a thread where work waits for the first one; called now and then by a loop. */
+    public void tend() {
+      if (threads.getPoolSize() == 0 && !threads.getQueue().isEmpty()) {
+        grow();
+      }
+    }
+
+    private void grow() {
+      try {
+        threads.prestartCoreThread();
+      } catch (OutOfMemoryError e) {
+        LOG.error("no thread for more work at once, {} wait: {}", threads.getQueue().size(), e);
+      }
+    }
+  }
+
+  /** Logs whatever ends this run of the body, errors included: nothing ends without a line. */
   public static Runnable guarded(String what, Body body) {
     return () -> {
       try {
         body.run();
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
-      } catch (Exception e) {
+      } catch (Exception | Error e) {
         LOG.error("{} failed", what, e);
       }
     };
   }
 
+  /** Threads that serve a connection each. */
+  static ThreadFactory connections() {
+    return r -> thread("http", r);
+  }
+
   private static Thread thread(String name, Runnable body) {
     Thread t = new Thread(null, body, name, Constants.STACK_BYTES);
     t.setDaemon(true);
--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -4,7 +4,6 @@
 import java.util.BitSet;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ExecutorService;
 import org.astershift.config.Constants;
 import org.astershift.config.Settings;
 import org.astershift.core.Decision;
@@ -38,9 +37,9 @@
   private final EndedJobs ended = new EndedJobs();
   private volatile Term term;
 
-  private final ExecutorService orderPool = Threads.pool("order", Constants.ORDER_THREADS);
-  private final ExecutorService questionPool = Threads.pool("question", Constants.QUESTION_THREADS);
-  private final ExecutorService endPool = Threads.pool("end", Constants.END_THREADS);
+  private final Threads.Pool orderPool = Threads.pool("order", Constants.ORDER_THREADS);
+  private final Threads.Pool questionPool = Threads.pool("question", Constants.QUESTION_THREADS);
+  private final Threads.Pool endPool = Threads.pool("end", Constants.END_THREADS);
   private final Object wake = new Object();
   private boolean stirred;
 
@@ -166,6 +165,8 @@
       t.add(row);
     }
     machines.takeOver(t);
+    // A term whose loops cannot all run is given up by its caller: half a leader would hold the
+    // lease and place nothing.
     Threads.start("notes", () -> notes.loop(t));
     Threads.start("pass", () -> passLoop(t));
     Threads.start("cloud", () -> machines.loop(t));
@@ -234,7 +235,11 @@
         for (Decision d : decisions) {
           carryOut(t, d);
         }
-      } catch (RuntimeException e) {
+        for (Threads.Pool pool : List.of(orderPool, questionPool, endPool)) {
+          pool.tend();
+        }
+        machines.tend();
+      } catch (RuntimeException | Error e) {
         LOG.error("pass failed", e);
         Threads.pause();
       }
@@ -249,12 +254,11 @@
   private void carryOut(Term t, Decision d) {
     if (d instanceof Decision.Direct o) {
       // Silent machines hold a thread until the deadline: the others' orders must not wait behind.
-      (o.orders().isEmpty() ? questionPool : orderPool)
-          .execute(Threads.guarded("order", () -> direct(t, o)));
+      (o.orders().isEmpty() ? questionPool : orderPool).execute("order", () -> direct(t, o));
     } else if (d instanceof Decision.OpenJob o) {
       t.notes.put(Notes.Kind.OPENED, o.job(), 1, 0);
     } else if (d instanceof Decision.FinishJob f) {
-      endPool.execute(Threads.guarded("finishing", () -> finish(t, f)));
+      endPool.execute("finishing", () -> finish(t, f));
     } else if (d instanceof Decision.Enrol e) {
       t.notes.put(Notes.Kind.MACHINE, e.machine(), Records.machine(e), 0);
     } else if (d instanceof Decision.Strike s) {
@@ -411,11 +415,15 @@
   private static void saveLoop(Term t) throws InterruptedException {
     while (!t.over()) {
       Thread.sleep(Constants.SAVE_MS);
-      Map<String, BitSet> unsaved;
-      synchronized (t) {
-        unsaved = t.scheduler.unsaved();
+      try {
+        Map<String, BitSet> unsaved;
+        synchronized (t) {
+          unsaved = t.scheduler.unsaved();
+        }
+        unsaved.forEach((job, done) -> save(t, job, done));
+      } catch (RuntimeException | Error e) {
+        LOG.error("saving progress failed", e);
       }
-      unsaved.forEach((job, done) -> save(t, job, done));
     }
   }
 
--- a/src/main/java/org/astershift/leader/Leadership.java
+++ b/src/main/java/org/astershift/leader/Leadership.java
@@ -52,7 +52,7 @@
   }
 
   public void start() {
-    Threads.start("leadership", this::loop);
+    Threads.startLoop("leadership", this::loop);
   }
 
   /** 0 if this node does not lead. */
@@ -179,7 +179,14 @@
       }
       token = a.revision();
       LOG.info("{} leads with token {}", node, token);
-      office.begin(token);
+      try {
+        office.begin(token);
+      } catch (RuntimeException e) {
+        LOG.error("a term could not begin", e);
+        stepDown(token, "it could not begin");
+        contestNs = System.nanoTime() + Constants.RESIGN_PAUSE_MS * 1_000_000;
+        store.revoke(mine);
+      }
     } else if (outcome instanceof StoreClient.Outcome.Unknown) {
       // Whether it was applied is unknown, so the key, if it exists, must not stand for this node.
       store.revoke(mine);
--- a/src/main/java/org/astershift/leader/Machines.java
+++ b/src/main/java/org/astershift/leader/Machines.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ExecutorService;
 import org.astershift.cloud.CloudClient;
 import org.astershift.config.Constants;
 import org.astershift.config.Settings;
@@ -26,8 +25,8 @@
   private final StoreClient store;
   private final Mirror mirror;
   private final Runnable stir;
-  private final ExecutorService rentPool = Threads.pool("rent", Constants.RENT_THREADS);
-  private final ExecutorService returnPool = Threads.pool("return", 1);
+  private final Threads.Pool rentPool = Threads.pool("rent", Constants.RENT_THREADS);
+  private final Threads.Pool returnPool = Threads.pool("return", Constants.RETURN_THREADS);
   private volatile Map<String, MachineType> types = Map.of();
 
   Machines(Settings settings, StoreClient store, Mirror mirror, Runnable stir) {
@@ -41,6 +40,12 @@
     return types;
   }
 
+  /** Work that found no thread gets one as soon as there is one. */
+  void tend() {
+    rentPool.tend();
+    returnPool.tend();
+  }
+
   /** What the leader noted of the types, for nodes that start while the cloud is away. */
   void typesNoted(Map<String, Object> value) {
     try {
@@ -142,7 +147,7 @@
   }
 
   private void execute(Term t, String name, Decision.Rent r) {
-    rentPool.execute(Threads.guarded("rental", () -> send(t, name, r)));
+    rentPool.execute("rental", () -> send(t, name, r));
   }
 
   /** A call without an answer is repeated under the same name until it has one. */
@@ -189,7 +194,7 @@
   // ---- giving back ----
 
   void giveBack(Term t, Decision.Return r) {
-    returnPool.execute(Threads.guarded("return", () -> sendBack(t, r)));
+    returnPool.execute("return", () -> sendBack(t, r));
   }
 
   private void sendBack(Term t, Decision.Return r) {
--- a/src/main/java/org/astershift/leader/Notes.java
+++ b/src/main/java/org/astershift/leader/Notes.java
@@ -185,7 +185,13 @@
       if (drafts.isEmpty()) {
         return;
       }
-      Outcome o = write(drafts);
+      Outcome o;
+      try {
+        o = write(drafts);
+      } catch (RuntimeException | Error e) {
+        LOG.error("notes could not be written", e); // and are not lost: they go out again
+        o = new Outcome.Unknown(e.toString());
+      }
       if (o instanceof Outcome.Applied a) {
         written(drafts, a.revision());
       } else {
--- a/src/main/java/org/astershift/leader/Reach.java
+++ b/src/main/java/org/astershift/leader/Reach.java
@@ -32,7 +32,7 @@
   }
 
   void start() {
-    Threads.start("reach", this::loop);
+    Threads.startLoop("reach", this::loop);
   }
 
   /** The state service answers others and not this node. */
--- a/src/main/java/org/astershift/peer/PeerServer.java
+++ b/src/main/java/org/astershift/peer/PeerServer.java
@@ -35,7 +35,7 @@
   }
 
   public void start() {
-    Threads.start("peer-accept", this::acceptLoop);
+    Threads.startLoop("peer-accept", this::acceptLoop);
   }
 
   private void acceptLoop() {
@@ -46,9 +46,16 @@
           socket.close();
           continue;
         }
-        Threads.start("peer", () -> serve(socket));
-      } catch (IOException e) {
+        try {
+          Threads.start("peer", () -> serve(socket));
+        } catch (Threads.NoThread e) {
+          places.release(); // else the place is taken for ever by a connection that nobody serves
+          socket.close();
+          throw e;
+        }
+      } catch (IOException | Threads.NoThread e) {
         LOG.info("a peer's connection could not be taken: {}", e.toString());
+        Threads.pause();
       }
     }
   }
--- a/src/main/java/org/astershift/store/Mirror.java
+++ b/src/main/java/org/astershift/store/Mirror.java
@@ -33,7 +33,7 @@
 
   public void start(Listener l) {
     this.listener = l;
-    Threads.start("mirror", this::loop);
+    Threads.startLoop("mirror", this::loop);
   }
 
   public synchronized boolean loaded() {
--- /dev/null
+++ b/src/test/java/org/astershift/http/PlacesTest.java
@@ -0,0 +1,120 @@
+package org.astershift.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.astershift.config.Constants;
+import org.astershift.http.Places.Connection;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Who keeps a place when there are more connections than threads. */
+class PlacesTest {
+  private long now;
+
+  private Connection come(Places places, List<Connection> closed) {
+    Connection c = new Connection(++now);
+    closed.addAll(places.enter(c));
+    return c;
+  }
+
+  private Connection come(Places places, boolean worker, List<Connection> closed) {
+    Connection c = come(places, closed);
+    c.busy();
+    closed.addAll(places.asks(c, worker));
+    c.idleSince(++now);
+    return c;
+  }
+
+  /** A storm of users took the places of workers, whose reports keep leases alive. */
+  @Test
+  void usersStormLeavesWorkersTheirPlaces() {
+    Places places = new Places(100, 30);
+    List<Connection> closed = new ArrayList<>();
+    List<Connection> workers = new ArrayList<>();
+    for (int i = 0; i < 70; i++) {
+      workers.add(come(places, true, closed));
+    }
+    closed.clear();
+    for (int i = 0; i < 5000; i++) {
+      come(places, false, closed);
+    }
+    closed.retainAll(workers);
+    assertEquals(List.of(), closed);
+  }
+
+  /** Connections that never ask for anything go first. */
+  @Test
+  void silentConnectionsKeepNobodyOut() {
+    Places places = new Places(10, 3);
+    List<Connection> closed = new ArrayList<>();
+    List<Connection> silent = new ArrayList<>();
+    for (int i = 0; i < 10; i++) {
+      silent.add(come(places, closed));
+    }
+    assertEquals(List.of(), closed);
+    for (int i = 0; i < 7; i++) {
+      come(places, true, closed);
+    }
+    assertEquals(silent.subList(0, 7), closed);
+  }
+
+  /** As long as there is room, a group may have more than its part: workers that of the users. */
+  @Test
+  void workersUseWhatUsersLeave() {
+    Places places = new Places(10, 3);
+    List<Connection> closed = new ArrayList<>();
+    List<Connection> workers = new ArrayList<>();
+    for (int i = 0; i < 10; i++) {
+      workers.add(come(places, true, closed));
+    }
+    assertEquals(List.of(), closed);
+    come(places, false, closed);
+    assertEquals(workers.subList(0, 1), closed, "beyond the workers' part the idlest goes");
+  }
+
+  /** Whoever finds all others at work is told so instead of waiting unserved. */
+  @Test
+  void nobodyAtWorkIsGivenUp() {
+    Places places = new Places(2, 2);
+    List<Connection> closed = new ArrayList<>();
+    come(places, false, closed).busy();
+    come(places, false, closed).busy();
+    Connection third = come(places, closed);
+    assertEquals(List.of(third), closed);
+  }
+
+  /** A connection closed and reported twice must not free two places. */
+  @Test
+  void leavingTwiceFreesOnePlace() {
+    Places places = new Places(2, 2);
+    List<Connection> closed = new ArrayList<>();
+    Connection first = come(places, false, closed);
+    come(places, false, closed);
+    places.leave(first);
+    places.leave(first);
+    come(places, false, closed);
+    assertEquals(List.of(), closed);
+    come(places, false, closed);
+    assertEquals(1, closed.size());
+  }
+
+  /** 0.75 of 3,473 sockets were 2,604 threads, beside pools of over 90, where 2,000 are allowed. */
+  @ParameterizedTest
+  @ValueSource(ints = {16, 1200, 1500, 2411, 3473, 1_000_000})
+  void threadsStayWithinTheirLimit(int sockets) {
+    int connections = Constants.connections(sockets);
+    int pools =
+        Constants.ORDER_THREADS
+            + Constants.QUESTION_THREADS
+            + Constants.END_THREADS
+            + Constants.RENT_THREADS
+            + Constants.RETURN_THREADS;
+    int rest = Constants.PEER_CONNECTIONS + Constants.LOOP_THREADS + Constants.RUNTIME_THREADS;
+    assertTrue(connections > 0 && connections <= sockets);
+    assertTrue(connections + pools + rest <= 0.9 * Constants.THREADS_ALLOWED);
+  }
+}
