--- a/src/main/java/org/astershift/http/Threads.java
+++ b/src/main/java/org/astershift/http/Threads.java
@@ -104,7 +104,7 @@
       try {
         threads.prestartCoreThread();
       } catch (OutOfMemoryError e) {
-        LOG.error("no thread for more work at once, {} wait: {}", threads.getQueue().size(), e);
+        LOG.error("no thread for more work: {} wait ({})", threads.getQueue().size(), e.toString());
       }
     }
   }
