A deadline says whose turn it is, also where a class has an aim of minutes on starting

The fleet sites are the first with aims on starting (250 s) beside deadlines, and any such aim put the class in the order of arrival and out of triage. Now it does so only if it asks for the start before the deadline does. Such aims rescue a job that was put off once 0.7 of their time is gone; and what is free before a new machine could be up covers tasks whose aim is longer than a boot.

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -64,6 +64,12 @@
   /** Share of its estimate by which a job may seem to end too late: estimates are often wrong. */
   public static final double HOPEFUL_SHARE = 0.5;
 
+  /**
+   * Share of the aims on starting and finishing after which a job that was put off is served before
+   * others: the rest is for its turn and its run.
+   */
+  public static final double RESCUE_SHARE = 0.7;
+
   /** Jobs put off queue behind all others of their priority: by more than any deadline. */
   public static final double OVERDUE_BEHIND_MS = 1e9;
 
--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -20,6 +20,9 @@
   /** The tightest aim on starting its tasks, seconds; null if there is none. */
   final Double startAimS;
 
+  /** The tightest aim on finishing it, seconds; null if there is none. */
+  final Double finishAimS;
+
   /** Its deadline, or else what is aimed at for its class; null if there is neither. */
   final Double dueS;
 
@@ -96,6 +99,7 @@
     this.spec = spec;
     this.submittedMs = submittedMs;
     this.startAimS = aims.startS();
+    this.finishAimS = aims.finishS();
     this.dueS = spec.deadlineS() != null ? spec.deadlineS() : aims.finishS();
     this.aimed = aims.any();
     this.opened = opened;
@@ -127,6 +131,38 @@
     return at != null && !suspect() && nowMs - at < Constants.FAILED_AVOID_MS;
   }
 
+  /**
+   * Whether its deadline asks for its start sooner than any aim on starting does, so that the
+   * deadline says when it is served. An aim of minutes on starting is a limit for those that come
+   * late, and no reason to serve a class in the order of arrival.
+   */
+  boolean timed() {
+    return spec.kind() == JobKind.ARRAY
+        && dueS != null
+        && (startAimS == null || dueS - spec.estimateS() < startAimS);
+  }
+
+  /**
+   * From when on the longer aims of a timed job are in danger, on the steady clock: its tasks have
+   * to start, and to end, within these however late its deadline finds it.
+   */
+  double rescueMs() {
+    double s = Double.MAX_VALUE;
+    if (startAimS != null) {
+      s = startAimS * Constants.RESCUE_SHARE;
+    }
+    if (finishAimS != null && spec.deadlineS() != null) {
+      s = Math.min(s, finishAimS * Constants.RESCUE_SHARE - spec.estimateS());
+    }
+    return s == Double.MAX_VALUE ? s : submittedMs + s * 1000;
+  }
+
+  /** When the last of these aims is missed: from then on haste helps it no more. */
+  double rescuedMs() {
+    double s = Math.max(startAimS == null ? 0 : startAimS, finishAimS == null ? 0 : finishAimS);
+    return submittedMs + s * 1000;
+  }
+
   boolean complete() {
     return spec.kind() != JobKind.SERVICE && doneCount == spec.tasks();
   }
--- a/src/main/java/org/astershift/core/Queue.java
+++ b/src/main/java/org/astershift/core/Queue.java
@@ -58,15 +58,12 @@
     Map<Priority, List<Job>> timed = new EnumMap<>(Priority.class);
     for (Job job : c.waiting) {
       if (startable(job, nowMs)) {
-        job.urgencyMs =
-            job.startAimS != null ? job.submittedMs + job.startAimS * 1000 : Triage.startMs(job);
+        boolean byAim = job.startAimS != null && !job.timed();
+        job.urgencyMs = byAim ? job.submittedMs + job.startAimS * 1000 : Triage.startMs(job);
         job.belowGuarantee = belowGuarantee(job);
         job.spare = !job.aimed && !job.belowGuarantee;
         queue.add(job);
-        if (job.startAimS == null
-            && !job.suspect()
-            && job.spec.kind() == JobKind.ARRAY
-            && job.dueS != null) {
+        if (job.timed() && !job.suspect()) {
           timed.computeIfAbsent(job.spec.priority(), p -> new ArrayList<>()).add(job);
         }
       }
--- a/src/main/java/org/astershift/core/Renting.java
+++ b/src/main/java/org/astershift/core/Renting.java
@@ -97,7 +97,7 @@
       }
       if (job.spec.kind() == JobKind.GANG) {
         need.fill(free);
-      } else if (job.startAimS == null) {
+      } else if (job.startAimS == null || job.startAimS * 1000 > soonMs - nowMs) {
         // What is free before a new machine could be up needs no new machine.
         need.fill(soon);
       }
--- a/src/main/java/org/astershift/core/Triage.java
+++ b/src/main/java/org/astershift/core/Triage.java
@@ -37,6 +37,14 @@
     }
     double perMs = Math.max(processors, 1) / 1000;
     List<Job> rest = new ArrayList<>(jobs);
+    // What waits so long that its longer aims are in danger is put off no more.
+    for (Job job : jobs) {
+      if (nowMs >= job.rescueMs() && nowMs < job.rescuedMs()) {
+        job.urgencyMs = job.rescueMs();
+        rest.remove(job);
+        load += work(job);
+      }
+    }
     rest.sort(Comparator.comparingDouble(Triage::startMs));
     double behind = 0;
     for (double times : c.facts.deadlineTimes()) {
