--- a/src/main/java/org/astershift/core/Bin.java
+++ b/src/main/java/org/astershift/core/Bin.java
@@ -46,7 +46,7 @@
 
   /** How many tasks like this find room, at most {@code most}. */
   int fits(JobSpec spec, int most) {
-    if (!allows(spec)) {
+    if (!holds(spec) || !allows(spec)) {
       return 0;
     }
     double n = most;
@@ -63,12 +63,16 @@
         && (spec.zone() == null || spec.zone().equals(zone));
   }
 
+  /** Whether there is room for one task, be it allowed or not. */
+  boolean holds(JobSpec spec) {
+    return cpus + TOLERANCE >= spec.cpus()
+        && gpus + TOLERANCE >= spec.gpus()
+        && memory + TOLERANCE >= spec.memoryGb();
+  }
+
   /** Takes one task, if it may and can. */
   boolean take(JobSpec spec) {
-    if (cpus + TOLERANCE < spec.cpus()
-        || gpus + TOLERANCE < spec.gpus()
-        || memory + TOLERANCE < spec.memoryGb()
-        || !allows(spec)) {
+    if (!holds(spec) || !allows(spec)) {
       return false;
     }
     cpus -= spec.cpus();
--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -448,6 +448,7 @@
 
   private void mark(Run run) {
     run.stopping = true;
+    run.machine.stoppable = null;
     run.stopGraceS = run.job.spec.checkpointS() > 0 ? run.job.spec.saveS() + 1 : 0;
     stale.add(run.machine);
   }
--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -82,6 +82,9 @@
   private double reservedGpus;
   private double reservedMemory;
 
+  /** Within a pass: what it could give up, as far as that was asked; null once that changes. */
+  Preemption.Stoppable stoppable;
+
   /** Within a pass: tasks given to it. */
   int taken;
 
@@ -126,14 +129,17 @@
 
   void add(Run run) {
     runs.put(run.key, run);
+    stoppable = null;
   }
 
   void remove(Run run) {
     runs.remove(run.key);
+    stoppable = null;
   }
 
   /** Takes or gives back what a task of this job needs. */
   void use(JobSpec s, int sign) {
+    stoppable = null;
     usedCpus += sign * s.cpus();
     usedGpus += sign * s.gpus();
     usedMemory += sign * s.memoryGb();
@@ -192,9 +198,14 @@
         && freeMemory() + TOLERANCE >= memory;
   }
 
+  /** Whether one task of this kind finds room. */
+  boolean hasRoom(JobSpec s) {
+    return hasRoom(s.cpus(), s.gpus(), s.memoryGb());
+  }
+
   /** How many tasks of this kind find room, at most {@code most}. */
   int room(JobSpec s, int most) {
-    if (!hasRoom(s.cpus(), s.gpus(), s.memoryGb())) {
+    if (!hasRoom(s)) {
       return 0;
     }
     double n = most;
@@ -211,6 +222,7 @@
   }
 
   void clearReserved() {
+    stoppable = null;
     reservedCpus = 0;
     reservedGpus = 0;
     reservedMemory = 0;
--- a/src/main/java/org/astershift/core/Need.java
+++ b/src/main/java/org/astershift/core/Need.java
@@ -44,6 +44,9 @@
       if (left == 0) {
         return;
       }
+      if (!bin.holds(job.spec)) {
+        continue; // most are full: this is asked for each job and machine
+      }
       for (int n = allowed(bin.zone); n > 0 && bin.take(job.spec); n--) {
         taken.merge(bin.zone, 1, Integer::sum);
         left--;
--- a/src/main/java/org/astershift/core/Placement.java
+++ b/src/main/java/org/astershift/core/Placement.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.astershift.config.Constants;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -106,17 +108,10 @@
 
   /** Machines with room for any of the jobs: cheap ones and fuller ones first, so others empty. */
   private static List<Machine> free(List<Machine> usable, List<Job> jobs) {
-    double cpus = Double.MAX_VALUE;
-    double gpus = Double.MAX_VALUE;
-    double memory = Double.MAX_VALUE;
-    for (Job job : jobs) {
-      cpus = Math.min(cpus, job.spec.cpus());
-      gpus = Math.min(gpus, job.spec.gpus());
-      memory = Math.min(memory, job.spec.memoryGb());
-    }
+    Smallest smallest = new Smallest(jobs);
     List<Machine> free = new ArrayList<>();
     for (Machine m : usable) {
-      if (m.hasRoom(cpus, gpus, memory)) {
+      if (smallest.fits(m)) {
         free.add(m);
       }
     }
@@ -127,11 +122,41 @@
   }
 
   private void fill(List<Machine> free, List<Job> jobs, double least, boolean thin, long nowMs) {
+    Smallest smallest = new Smallest(jobs);
     for (Machine m : free) {
+      if (smallest.fits(m)) {
+        for (Job job : jobs) {
+          fill(m, job, least, thin, nowMs);
+        }
+      }
+    }
+  }
+
+  /**
+   * The least that any task of some jobs takes, and the types that any may use: a machine without
+   * even that is passed over.
+   */
+  private static final class Smallest {
+    private final Set<String> types = new HashSet<>();
+    private double cpus = Double.MAX_VALUE;
+    private double gpus = Double.MAX_VALUE;
+    private double memory = Double.MAX_VALUE;
+
+    Smallest(List<Job> jobs) {
       for (Job job : jobs) {
-        fill(m, job, least, thin, nowMs);
+        if (!job.waiting.isEmpty()) {
+          cpus = Math.min(cpus, job.spec.cpus());
+          gpus = Math.min(gpus, job.spec.gpus());
+          memory = Math.min(memory, job.spec.memoryGb());
+          types.addAll(job.usableTypes);
+          types.addAll(job.spareTypes);
+        }
       }
     }
+
+    boolean fits(Machine m) {
+      return m.hasRoom(cpus, gpus, memory) && types.contains(m.type);
+    }
   }
 
   private void fill(Machine m, Job job, double least, boolean thin, long nowMs) {
@@ -169,7 +194,7 @@
 
   /** Whether there is room for one more task of the job on a machine that it may use. */
   private boolean fits(Machine m, Job job) {
-    return m.room(job.spec, 1) > 0 && (job.usableTypes.contains(m.type) || c.spareHolds(m, job));
+    return m.hasRoom(job.spec) && (job.usableTypes.contains(m.type) || c.spareHolds(m, job));
   }
 
   boolean pastAge(Job job, long nowMs) {
--- a/src/main/java/org/astershift/core/Preemption.java
+++ b/src/main/java/org/astershift/core/Preemption.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.PriorityQueue;
 import org.astershift.config.Constants;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -16,6 +17,8 @@
 final class Preemption {
   private static final Logger LOG = LoggerFactory.getLogger(Preemption.class);
   private static final double TOLERANCE = 1e-6;
+  private static final Comparator<Choice> CHEAPEST =
+      Comparator.comparingDouble(Choice::loss).thenComparingInt(Choice::order);
   private final Cluster c;
   private final Placement placement;
 
@@ -25,10 +28,16 @@
     double gpus;
     double memory;
 
-    Room(Machine m) {
-      cpus = m.freeCpus();
-      gpus = m.freeGpus();
-      memory = m.freeMemory();
+    void add(Room r) {
+      cpus += r.cpus;
+      gpus += r.gpus;
+      memory += r.memory;
+    }
+
+    void addFree(Machine m) {
+      cpus += m.freeCpus();
+      gpus += m.freeGpus();
+      memory += m.freeMemory();
     }
 
     void add(JobSpec s) {
@@ -44,8 +53,66 @@
     }
   }
 
-  /** What to stop on one machine, and what that loses. */
-  private record Choice(Machine machine, List<Run> victims, double loss) {}
+  /** What to stop on one machine, and what that loses; {@code order} decides between equal ones. */
+  private record Choice(Machine machine, List<Run> victims, double loss, int order) {}
+
+  /**
+   * What a machine could give up for jobs of one priority, found once a pass: many jobs ask it of
+   * the whole fleet, and the answer changes only where something is placed or stopped.
+   */
+  static final class Stoppable {
+    private final Priority priority;
+    private final boolean tight;
+
+    /** Freed by what stops already. */
+    private final Room ending = new Room();
+
+    /** Freed by these and if all candidates stop. */
+    private final Room most = new Room();
+
+    /** The cheapest first. */
+    private final List<Run> candidates = new ArrayList<>();
+
+    private Stoppable(Machine m, Priority priority, boolean tight, long nowMs) {
+      this.priority = priority;
+      this.tight = tight;
+      for (Run run : m.runs.values()) {
+        if (run.exited()) {
+          continue;
+        }
+        if (run.unwanted()) {
+          ending.add(run.job.spec);
+          most.add(run.job.spec);
+        } else if (run.job.spec.kind() != JobKind.SERVICE
+            && (tight || !run.job.aimed)
+            && run.job.spec.priority().compareTo(priority) > 0) {
+          candidates.add(run);
+          most.add(run.job.spec);
+        }
+      }
+      if (candidates.size() > 1) {
+        candidates.sort(Comparator.comparingDouble(r -> lost(r, nowMs)));
+      }
+    }
+
+    /** Whether there would be room for a task if all candidates stopped. */
+    private boolean mayHold(Machine m, JobSpec s) {
+      return m.freeCpus() + most.cpus + TOLERANCE >= s.cpus()
+          && m.freeGpus() + most.gpus + TOLERANCE >= s.gpus()
+          && m.freeMemory() + most.memory + TOLERANCE >= s.memoryGb();
+    }
+
+    private static Stoppable of(Machine m, Job job, long nowMs) {
+      boolean tight = tight(job);
+      Priority priority = job.spec.priority();
+      Stoppable s = m.stoppable;
+      if (s == null || s.tight != tight || s.priority != priority) {
+        s = new Stoppable(m, priority, tight, nowMs);
+        m.stoppable = s;
+      }
+      return s;
+    }
+  }
 
   Preemption(Cluster cluster, Placement placement) {
     this.c = cluster;
@@ -98,23 +165,20 @@
 
   /** Makes room for up to {@code need} tasks where it loses least; says for how many. */
   private int makeRoom(Job job, int need, List<Machine> usable, boolean onlyHits, long nowMs) {
-    List<Choice> choices = new ArrayList<>();
+    PriorityQueue<Choice> choices = new PriorityQueue<>(CHEAPEST);
+    int order = 0;
     for (Machine m : usable) {
-      Choice choice = choice(m, job, onlyHits, nowMs);
+      Choice choice = choice(m, job, onlyHits, order++, nowMs);
       if (choice != null) {
         choices.add(choice);
       }
     }
     int made = 0;
     while (made < need && !choices.isEmpty()) {
-      Choice best = choices.get(0);
-      for (Choice o : choices) {
-        best = o.loss() < best.loss() ? o : best;
-      }
+      Choice best = choices.remove();
       take(best, job);
       made++;
-      choices.remove(best);
-      Choice again = choice(best.machine(), job, onlyHits, nowMs);
+      Choice again = choice(best.machine(), job, onlyHits, order++, nowMs);
       if (again != null) {
         choices.add(again);
       }
@@ -123,12 +187,13 @@
   }
 
   /** The cheapest way to make room for one task on this machine; null if there is none. */
-  private Choice choice(Machine m, Job job, boolean onlyHits, long nowMs) {
+  private Choice choice(Machine m, Job job, boolean onlyHits, int order, long nowMs) {
     JobSpec spec = job.spec;
+    if (!job.usableTypes.contains(m.type) || !Stoppable.of(m, job, nowMs).mayHold(m, spec)) {
+      return null;
+    }
     boolean hit = m.images.containsKey(spec.image());
-    if ((onlyHits && !hit)
-        || !job.usableTypes.contains(m.type)
-        || !placement.allowed(m, job, nowMs)) {
+    if ((onlyHits && !hit) || !placement.allowed(m, job, nowMs)) {
       return null;
     }
     List<Run> victims = victims(m, job, nowMs);
@@ -140,32 +205,21 @@
     for (Run run : victims) {
       loss += lost(run, nowMs);
     }
-    return new Choice(m, victims, loss);
+    return new Choice(m, victims, loss, order);
   }
 
   /** What has to stop for one task, the cheapest first; null if that would not be enough. */
   private static List<Run> victims(Machine m, Job job, long nowMs) {
     JobSpec spec = job.spec;
-    Room room = new Room(m);
-    List<Run> candidates = new ArrayList<>();
-    for (Run run : m.runs.values()) {
-      if (run.exited()) {
-        continue;
-      }
-      if (run.unwanted()) {
-        room.add(run.job.spec);
-      } else if (run.job.spec.kind() != JobKind.SERVICE
-          && (tight(job) || !run.job.aimed)
-          && run.job.spec.priority().compareTo(spec.priority()) > 0) {
-        candidates.add(run);
-      }
-    }
+    Stoppable s = Stoppable.of(m, job, nowMs);
+    Room room = new Room();
+    room.addFree(m);
+    room.add(s.ending);
     if (room.holds(spec)) {
       return List.of();
     }
-    candidates.sort(Comparator.comparingDouble(r -> lost(r, nowMs)));
     List<Run> victims = new ArrayList<>();
-    for (Run run : candidates) {
+    for (Run run : s.candidates) {
       victims.add(run);
       room.add(run.job.spec);
       if (room.holds(spec)) {
