A term begins on a thread of its own, while the lease is renewed

The loop now goes on renewing; a term that is over before it began is not taken up, and the end of an earlier term does not end a later one. Machines' answers to a token are told at debug one by one (a thousand lines at a takeover), and at info when all are heard.

--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -257,12 +257,22 @@
     m.claimed = true;
     m.heardMs = nowMs;
     if (m.inherited) {
-      LOG.info("machine {} answers to token {}", m.name, token);
-      unheard--;
+      LOG.debug("machine {} answers to token {}", m.name, token);
+      heard(m, nowMs);
     }
     stir();
   }
 
+  private void heard(Machine m, long nowMs) {
+    unheard--;
+    if (unheard == 0) {
+      LOG.info(
+          "all machines of earlier leaders answer to token {} or are gone, {} ms after its begin",
+          token,
+          nowMs - m.knownMs);
+    }
+  }
+
   void enter(Machine m, Machine.State state) {
     m.state = state;
     if (state == Machine.State.LIVE) {
@@ -281,13 +291,15 @@
   }
 
   /** Proof that the machine and all on it are gone. */
-  void gone(String name, String why) {
+  void gone(String name, String why, long nowMs) {
     Machine m = machines.remove(name);
     if (m == null) {
       return;
     }
     LOG.info("machine {} is gone ({}), with {} tasks", name, why, m.heldCount());
-    unheard -= m.inherited && !m.claimed ? 1 : 0;
+    if (m.inherited && !m.claimed) {
+      heard(m, nowMs);
+    }
     for (Run run : new ArrayList<>(m.runs.values())) {
       drop(run);
     }
--- a/src/main/java/org/astershift/core/Returning.java
+++ b/src/main/java/org/astershift/core/Returning.java
@@ -42,7 +42,7 @@
       asked.remove(name);
       failedNames.remove(name);
       returned.put(name, nowMs);
-      c.gone(name, "returned");
+      c.gone(name, "returned", nowMs);
     }
   }
 
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -262,7 +262,7 @@
       names.add(l.name());
       Machine m = c.machines.get(l.name());
       if (l.state().equals("failed")) {
-        c.gone(l.name(), "listed as failed");
+        c.gone(l.name(), "listed as failed", nowMs);
         returning.failed(l.name());
         continue;
       }
@@ -296,7 +296,7 @@
       // Once listed, a machine stays listed until it is gone; but a list may be older than the
       // last.
       if (m.listedMs >= 0 && !names.contains(m.name) && askedMs > m.listedMs + lag) {
-        c.gone(m.name, "no longer listed");
+        c.gone(m.name, "no longer listed", nowMs);
       }
     }
   }
--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -37,6 +37,9 @@
   private final EndedJobs ended = new EndedJobs();
   private volatile Term term;
 
+  /** Held while a term is taken up or laid down: a term that is over must not be taken up late. */
+  private final Object offices = new Object();
+
   private final Threads.Pool orderPool = Threads.pool("order", Constants.ORDER_THREADS);
   private final Threads.Pool questionPool = Threads.pool("question", Constants.QUESTION_THREADS);
   private final Threads.Pool endPool = Threads.pool("end", Constants.END_THREADS);
@@ -142,7 +145,12 @@
 
   @Override
   public void begin(long token) {
-    store.leading(true);
+    synchronized (offices) {
+      if (leadership.token() != token) {
+        return;
+      }
+      store.leading(true);
+    }
     Notes notes =
         new Notes(
             token,
@@ -159,7 +167,13 @@
       t.scheduler.types(machines.types());
     }
     t.load(mirror);
-    term = t;
+    synchronized (offices) {
+      if (leadership.token() != token) {
+        t.end(); // over before it began
+        return;
+      }
+      term = t;
+    }
     // What came between the loading and here was told to no term yet.
     for (StoreClient.Row row : mirror.below(Records.JOB)) {
       t.add(row);
@@ -174,10 +188,16 @@
   }
 
   @Override
-  public void end(String why) {
-    Term t = term;
-    term = null;
-    store.leading(false);
+  public void end(long token, String why) {
+    Term t;
+    synchronized (offices) {
+      t = term;
+      if (t != null && t.token != token) {
+        return; // a later term has begun meanwhile
+      }
+      term = null;
+      store.leading(leadership.token() != 0);
+    }
     if (t != null) {
       t.end();
       LOG.info("{} leads no longer (token {}): {}", settings.node(), t.token, why);
--- a/src/main/java/org/astershift/leader/Leadership.java
+++ b/src/main/java/org/astershift/leader/Leadership.java
@@ -41,7 +41,8 @@
   public interface Office {
     void begin(long token);
 
-    void end(String why);
+    /** Ends the term of this token, if it has begun. */
+    void end(long token, String why);
   }
 
   public Leadership(String node, StoreClient store, Mirror mirror, Office office) {
@@ -100,7 +101,7 @@
   public void stepDown(long ofToken, String why) {
     if (token == ofToken && ofToken != 0) {
       token = 0;
-      office.end(why);
+      office.end(ofToken, why);
       look();
     }
   }
@@ -179,13 +180,13 @@
       }
       token = a.revision();
       LOG.info("{} leads with token {}", node, token);
+      long begun = token;
       try {
-        office.begin(token);
-      } catch (RuntimeException e) {
-        LOG.error("a term could not begin", e);
-        stepDown(token, "it could not begin");
-        contestNs = System.nanoTime() + Constants.RESIGN_PAUSE_MS * 1_000_000;
-        store.revoke(mine);
+        // Taking over a large fleet takes longer than the lease lives on a small share of a
+        // processor: this loop renews meanwhile.
+        Threads.start("begin", () -> begin(begun));
+      } catch (Threads.NoThread e) {
+        giveUp(begun, e);
       }
     } else if (outcome instanceof StoreClient.Outcome.Unknown) {
       // Whether it was applied is unknown, so the key, if it exists, must not stand for this node.
@@ -193,6 +194,26 @@
     }
   }
 
+  private void begin(long ofToken) {
+    try {
+      office.begin(ofToken);
+    } catch (RuntimeException | Error e) {
+      giveUp(ofToken, e);
+    }
+  }
+
+  /** A term that cannot begin would hold the lease and place nothing: another node is to try. */
+  private void giveUp(long ofToken, Throwable why) {
+    LOG.error("a term could not begin", why);
+    contestNs = System.nanoTime() + Constants.RESIGN_PAUSE_MS * 1_000_000;
+    stepDown(ofToken, "it could not begin");
+    try {
+      store.revoke(lease);
+    } catch (IOException e) {
+      LOG.debug("the lease ends by itself: {}", e.toString());
+    }
+  }
+
   private void renew() throws IOException {
     StoreClient.Row row = mirror.row(Records.LEADER);
     long held = token;
