A machine of a cut-off zone is kept while replicas on it may run nowhere else

Returned as silent, it killed replicas that would have run until their lease ended, and its replacement had to boot after the zone came back. Silence in a zone counts anew once the zone is heard again: its machines come one after the other.

--- a/src/main/java/org/astershift/core/Reports.java
+++ b/src/main/java/org/astershift/core/Reports.java
@@ -40,7 +40,8 @@
     }
     m.addr = r.addr();
     m.seenMs = nowMs;
-    c.heardFrom(m.zone);
+    c.heardFrom(m.zone, nowMs);
+    m.keptInCut = false;
     if (r.token() == c.token) {
       c.claim(m, nowMs);
     }
