Ends that wait together share a transaction

Each end took a transaction of its own on one of four threads. Now one thread writes as many as txn_ops allows, in the order in which they completed; what completes meanwhile gathers for the next. The changes are as many as before, the requests fewer: after a takeover twenty jobs and more end at once.

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -387,9 +387,6 @@
   /** A kept connection of ours is not used again after this many nanoseconds without use. */
   public static final long KEEP_CLIENT_NS = 20_000_000_000L;
 
-  /** Threads that end jobs: each waits for one write. */
-  public static final int END_THREADS = 4;
-
   /** Threads that give machines back: one call takes a hundred names. */
   public static final int RETURN_THREADS = 1;
 
@@ -431,7 +428,6 @@
     int own =
         ORDER_THREADS
             + QUESTION_THREADS
-            + END_THREADS
             + RENT_THREADS
             + RETURN_THREADS
             + PEER_CONNECTIONS
--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.util.BitSet;
+import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.astershift.config.Constants;
@@ -26,6 +28,10 @@
 /** Carries the scheduler's decisions out and tells it what came of them, term by term. */
 public final class Director implements Leadership.Office {
   private static final Logger LOG = LoggerFactory.getLogger(Director.class);
+
+  /** Changes that the end of a job takes: its record goes from the live ones to the ended. */
+  private static final int CHANGES_AN_END = 2;
+
   private final Settings settings;
   private final Policy policy;
   private final StoreClient store;
@@ -42,7 +48,6 @@
 
   private final Threads.Pool orderPool = Threads.pool("order", Constants.ORDER_THREADS);
   private final Threads.Pool questionPool = Threads.pool("question", Constants.QUESTION_THREADS);
-  private final Threads.Pool endPool = Threads.pool("end", Constants.END_THREADS);
   private final Object wake = new Object();
   private boolean stirred;
 
@@ -185,6 +190,7 @@
     Threads.start("pass", () -> passLoop(t));
     Threads.start("cloud", () -> machines.loop(t));
     Threads.start("save", () -> saveLoop(t));
+    Threads.start("ends", () -> endLoop(t));
   }
 
   @Override
@@ -255,7 +261,7 @@
         for (Decision d : decisions) {
           carryOut(t, d);
         }
-        for (Threads.Pool pool : List.of(orderPool, questionPool, endPool)) {
+        for (Threads.Pool pool : List.of(orderPool, questionPool)) {
           pool.tend();
         }
         machines.tend();
@@ -278,7 +284,7 @@
     } else if (d instanceof Decision.OpenJob o) {
       t.notes.put(Notes.Kind.OPENED, o.job(), 1, 0);
     } else if (d instanceof Decision.FinishJob f) {
-      endPool.execute("finishing", () -> finish(t, f));
+      t.ends.add(f.job());
     } else if (d instanceof Decision.Enrol e) {
       t.notes.put(Notes.Kind.MACHINE, e.machine(), Records.machine(e), 0);
     } else if (d instanceof Decision.Strike s) {
@@ -386,34 +392,98 @@
 
   // ---- records ----
 
-  private void finish(Term t, Decision.FinishJob f) throws InterruptedException {
-    if (finish(t, f.job(), false, Constants.STORE_PATIENCE_MS) == null && !t.over()) {
+  /** Writes the ends of completed jobs, as many in a transaction as it may have. */
+  private void endLoop(Term t) throws InterruptedException {
+    int most = Math.max(1, settings.storeLimits().txnOps() / CHANGES_AN_END);
+    while (true) {
+      List<String> jobs = t.ends.next(most);
+      if (jobs.isEmpty()) {
+        return;
+      }
+      try {
+        finish(t, jobs);
+      } catch (RuntimeException | Error e) {
+        LOG.error("ends could not be written", e);
+        failed(t, jobs);
+      }
+    }
+  }
+
+  private void finish(Term t, List<String> jobs) throws InterruptedException {
+    Map<String, Records.Ended> ends = new LinkedHashMap<>();
+    StoreClient.Txn txn = t.txn();
+    for (String id : jobs) {
+      if (t.keeps(id)) {
+        Records.Ended end = endOf(t, id, false);
+        ends.put(id, end);
+        write(txn, id, end);
+      }
+    }
+    if (ends.isEmpty()) {
+      return;
+    }
+    Outcome o = store.commit(txn, RateBudget.Use.URGENT, Constants.STORE_PATIENCE_MS);
+    if (o instanceof Outcome.Applied) {
+      ends.forEach((id, end) -> ended(t, id, end));
+      stir();
+    } else if (o instanceof Outcome.Conflict && !t.lostBy(o)) {
+      // One of them was cancelled meanwhile, or an earlier try without an answer was applied.
+      for (String id : ends.keySet()) {
+        if (finish(t, id, false, Constants.STORE_PATIENCE_MS) == null) {
+          failed(t, List.of(id));
+        }
+      }
+    } else {
+      failed(t, ends.keySet());
+    }
+  }
+
+  private static void failed(Term t, Collection<String> jobs) {
+    if (!t.over()) {
       Threads.pause();
       synchronized (t) {
-        t.scheduler.failed(f);
+        for (String id : jobs) {
+          t.scheduler.failed(new Decision.FinishJob(id));
+        }
       }
     }
   }
 
+  private static Records.Ended endOf(Term t, String id, boolean cancelled) {
+    Scheduler.JobView view;
+    synchronized (t) {
+      view = t.scheduler.view(id);
+    }
+    return new Records.Ended(cancelled, view == null ? 0 : view.done());
+  }
+
+  /**
+   * Done and cancelled exclude each other, also for tries whose answer was lost: the first stays.
+   */
+  private static void write(StoreClient.Txn txn, String id, Records.Ended end) {
+    String key = Records.ENDED + id;
+    txn.when(key, 0).put(key, Records.ended(end)).delete(Records.JOB + id);
+  }
+
+  private void ended(Term t, String id, Records.Ended end) {
+    ended.put(id, end);
+    t.ended(id, end.cancelled());
+    LOG.debug("job {} is {}", id, end.cancelled() ? "cancelled" : "done");
+  }
+
   /** Makes the job's end durable, before anyone is told; null if that is not certain yet. */
   Records.Ended finish(Term t, String id, boolean cancelled, long patienceMs)
       throws InterruptedException {
     if (!t.keeps(id)) {
       return ended.get(id);
     }
-    Scheduler.JobView view;
-    synchronized (t) {
-      view = t.scheduler.view(id);
-    }
-    Records.Ended end = new Records.Ended(cancelled, view == null ? 0 : view.done());
-    String key = Records.ENDED + id;
-    // Done and cancelled exclude each other, also for tries whose answer was lost: the first stays.
-    StoreClient.Txn txn =
-        t.txn().when(key, 0).put(key, Records.ended(end)).delete(Records.JOB + id);
+    Records.Ended end = endOf(t, id, cancelled);
+    StoreClient.Txn txn = t.txn();
+    write(txn, id, end);
     Outcome o = store.commit(txn, RateBudget.Use.URGENT, patienceMs);
     if (o instanceof Outcome.Conflict && !t.lostBy(o)) {
       try {
-        StoreClient.Row row = store.get(key);
+        StoreClient.Row row = store.get(Records.ENDED + id);
         if (row.data() == null) {
           return null;
         }
@@ -425,9 +495,7 @@
     } else if (!(o instanceof Outcome.Applied)) {
       return null;
     }
-    ended.put(id, end);
-    t.ended(id, end.cancelled());
-    LOG.debug("job {} is {}", id, end.cancelled() ? "cancelled" : "done");
+    ended(t, id, end);
     stir();
     return end;
   }
--- a/src/main/java/org/astershift/leader/Term.java
+++ b/src/main/java/org/astershift/leader/Term.java
@@ -26,6 +26,7 @@
   final Scheduler scheduler;
 
   final Notes notes;
+  final Ends ends = new Ends();
   private final Runnable stepDown;
   private volatile boolean over;
   private final Set<String> jobs = new HashSet<>();
@@ -52,6 +53,7 @@
   void end() {
     over = true;
     notes.end();
+    ends.end();
   }
 
   /** A write found another leader's key. */
--- a/src/test/java/org/astershift/http/PlacesTest.java
+++ b/src/test/java/org/astershift/http/PlacesTest.java
@@ -110,7 +110,6 @@
     int pools =
         Constants.ORDER_THREADS
             + Constants.QUESTION_THREADS
-            + Constants.END_THREADS
             + Constants.RENT_THREADS
             + Constants.RETURN_THREADS;
     int rest = Constants.PEER_CONNECTIONS + Constants.LOOP_THREADS + Constants.RUNTIME_THREADS;
--- /dev/null
+++ b/src/test/java/org/astershift/leader/EndsTest.java
@@ -0,0 +1,22 @@
+package org.astershift.leader;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Which ends go out together. */
+class EndsTest {
+  @Test
+  void endsGatherInTheOrderOfWaiting() throws Exception {
+    Ends ends = new Ends();
+    for (String job : List.of("a", "b", "c", "d", "e")) {
+      ends.add(job);
+    }
+    assertEquals(List.of("a", "b", "c", "d"), ends.next(4));
+    assertEquals(List.of("e"), ends.next(4));
+    ends.add("f");
+    ends.end();
+    assertEquals(List.of(), ends.next(4), "a term that is over ends nothing");
+  }
+}
