After a change of leaders the last few machines that answer nothing are given up after two questions

A fleet of a thousand loses one during nearly every change. An inherited machine that leaves two direct questions unanswered is now given back after 2.2 s, if at most 2% of the fleet are unheard; its return is the proof, as before.

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -173,6 +173,19 @@
   /** Milliseconds after that until a machine that does not answer is given back. */
   public static final long SILENT_MS = 1200;
 
+  /** Direct questions that an inherited machine leaves unanswered before it is given up early. */
+  public static final int CLAIM_TRIES = 2;
+
+  /**
+   * Milliseconds after which an inherited machine that left these unanswered is given back, if all
+   * but a few have been heard: until it is gone, no job opened before may go on. In a large fleet
+   * some machine dies during nearly every change of leaders.
+   */
+  public static final long CLAIM_PATIENCE_MS = 2200;
+
+  /** Share of the fleet up to which unheard machines are a few. */
+  public static final double UNHEARD_SHARE = 0.02;
+
   /** So many silent machines are always put down to the machines. */
   public static final int SILENT_FEW = 4;
 
--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -295,6 +295,11 @@
     return unheard > 0;
   }
 
+  /** Whether only so few machines are left to be heard that the trouble is theirs. */
+  boolean fewUnheard() {
+    return unheard <= Math.max(Constants.SILENT_FEW, machines.size() * Constants.UNHEARD_SHARE);
+  }
+
   /** Proof that the machine and all on it are gone. */
   void gone(String name, String why, long nowMs) {
     Machine m = machines.remove(name);
--- a/src/main/java/org/astershift/core/Returning.java
+++ b/src/main/java/org/astershift/core/Returning.java
@@ -169,6 +169,12 @@
   }
 
   private boolean silent(Machine m, long nowMs) {
+    if (m.state == Machine.State.UNHEARD
+        && m.directFailures >= Constants.CLAIM_TRIES
+        && c.silenceMs(m, nowMs) > Constants.CLAIM_PATIENCE_MS
+        && c.fewUnheard()) {
+      return true; // all jobs opened before wait for it
+    }
     return m.state != Machine.State.BOOTING
         && c.silenceMs(m, nowMs) > c.patienceMs()
         && (m.directFailures > 0 || m.addr == null || m.session == 0);
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -231,7 +231,7 @@
       if (!reports.deposed()) {
         reports.absorb(m, report, nowMs);
       }
-    } else if (m.session > 0) {
+    } else if (m.session > 0 || m.state == Machine.State.UNHEARD) {
       m.directFailures++;
     }
     if (Commands.due(m)) {
