--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -57,10 +57,6 @@
   private final Pool plain = new Pool();
   private final Pool accelerated = new Pool();
   private final Map<String, Long> cutZones = new HashMap<>();
-
-  /** When zones that were cut off were heard again: their machines come one after the other. */
-  private final Map<String, Long> heardAgain = new HashMap<>();
-
   private final Map<String, Decaying> reuse = new HashMap<>();
   private long attempts;
   private long resumedMs = Long.MIN_VALUE / 2;
@@ -102,8 +98,7 @@
 
   /** How long nothing at all has come from the machine, while this node listened. */
   long silenceMs(Machine m, long nowMs) {
-    long listenedMs = Math.max(resumedMs, heardAgain.getOrDefault(m.zone, Long.MIN_VALUE / 2));
-    return nowMs - Math.max(listenedMs, Math.max(m.seenMs, m.heardMs));
+    return nowMs - Math.max(resumedMs, Math.max(m.seenMs, m.heardMs));
   }
 
   /** Its report is overdue. */
@@ -355,9 +350,8 @@
   }
 
   /** A machine of the zone has spoken. */
-  void heardFrom(String zone, long nowMs) {
+  void heardFrom(String zone) {
     if (cutZones.remove(zone) != null) {
-      heardAgain.put(zone, nowMs);
       LOG.info("zone {} is heard again", zone);
     }
   }
--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -54,12 +54,6 @@
   /** When it last said anything, be it in answer to an order. */
   long seenMs;
 
-  /**
-   * Kept though silent, because its zone is cut off and replicas on it can run nowhere else, until
-   * the zone is heard again.
-   */
-  boolean keptInCut;
-
   int directFailures;
   long listedMs = -1;
   Double noticeS;
--- a/src/main/java/org/astershift/core/Reports.java
+++ b/src/main/java/org/astershift/core/Reports.java
@@ -40,8 +40,7 @@
     }
     m.addr = r.addr();
     m.seenMs = nowMs;
-    c.heardFrom(m.zone, nowMs);
-    m.keptInCut = false;
+    c.heardFrom(m.zone);
     if (r.token() == c.token) {
       c.claim(m, nowMs);
     }
--- a/src/main/java/org/astershift/core/Returning.java
+++ b/src/main/java/org/astershift/core/Returning.java
@@ -72,8 +72,7 @@
     for (Machine m : c.all()) {
       String why = null;
       if (silent(m, nowMs)) {
-        boolean gone = (believe || pastLease(m, nowMs)) && !keptInCut(m, nowMs);
-        why = gone ? "silent with " + m.heldCount() + " tasks" : null;
+        why = believe || pastLease(m, nowMs) ? "silent with " + m.heldCount() + " tasks" : null;
       } else if (sole) {
         why = whyReturn(m, needless, nowMs);
       }
@@ -180,37 +179,6 @@
         && (m.directFailures > 0 || m.addr == null || m.session == 0);
   }
 
-  /**
-   * Replicas that must be spread, or stay in their zone, may have no other place while the zone is
-   * cut off. They run on there until their lease ends, and the machine is the first to have them
-   * again: given back, it would kill them at once, and its replacement would have to boot when the
-   * zone is heard again.
-   */
-  private boolean keptInCut(Machine m, long nowMs) {
-    if (!c.isCutOff(m.zone, nowMs)) {
-      m.keptInCut = false;
-    } else if (!m.keptInCut) {
-      for (Run run : m.runs.values()) {
-        m.keptInCut |= !run.exited() && !run.unwanted() && !couldMove(run, nowMs);
-      }
-    }
-    return m.keptInCut;
-  }
-
-  /** Whether a replica may run in another zone; anything else finds its way. */
-  private boolean couldMove(Run run, long nowMs) {
-    JobSpec spec = run.job.spec;
-    if (spec.kind() != JobKind.SERVICE || (spec.zone() == null && !spec.spread())) {
-      return true;
-    }
-    for (String zone : c.zones()) {
-      if (!zone.equals(run.machine.zone) && !c.isCutOff(zone, nowMs) && run.job.zoneAllowed(zone)) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   private String whyReturn(Machine m, Set<Machine> needless, long nowMs) {
     MachineType t = m.kind;
     switch (m.state) {
