Server reads without timeouts, and threads that serve one connection after the other

A takeover of 1,009 machines on loopback made about a hundred system calls a machine, each of which is charged: a timed read is three (try, poll, read) and makes the socket non-blocking first, a thread some thirty. Reads are now plain; a reaper ends idle and slow connections each second, by ending their input, so that the thread that reads closes them.

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -349,6 +349,9 @@
   /** An idle connection of a user or worker is closed after this many milliseconds. */
   public static final int IDLE_TIMEOUT_MS = 60_000;
 
+  /** Milliseconds between looks for connections that are idle or slow for too long. */
+  public static final long REAP_MS = 1000;
+
   /** A started request has to arrive whole within this many milliseconds. */
   public static final int REQUEST_TIMEOUT_MS = 5000;
 
--- a/src/main/java/org/astershift/http/HttpClient.java
+++ b/src/main/java/org/astershift/http/HttpClient.java
@@ -66,7 +66,7 @@
       head.append("\r\n\r\n");
       write(c.socket, head.toString(), body == null ? new byte[0] : body);
       int left = (int) Math.max(1, (deadline - System.nanoTime()) / 1_000_000);
-      Wire.Message m = c.wire.read(left, Constants.RESPONSE_BYTES, false);
+      Wire.Message m = c.wire.response(left, Constants.RESPONSE_BYTES);
       String[] start = m.start().split(" ", 3);
       if (start.length < 2 || !start[1].matches("[0-9]{3}")) {
         throw new IOException("bad status line");
--- a/src/main/java/org/astershift/http/HttpServer.java
+++ b/src/main/java/org/astershift/http/HttpServer.java
@@ -5,7 +5,6 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.SocketTimeoutException;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadFactory;
@@ -43,7 +42,7 @@
   private final Handler handler;
   private final Places places;
   private final Predicate<String> reserved;
-  private final ThreadFactory threads;
+  private final Threads.Crowd threads;
   private final Map<Connection, Socket> open = new ConcurrentHashMap<>();
   private volatile boolean closed;
   private long toldNs = System.nanoTime();
@@ -71,7 +70,7 @@
     this.handler = handler;
     this.places = places;
     this.reserved = reserved;
-    this.threads = threads;
+    this.threads = new Threads.Crowd(threads);
     this.server = new ServerSocket();
     server.setReuseAddress(true);
     server.bind(new InetSocketAddress(InetAddress.getByName(host), port), Constants.BACKLOG);
@@ -83,6 +82,30 @@
 
   public void start() {
     Threads.startLoop("http-accept", this::acceptLoop);
+    Threads.startLoop("http-reaper", this::reapLoop);
+  }
+
+  /** Closes what is idle or slow for too long: reads have no timeouts of their own. */
+  private void reapLoop() throws InterruptedException {
+    while (!closed) {
+      Thread.sleep(Constants.REAP_MS);
+      long now = System.nanoTime();
+      for (Map.Entry<Connection, Socket> e : open.entrySet()) {
+        if (e.getKey().overdue(now)) {
+          LOG.debug("a connection was idle or slow for too long");
+          hangUp(e.getValue());
+        }
+      }
+    }
+  }
+
+  /** Ends what its thread reads from it; the thread then closes it. */
+  private static void hangUp(Socket socket) {
+    try {
+      socket.shutdownInput();
+    } catch (IOException e) {
+      LOG.debug("closing: {}", e.toString());
+    }
   }
 
   @Override
@@ -119,27 +142,28 @@
       return; // all others were at work: it was told to come back
     }
     try {
-      Threads.start(threads, () -> serve(c, socket));
+      c.served(true);
+      threads.execute(() -> serve(c, socket));
     } catch (Threads.NoThread e) {
       // Nobody will serve it: kept, it would hang for its user and count as open for ever.
       places.leave(c);
+      c.served(false);
       drop(c);
       throw e;
     }
   }
 
-  /** Closes a connection that has no place, at its request or before one. */
+  /** Closes a connection that has no place: it was served and is idle, or nobody serves it. */
   private void drop(Connection c) {
     Socket socket = open.remove(c);
-    if (socket == null) {
-      return;
-    }
-    try (socket) {
-      if (!c.asked()) {
+    if (socket != null && c.served()) {
+      hangUp(socket);
+    } else if (socket != null) {
+      try (socket) {
         send(socket, Response.error(503, "no place for more connections"), true);
+      } catch (IOException e) {
+        LOG.debug("closing: {}", e.toString());
       }
-    } catch (IOException e) {
-      LOG.debug("closing: {}", e.toString());
     }
   }
 
@@ -157,17 +181,15 @@
       Wire wire = new Wire(socket);
       while (!closed) {
         c.idleSince(System.nanoTime());
-        if (!wire.await(Constants.IDLE_TIMEOUT_MS)) {
+        if (!wire.await()) {
           return;
         }
-        c.busy();
+        c.busy(System.nanoTime());
         boolean keep = one(c, socket, wire);
         if (!keep) {
           return;
         }
       }
-    } catch (SocketTimeoutException e) {
-      LOG.debug("a connection was idle or slow for too long");
     } catch (IOException e) {
       LOG.debug("connection: {}", e.toString());
     } catch (RuntimeException | Error e) {
@@ -182,7 +204,7 @@
     Wire.Message m;
     String[] start;
     try {
-      m = wire.read(Constants.REQUEST_TIMEOUT_MS, Constants.BODY_BYTES, true);
+      m = wire.request(Constants.BODY_BYTES);
       start = m.start().split(" ", -1);
       if (start.length != 3 || !start[2].startsWith("HTTP/1.") || !start[1].startsWith("/")) {
         throw new HttpException(400, "bad request line");
@@ -191,6 +213,7 @@
       send(socket, Response.error(e.status(), e.getMessage()), true);
       return false;
     }
+    c.read();
     int query = start[1].indexOf('?');
     String path = query < 0 ? start[1] : start[1].substring(0, query);
     String rest = query < 0 ? "" : start[1].substring(query + 1);
--- a/src/main/java/org/astershift/http/Places.java
+++ b/src/main/java/org/astershift/http/Places.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import org.astershift.config.Constants;
 
 /**
  * Which connections a node keeps: each holds a thread and a socket, and both are limited. Workers'
@@ -24,7 +25,10 @@
   static final class Connection {
     private Side side = Side.NEW;
     private volatile long idleSinceNs;
+    private volatile boolean served;
     private volatile boolean busy;
+    private volatile long readingSinceNs;
+    private volatile boolean reading;
 
     Connection(long nowNs) {
       this.idleSinceNs = nowNs;
@@ -36,14 +40,32 @@
       busy = false;
     }
 
-    /** A request of it is being read or answered: it is not given up. */
-    void busy() {
+    /** A request of it is being read: it is not given up. */
+    void busy(long nowNs) {
+      readingSinceNs = nowNs;
+      reading = true;
       busy = true;
     }
 
-    /** Its first request has come. */
-    boolean asked() {
-      return side != Side.NEW;
+    /** Its request is there whole. */
+    void read() {
+      reading = false;
+    }
+
+    /** It has been idle, or a request of it on its way, for too long. */
+    boolean overdue(long nowNs) {
+      return busy
+          ? reading && nowNs - readingSinceNs > Constants.REQUEST_TIMEOUT_MS * 1_000_000L
+          : nowNs - idleSinceNs > Constants.IDLE_TIMEOUT_MS * 1_000_000L;
+    }
+
+    /** Whether a thread reads from it. */
+    boolean served() {
+      return served;
+    }
+
+    void served(boolean now) {
+      served = now;
     }
   }
 
--- a/src/main/java/org/astershift/http/Threads.java
+++ b/src/main/java/org/astershift/http/Threads.java
@@ -1,6 +1,7 @@
 package org.astershift.http;
 
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -36,11 +37,6 @@
     start(thread(name, guarded(name, body)));
   }
 
-  /** As {@link #start(String, Body)}, with a way of making threads that tests choose. */
-  static void start(ThreadFactory factory, Runnable body) {
-    start(factory.newThread(guarded("connection", body::run)));
-  }
-
   private static void start(Thread t) {
     try {
       t.start();
@@ -109,6 +105,34 @@
     }
   }
 
+  /**
+   * Threads that serve a connection each, and then the next: making one costs some thirty system
+   * calls, and users come with a connection for nearly each request.
+   */
+  static final class Crowd {
+    private final ThreadPoolExecutor threads;
+
+    Crowd(ThreadFactory factory) {
+      this.threads =
+          new ThreadPoolExecutor(
+              0,
+              Integer.MAX_VALUE,
+              Constants.POOL_IDLE_S,
+              TimeUnit.SECONDS,
+              new SynchronousQueue<>(),
+              factory);
+    }
+
+    /** Serves at once or throws {@link NoThread}; how many there are is its caller's to limit. */
+    void execute(Body body) {
+      try {
+        threads.execute(guarded("connection", body));
+      } catch (OutOfMemoryError e) {
+        throw new NoThread("a connection", e);
+      }
+    }
+  }
+
   /** Logs whatever ends this run of the body, errors included: nothing ends without a line. */
   public static Runnable guarded(String what, Body body) {
     return () -> {
--- a/src/main/java/org/astershift/http/Wire.java
+++ b/src/main/java/org/astershift/http/Wire.java
@@ -22,6 +22,7 @@
   private final byte[] buffer = new byte[4096];
   private int position;
   private int end;
+  private boolean timed;
   private long deadlineNs;
   private int headLeft;
 
@@ -38,17 +39,30 @@
     }
   }
 
-  /** Waits for the first byte of a message; false if the other side closed before. */
-  boolean await(int timeoutMs) throws IOException {
-    if (position < end) {
-      return true;
-    }
-    deadlineNs = System.nanoTime() + timeoutMs * 1_000_000L;
-    return fillBuffer();
+  /**
+   * Waits for the first byte of a message; false if the other side closed before. Somebody else has
+   * to close the socket when it takes too long: a plain blocking read is one system call where one
+   * with a timeout is three, and a leader has hundreds a second.
+   */
+  boolean await() throws IOException {
+    timed = false;
+    return position < end || fillBuffer();
+  }
+
+  /** Reads a request; as for {@link #await}, its time is limited by whoever closes the socket. */
+  Message request(int bodyLimit) throws IOException {
+    timed = false;
+    return read(bodyLimit, true);
   }
 
-  Message read(int timeoutMs, int bodyLimit, boolean request) throws IOException {
+  /** Reads a response, which has to be there whole in so many milliseconds. */
+  Message response(int timeoutMs, int bodyLimit) throws IOException {
+    timed = true;
     deadlineNs = System.nanoTime() + timeoutMs * 1_000_000L;
+    return read(bodyLimit, false);
+  }
+
+  private Message read(int bodyLimit, boolean request) throws IOException {
     headLeft = Constants.HEAD_BYTES;
     String start = line();
     if (request && start.isEmpty()) {
@@ -181,11 +195,13 @@
   }
 
   private boolean fillBuffer() throws IOException {
-    long leftMs = (deadlineNs - System.nanoTime()) / 1_000_000;
-    if (leftMs <= 0) {
-      throw new SocketTimeoutException("deadline passed");
+    if (timed) {
+      long leftMs = (deadlineNs - System.nanoTime()) / 1_000_000;
+      if (leftMs <= 0) {
+        throw new SocketTimeoutException("deadline passed");
+      }
+      socket.setSoTimeout((int) Math.min(leftMs, Integer.MAX_VALUE));
     }
-    socket.setSoTimeout((int) Math.min(leftMs, Integer.MAX_VALUE));
     int n = in.read(buffer, 0, buffer.length);
     if (n < 0) {
       return false;
--- a/src/test/java/org/astershift/http/PlacesTest.java
+++ b/src/test/java/org/astershift/http/PlacesTest.java
@@ -23,7 +23,7 @@
 
   private Connection come(Places places, boolean worker, List<Connection> closed) {
     Connection c = come(places, closed);
-    c.busy();
+    c.busy(now);
     closed.addAll(places.asks(c, worker));
     c.idleSince(++now);
     return c;
@@ -81,8 +81,8 @@
   void nobodyAtWorkIsGivenUp() {
     Places places = new Places(2, 2);
     List<Connection> closed = new ArrayList<>();
-    come(places, false, closed).busy();
-    come(places, false, closed).busy();
+    come(places, false, closed).busy(now);
+    come(places, false, closed).busy(now);
     Connection third = come(places, closed);
     assertEquals(List.of(third), closed);
   }
