--- a/src/main/java/org/astershift/api/PublicApi.java
+++ b/src/main/java/org/astershift/api/PublicApi.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.Semaphore;
+import org.astershift.config.Constants;
 import org.astershift.core.JobKind;
 import org.astershift.core.JobSpec;
 import org.astershift.core.MachineType;
@@ -29,6 +31,7 @@
   private final UserDesk desk;
   private final Map<String, Team> teams;
   private final Traffic traffic = new Traffic();
+  private final Semaphore reports = new Semaphore(Constants.REPORTS_AT_ONCE);
 
   public PublicApi(Director director, UserDesk desk, Map<String, Team> teams) {
     this.director = director;
@@ -134,7 +137,20 @@
         : "more than the team's limit";
   }
 
-  private Response report(Request r) {
+  /**
+   * After a change of leaders hundreds of reports come at once. Each thread would get its turn, and
+   * the renewal of the lease one among hundreds: so few are worked on at a time.
+   */
+  private Response report(Request r) throws InterruptedException {
+    reports.acquire();
+    try {
+      return answered(r);
+    } finally {
+      reports.release();
+    }
+  }
+
+  private Response answered(Request r) {
     Report report;
     try {
       report = WorkerCodec.report(r.body());
--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -394,6 +394,15 @@
   /** Threads that send direct orders. */
   public static final int ORDER_THREADS = 24;
 
+  /**
+   * Threads that claim inherited machines. A claim takes some milliseconds, but on a fifth of a
+   * core all that are under way share what there is with the renewal of the lease.
+   */
+  public static final int CLAIM_THREADS = 8;
+
+  /** Reports read and acted upon at the same time; the others wait without a turn of their own. */
+  public static final int REPORTS_AT_ONCE = 3;
+
   /**
    * Threads that ask silent machines whether they are there: each is held for the deadline, and all
    * machines of a zone may fall silent at once.
@@ -443,6 +452,7 @@
   public static int connectionThreads() {
     int own =
         ORDER_THREADS
+            + CLAIM_THREADS
             + QUESTION_THREADS
             + RENT_THREADS
             + RETURN_THREADS
--- a/src/main/java/org/astershift/core/Commands.java
+++ b/src/main/java/org/astershift/core/Commands.java
@@ -110,7 +110,8 @@
   private static Decision.Direct direct(Machine m, List<Order> orders, int timeoutMs, long nowMs) {
     m.orderInFlight = true;
     m.lastDirectMs = nowMs;
-    return new Decision.Direct(m.name, m.addr, Math.max(1, m.session), orders, timeoutMs);
+    boolean claim = !m.claimed && m.inherited && orders.isEmpty();
+    return new Decision.Direct(m.name, m.addr, Math.max(1, m.session), orders, timeoutMs, claim);
   }
 
   /** A direct order has its answer, or will get none. */
