--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -173,6 +173,19 @@
   /** Milliseconds after that until a machine that does not answer is given back. */
   public static final long SILENT_MS = 1200;
 
+  /** Direct questions that an inherited machine leaves unanswered before it is given up early. */
+  public static final int CLAIM_TRIES = 2;
+
+  /**
+   * Milliseconds after which an inherited machine that left these unanswered is given back, if all
+   * but a few have been heard: until it is gone, no job opened before may go on. In a large fleet
+   * some machine dies during nearly every change of leaders.
+   */
+  public static final long CLAIM_PATIENCE_MS = 2200;
+
+  /** Share of the fleet up to which unheard machines are a few. */
+  public static final double UNHEARD_SHARE = 0.02;
+
   /** So many silent machines are always put down to the machines. */
   public static final int SILENT_FEW = 4;
 
@@ -387,9 +400,6 @@
   /** A kept connection of ours is not used again after this many nanoseconds without use. */
   public static final long KEEP_CLIENT_NS = 20_000_000_000L;
 
-  /** Threads that end jobs: each waits for one write. */
-  public static final int END_THREADS = 4;
-
   /** Threads that give machines back: one call takes a hundred names. */
   public static final int RETURN_THREADS = 1;
 
@@ -431,7 +441,6 @@
     int own =
         ORDER_THREADS
             + QUESTION_THREADS
-            + END_THREADS
             + RENT_THREADS
             + RETURN_THREADS
             + PEER_CONNECTIONS
