--- a/src/main/java/org/astershift/leader/UserDesk.java
+++ b/src/main/java/org/astershift/leader/UserDesk.java
@@ -24,6 +24,8 @@
   private final StoreClient store;
   private final EndedJobs ended;
   private final Map<String, Asker> askers;
+  private final Shared<JobAnswer> elsewhere = new Shared<>(this::fromLeader);
+  private final Shared<JobAnswer> read = new Shared<>(this::fromStore);
 
   /** A way to another node. */
   public interface Asker {
@@ -96,14 +98,18 @@
             200, view.running() ? "running" : "queued", view.done(), view.runningTasks());
       }
     }
-    if (t == null && forward) {
-      JobAnswer a = askLeader("poll", id);
-      if (a.status() != 503) {
-        remember(id, a);
-        return a;
-      }
-    }
-    return fromStore(id);
+    JobAnswer a = (t == null && forward ? elsewhere : read).ask(id);
+    return a == null ? JobAnswer.UNDECIDED : a;
+  }
+
+  /** What the leader says, or else the store. */
+  private JobAnswer fromLeader(String id) {
+    JobAnswer a = askLeader("poll", id);
+    if (a.status() == 503) {
+      return fromStore(id);
+    }
+    remember(id, a);
+    return a;
   }
 
   /** Never older than the call: the live record first, since an ended job has lost it before. */
--- /dev/null
+++ b/src/test/java/org/astershift/leader/SharedTest.java
@@ -0,0 +1,94 @@
+package org.astershift.leader;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.FutureTask;
+import java.util.concurrent.Semaphore;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Who may share an answer with whom. */
+@Timeout(60)
+class SharedTest {
+  /** The store as it changes, and what is asked of it. */
+  private final Semaphore mayRead = new Semaphore(0);
+
+  private final CountDownLatch firstBegan = new CountDownLatch(1);
+  private final ConcurrentLinkedQueue<String> reads = new ConcurrentLinkedQueue<>();
+  private volatile String state = "queued";
+
+  private String read(String job) throws InterruptedException {
+    String seen = state;
+    reads.add(job + " " + seen);
+    firstBegan.countDown();
+    mayRead.acquire();
+    return seen;
+  }
+
+  private static FutureTask<String> ask(Shared<String> shared, String job) {
+    FutureTask<String> task = new FutureTask<>(() -> shared.ask(job));
+    Thread t = new Thread(task);
+    t.setDaemon(true);
+    t.start();
+    while (t.getState() != Thread.State.WAITING && t.getState() != Thread.State.TERMINATED) {
+      Thread.onSpinWait(); // until it reads, or waits for the others
+    }
+    return task;
+  }
+
+  /**
+   * The job ends while the first question is read; a user hears so elsewhere and asks here. The
+   * answer in work is older than that and must not be his.
+   */
+  @Test
+  void nobodySharesAnAnswerBegunBeforeHeAsked() throws Exception {
+    Shared<String> shared = new Shared<>(this::read);
+    FutureTask<String> first = ask(shared, "job");
+    firstBegan.await();
+    state = "done";
+    List<FutureTask<String>> later = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      later.add(ask(shared, "job"));
+    }
+    FutureTask<String> other = ask(shared, "other job");
+    mayRead.release(100);
+    assertEquals("queued", first.get());
+    for (FutureTask<String> f : later) {
+      assertEquals("done", f.get());
+    }
+    assertEquals("done", other.get());
+    assertEquals(3, reads.size(), "twenty questions share one read: " + reads);
+  }
+
+  /** A failure is its own asker's; those who shared it are told that there is no answer. */
+  @Test
+  void failuresLeaveNobodyWaiting() throws Exception {
+    CountDownLatch go = new CountDownLatch(1);
+    Shared<String> shared =
+        new Shared<>(
+            job -> {
+              go.await();
+              throw new IllegalStateException("broken");
+            });
+    FutureTask<String> first = ask(shared, "job");
+    FutureTask<String> second = ask(shared, "job");
+    FutureTask<String> third = ask(shared, "job");
+    go.countDown();
+    assertEquals(IllegalStateException.class, failure(first));
+    assertEquals(IllegalStateException.class, failure(second));
+    assertEquals(null, third.get());
+  }
+
+  private static Class<?> failure(FutureTask<String> task) throws InterruptedException {
+    try {
+      task.get();
+      return null;
+    } catch (java.util.concurrent.ExecutionException e) {
+      return e.getCause().getClass();
+    }
+  }
+}
