--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -38,6 +38,29 @@
   /** Attempt numbers with which a term ends: more than two passes use. */
   public static final long ATTEMPTS_LEFT = 1_000_000;
 
+  /** Milliseconds after its start in which a follower does not rehearse: users come back then. */
+  public static final long REHEARSE_AFTER_MS = 5000;
+
+  /**
+   * Times that a takeover is rehearsed: the runtime compiles what is called a few hundred times.
+   */
+  public static final int REHEARSALS = 4;
+
+  /** Machines of a rehearsal, so that it stays small beside what the node does. */
+  public static final int REHEARSED_MACHINES = 120;
+
+  /** Jobs of a rehearsal. */
+  public static final int REHEARSED_JOBS = 60;
+
+  /** Machines rehearsed without a rest. */
+  public static final int REHEARSED_AT_ONCE = 10;
+
+  /** Times as long as a step took that a rehearsal rests after it. */
+  public static final long REHEARSAL_REST = 5;
+
+  /** Milliseconds that it rests at least. */
+  public static final long REHEARSAL_REST_MS = 20;
+
   // ---- scheduling ----
 
   /** Tasks of the queue looked at for a machine, as in the paper (section 4). */
@@ -66,9 +89,12 @@
 
   /**
    * Share of the aims on starting and finishing after which a job that was put off is served before
-   * others: the rest is for its turn and its run.
+   * others: the rest is for its turn, since it is first in line from then on.
    */
-  public static final double RESCUE_SHARE = 0.7;
+  public static final double RESCUE_SHARE = 0.9;
+
+  /** Times its estimate that its run is given for that: estimates are often wrong by half. */
+  public static final double RESCUE_RUNS = 2;
 
   /** Jobs put off queue behind all others of their priority: by more than any deadline. */
   public static final double OVERDUE_BEHIND_MS = 1e9;
--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -152,7 +152,8 @@
       s = startAimS * Constants.RESCUE_SHARE;
     }
     if (finishAimS != null && spec.deadlineS() != null) {
-      s = Math.min(s, finishAimS * Constants.RESCUE_SHARE - spec.estimateS());
+      double runS = spec.estimateS() * Constants.RESCUE_RUNS;
+      s = Math.min(s, finishAimS * Constants.RESCUE_SHARE - runS);
     }
     return s == Double.MAX_VALUE ? s : submittedMs + s * 1000;
   }
