--- a/src/main/java/org/astershift/leader/Rehearsal.java
+++ b/src/main/java/org/astershift/leader/Rehearsal.java
@@ -39,6 +39,7 @@
   private final Mirror mirror;
   private long nowMs;
   private long startedNs;
+  private int reports;
 
   Rehearsal(Settings settings, Policy policy, Mirror mirror) {
     this.settings = settings;
@@ -53,8 +54,11 @@
         && mirror.below(Records.NOTES).size() > 1;
   }
 
-  /** Goes through a takeover, resting much longer than it works; ends early once this leads. */
-  void run(Map<String, MachineType> types, BooleanSupplier leads) throws InterruptedException {
+  /**
+   * Goes through a takeover, resting much longer than it works; ends early once this leads. Gives
+   * the number of reports gone through.
+   */
+  int run(Map<String, MachineType> types, BooleanSupplier leads) throws InterruptedException {
     LOG.debug("rehearsing a takeover");
     for (int round = 0; round < Constants.REHEARSALS && !leads.getAsBoolean(); round++) {
       startedNs = System.nanoTime();
@@ -62,6 +66,7 @@
       once(types, leads);
       rest();
     }
+    return reports;
   }
 
   private void once(Map<String, MachineType> types, BooleanSupplier leads)
@@ -142,6 +147,7 @@
       Report read = WorkerCodec.report(WorkerCodec.bytes(said));
       List<Order> orders = scheduler.report(read, nowMs);
       WorkerCodec.answer(TOKEN, orders);
+      reports++;
     } catch (Json.Bad bad) {
       LOG.debug("rehearsal: {}", bad.getMessage());
     }
