--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -38,29 +38,6 @@
   /** Attempt numbers with which a term ends: more than two passes use. */
   public static final long ATTEMPTS_LEFT = 1_000_000;
 
-  /** Milliseconds after its start in which a follower does not rehearse: users come back then. */
-  public static final long REHEARSE_AFTER_MS = 5000;
-
-  /**
-   * Times that a takeover is rehearsed: the runtime compiles what is called a few hundred times.
-   */
-  public static final int REHEARSALS = 4;
-
-  /** Machines of a rehearsal, so that it stays small beside what the node does. */
-  public static final int REHEARSED_MACHINES = 120;
-
-  /** Jobs of a rehearsal. */
-  public static final int REHEARSED_JOBS = 60;
-
-  /** Machines rehearsed without a rest. */
-  public static final int REHEARSED_AT_ONCE = 10;
-
-  /** Times as long as a step took that a rehearsal rests after it. */
-  public static final long REHEARSAL_REST = 5;
-
-  /** Milliseconds that it rests at least. */
-  public static final long REHEARSAL_REST_MS = 20;
-
   // ---- scheduling ----
 
   /** Tasks of the queue looked at for a machine, as in the paper (section 4). */
@@ -164,6 +141,18 @@
   /** Milliseconds without starts of a job that a machine does not know: its upload may be late. */
   public static final long UNKNOWN_PAUSE_MS = 1000;
 
+  /**
+   * Milliseconds of a term after which an inherited machine that has not reported is asked: workers
+   * that lose their controller try the next one after a second.
+   */
+  public static final long CLAIM_UNSEEN_MS = 1500;
+
+  /**
+   * Milliseconds after a report in which an inherited machine should have reported with the new
+   * token: half a second by the protocol, and more on a busy node.
+   */
+  public static final long CLAIM_SEEN_MS = 2500;
+
   /** Milliseconds between tries to make an inherited machine show this leader's token. */
   public static final long CLAIM_RETRY_MS = 1000;
 
--- a/src/main/java/org/astershift/core/Commands.java
+++ b/src/main/java/org/astershift/core/Commands.java
@@ -102,11 +102,26 @@
         || nowMs - m.lastDirectMs < Constants.CLAIM_RETRY_MS) {
       return null;
     }
-    boolean claim = !m.claimed && m.inherited;
+    boolean claim = claimDue(m, nowMs);
     boolean probe = m.session > 0 && c.overdue(m, nowMs);
     return claim || probe ? direct(m, List.of(), Constants.PROBE_TIMEOUT_MS, nowMs) : null;
   }
 
+  /**
+   * Most inherited machines report by themselves, and again once they have seen the new token; only
+   * those that do not are asked. To ask a thousand at once costs a node on a fifth of a core more
+   * than all their reports.
+   */
+  private static boolean claimDue(Machine m, long nowMs) {
+    long waitMs = m.session == 0 ? Constants.CLAIM_UNSEEN_MS : Constants.CLAIM_SEEN_MS;
+    return !m.claimed && m.inherited && nowMs - Math.max(m.knownMs, m.seenMs) >= waitMs;
+  }
+
+  /** Whether a question that has waited for its turn is still worth asking. */
+  boolean worthAsking(Machine m, long nowMs) {
+    return claimDue(m, nowMs) || (m.claimed && c.overdue(m, nowMs));
+  }
+
   private static Decision.Direct direct(Machine m, List<Order> orders, int timeoutMs, long nowMs) {
     m.orderInFlight = true;
     m.lastDirectMs = nowMs;
--- a/src/main/java/org/astershift/core/Returning.java
+++ b/src/main/java/org/astershift/core/Returning.java
@@ -174,9 +174,11 @@
         && c.fewUnheard()) {
       return true; // all jobs opened before wait for it
     }
+    // Not before it was asked: a busy node may not have come to that, and 40 healthy machines of a
+    // thousand were given back after a takeover for nothing else.
     return m.state != Machine.State.BOOTING
         && c.silenceMs(m, nowMs) > c.patienceMs()
-        && (m.directFailures > 0 || m.addr == null || m.session == 0);
+        && (m.directFailures > 0 || m.addr == null);
   }
 
   private String whyReturn(Machine m, Set<Machine> needless, long nowMs) {
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -218,6 +218,20 @@
     return commands.answer(m);
   }
 
+  /** Whether a direct order whose turn has come should still go out; if not it is settled. */
+  public boolean stillDue(Decision.Direct d, long nowMs) {
+    Machine m = c.machines.get(d.machine());
+    if (m == null || !d.orders().isEmpty() || commands.worthAsking(m, nowMs)) {
+      return true;
+    }
+    m.orderInFlight = false;
+    if (Commands.due(m)) {
+      c.stale.add(m); // decided while the question waited
+      c.stir();
+    }
+    return false;
+  }
+
   /** Result of a direct order. {@code report} is null without an answer. */
   public void directResult(String name, boolean unknown, Report report, long nowMs) {
     Machine m = c.machines.get(name);
--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -72,18 +72,6 @@
     mirror.start(this::changed);
     leadership.start();
     reach.start();
-    Threads.start("rehearsal", this::rehearse);
-  }
-
-  private void rehearse() throws InterruptedException {
-    Rehearsal rehearsal = new Rehearsal(settings, policy, mirror);
-    do {
-      Thread.sleep(Constants.REHEARSE_AFTER_MS);
-      if (leadership.token() != 0) {
-        return; // the real thing
-      }
-    } while (!rehearsal.possible());
-    rehearsal.run(machines.types(), () -> leadership.token() != 0);
   }
 
   public boolean ready() {
@@ -389,6 +377,11 @@
     if (t.over()) {
       return;
     }
+    synchronized (t) {
+      if (!t.scheduler.stillDue(d, Term.nowMs())) {
+        return;
+      }
+    }
     OrderSender.Result result =
         sender.send(d.addr(), t.token, d.session(), d.orders(), d.timeoutMs());
     boolean deposed;
--- a/src/main/java/org/astershift/worker/WorkerCodec.java
+++ b/src/main/java/org/astershift/worker/WorkerCodec.java
@@ -188,48 +188,6 @@
     return word.equals("halted") ? "stopped" : word;
   }
 
-  /** A report as a worker sends it. */
-  public static byte[] bytes(Report r) {
-    ByteArrayOutputStream out = new ByteArrayOutputStream(256);
-    try (JsonGenerator g = JSON.createGenerator(out)) {
-      g.writeStartObject();
-      g.writeStringField("vessel", r.machine());
-      g.writeStringField("addr", r.addr());
-      g.writeStringField("hull", r.type());
-      g.writeStringField("harbor", r.zone());
-      g.writeBooleanField("ebbtide", r.spot());
-      g.writeNumberField("watch", r.session());
-      g.writeNumberField("tick", r.seq());
-      g.writeNumberField("helm", r.token());
-      g.writeArrayFieldStart("shards");
-      for (Report.Item i : r.tasks()) {
-        g.writeStartObject();
-        g.writeStringField("shard", i.job() + "/" + i.index());
-        g.writeNumberField("launch", i.attempt());
-        g.writeStringField("phase", word(i.phase()));
-        if (i.cause() != null) {
-          g.writeStringField("cause", i.cause().equals("stopped") ? "halted" : i.cause());
-        }
-        g.writeEndObject();
-      }
-      g.writeEndArray();
-      g.writeEndObject();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e); // memory does not fail
-    }
-    return out.toByteArray();
-  }
-
-  private static String word(Report.Phase phase) {
-    return switch (phase) {
-      case FETCHING -> "fetching";
-      case WAITING -> "gathering";
-      case RUNNING -> "running";
-      case SAVING -> "saving";
-      case EXITED -> "exited";
-    };
-  }
-
   /** The answer to a report. */
   public static byte[] answer(long token, List<Order> orders) {
     return write(token, -1, orders);
