--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -66,12 +66,9 @@
 
   /**
    * Share of the aims on starting and finishing after which a job that was put off is served before
-   * others: the rest is for its turn, since it is first in line from then on.
+   * others. The rest is for its turn, since many may come to this at once, and for its run.
    */
-  public static final double RESCUE_SHARE = 0.9;
-
-  /** Times its estimate that its run is given for that: estimates are often wrong by half. */
-  public static final double RESCUE_RUNS = 2;
+  public static final double RESCUE_SHARE = 0.6;
 
   /** Jobs put off queue behind all others of their priority: by more than any deadline. */
   public static final double OVERDUE_BEHIND_MS = 1e9;
--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -152,8 +152,7 @@
       s = startAimS * Constants.RESCUE_SHARE;
     }
     if (finishAimS != null && spec.deadlineS() != null) {
-      double runS = spec.estimateS() * Constants.RESCUE_RUNS;
-      s = Math.min(s, finishAimS * Constants.RESCUE_SHARE - runS);
+      s = Math.min(s, finishAimS * Constants.RESCUE_SHARE - spec.estimateS());
     }
     return s == Double.MAX_VALUE ? s : submittedMs + s * 1000;
   }
