--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -66,9 +66,9 @@
 
   /**
    * Share of the aims on starting and finishing after which a job that was put off is served before
-   * others: the rest is for its turn and its run.
+   * others. The rest is for its turn, since many may come to this at once, and for its run.
    */
-  public static final double RESCUE_SHARE = 0.7;
+  public static final double RESCUE_SHARE = 0.6;
 
   /** Jobs put off queue behind all others of their priority: by more than any deadline. */
   public static final double OVERDUE_BEHIND_MS = 1e9;
@@ -138,6 +138,18 @@
   /** Milliseconds without starts of a job that a machine does not know: its upload may be late. */
   public static final long UNKNOWN_PAUSE_MS = 1000;
 
+  /**
+   * Milliseconds of a term after which an inherited machine that has not reported is asked: workers
+   * that lose their controller try the next one after a second.
+   */
+  public static final long CLAIM_UNSEEN_MS = 1500;
+
+  /**
+   * Milliseconds after a report in which an inherited machine should have reported with the new
+   * token: half a second by the protocol, and more on a busy node.
+   */
+  public static final long CLAIM_SEEN_MS = 2500;
+
   /** Milliseconds between tries to make an inherited machine show this leader's token. */
   public static final long CLAIM_RETRY_MS = 1000;
 
--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -377,6 +377,11 @@
     if (t.over()) {
       return;
     }
+    synchronized (t) {
+      if (!t.scheduler.stillDue(d, Term.nowMs())) {
+        return;
+      }
+    }
     OrderSender.Result result =
         sender.send(d.addr(), t.token, d.session(), d.orders(), d.timeoutMs());
     boolean deposed;
