Reports of full machines look at no job; a test counts what passes and reports cost

Each report walked all jobs in the window to find that none fits; now the least that any of them takes is kept with the window. PassCostTest counts looks at a job for a machine at 1,000 machines and 100,000 waiting tasks: none for a pass or a report where nothing can be placed, one to three a machine for tight work that stops other work.

--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -49,6 +49,9 @@
   /** Jobs with done tasks that no record holds yet. */
   final Set<Job> unsaved = new LinkedHashSet<>();
 
+  /** Looks at a job for a machine, so that tests can count what a pass and a report cost. */
+  long looks;
+
   private static final double TOLERANCE = 1e-6;
   private Map<String, MachineType> types = Map.of();
   private final Map<String, Spare> spare = new HashMap<>();
--- a/src/main/java/org/astershift/core/Placement.java
+++ b/src/main/java/org/astershift/core/Placement.java
@@ -2,9 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import org.astershift.config.Constants;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -73,6 +71,9 @@
       c.stir(); // room kept for some task is given out by a pass, which knows for which
       return;
     }
+    if (!queue.mayUse(m)) {
+      return; // most reports come from full machines, and there are hundreds a second
+    }
     m.taken = 0;
     List<Machine> only = List.of(m);
     for (Priority priority : Priority.values()) {
@@ -132,34 +133,8 @@
     }
   }
 
-  /**
-   * The least that any task of some jobs takes, and the types that any may use: a machine without
-   * even that is passed over.
-   */
-  private static final class Smallest {
-    private final Set<String> types = new HashSet<>();
-    private double cpus = Double.MAX_VALUE;
-    private double gpus = Double.MAX_VALUE;
-    private double memory = Double.MAX_VALUE;
-
-    Smallest(List<Job> jobs) {
-      for (Job job : jobs) {
-        if (!job.waiting.isEmpty()) {
-          cpus = Math.min(cpus, job.spec.cpus());
-          gpus = Math.min(gpus, job.spec.gpus());
-          memory = Math.min(memory, job.spec.memoryGb());
-          types.addAll(job.usableTypes);
-          types.addAll(job.spareTypes);
-        }
-      }
-    }
-
-    boolean fits(Machine m) {
-      return m.hasRoom(cpus, gpus, memory) && types.contains(m.type);
-    }
-  }
-
   private void fill(Machine m, Job job, double least, boolean thin, long nowMs) {
+    c.looks++;
     if (job.waiting.isEmpty()
         || !fits(m, job)
         || !allowed(m, job, nowMs)
--- a/src/main/java/org/astershift/core/Preemption.java
+++ b/src/main/java/org/astershift/core/Preemption.java
@@ -188,6 +188,7 @@
 
   /** The cheapest way to make room for one task on this machine; null if there is none. */
   private Choice choice(Machine m, Job job, boolean onlyHits, int order, long nowMs) {
+    c.looks++;
     JobSpec spec = job.spec;
     if (!job.usableTypes.contains(m.type) || !Stoppable.of(m, job, nowMs).mayHold(m, spec)) {
       return null;
--- a/src/main/java/org/astershift/core/Queue.java
+++ b/src/main/java/org/astershift/core/Queue.java
@@ -19,6 +19,9 @@
 
   private final Triage triage;
 
+  /** Of all jobs in the window, as they were when it was sorted. */
+  private Smallest smallest = new Smallest(List.of());
+
   Queue(Cluster cluster) {
     this.c = cluster;
     this.triage = new Triage(cluster);
@@ -48,6 +51,11 @@
     return false;
   }
 
+  /** Whether the machine has room for anything in the window. */
+  boolean mayUse(Machine m) {
+    return smallest.fits(m);
+  }
+
   boolean isEmpty() {
     return window.isEmpty();
   }
@@ -76,7 +84,12 @@
             .thenComparing(j -> j.spare)
             .thenComparingDouble(j -> j.urgencyMs)
             .thenComparingLong(j -> j.submittedMs));
+    window(queue);
+  }
+
+  private void window(List<Job> queue) {
     int tasks = 0;
+    int jobs = 0;
     aimed.clear();
     for (Job job : queue) {
       if (job.aimed && job.spec.kind() != JobKind.GANG && !job.suspect()) {
@@ -84,10 +97,12 @@
       }
       window.computeIfAbsent(job.spec.priority(), p -> new ArrayList<>()).add(job);
       tasks += job.waitingCount();
+      jobs++;
       if (tasks >= c.policy.window()) {
-        return;
+        break;
       }
     }
+    smallest = new Smallest(queue.subList(0, jobs));
   }
 
   /** Whether tasks of the job may be placed now. */
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -503,6 +503,11 @@
         + spending;
   }
 
+  /** For tests: looks at a job for a machine so far. */
+  long looks() {
+    return c.looks;
+  }
+
   /** For traces: a job as it stands. */
   Job job(String id) {
     return c.jobs.get(id);
--- /dev/null
+++ b/src/main/java/org/astershift/core/Smallest.java
@@ -0,0 +1,32 @@
+package org.astershift.core;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * The least that any task of some jobs takes, and the types that any may use: a machine without
+ * even that is passed over, without a look at each of the jobs.
+ */
+final class Smallest {
+  private final Set<String> types = new HashSet<>();
+  private double cpus = Double.MAX_VALUE;
+  private double gpus = Double.MAX_VALUE;
+  private double memory = Double.MAX_VALUE;
+
+  Smallest(List<Job> jobs) {
+    for (Job job : jobs) {
+      if (!job.waiting.isEmpty()) {
+        cpus = Math.min(cpus, job.spec.cpus());
+        gpus = Math.min(gpus, job.spec.gpus());
+        memory = Math.min(memory, job.spec.memoryGb());
+        types.addAll(job.usableTypes);
+        types.addAll(job.spareTypes);
+      }
+    }
+  }
+
+  boolean fits(Machine m) {
+    return m.hasRoom(cpus, gpus, memory) && types.contains(m.type);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/astershift/core/PassCostTest.java
@@ -0,0 +1,149 @@
+package org.astershift.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Map;
+import org.astershift.config.Operator;
+import org.junit.jupiter.api.Test;
+
+/**
+ * What a pass and a report cost at 1,000 machines and 100,000 tasks, counted as looks at a job for
+ * a machine: no clock, so that the verdict is the same on any machine.
+ */
+class PassCostTest {
+  private static final int MACHINES = 1000;
+  private static final int JOBS = 100;
+  private final Scheduler scheduler;
+  private long now = 1_000_000;
+
+  PassCostTest() {
+    Facts facts =
+        new Facts(
+            Map.of("team", new Team("team", 0, 0, 0, 0)),
+            List.of(new Objective("wait", "urgent", 2, 0.9, 1)),
+            4,
+            22,
+            30,
+            4,
+            52,
+            3);
+    scheduler = new Scheduler(facts, Operator.defaults(), 7);
+    MachineType type =
+        new MachineType("small", 4, 0, 16, 50, 1, 0.2, 0.1, 15, List.of("a", "b", "c", "d"));
+    scheduler.types(Map.of("small", type));
+  }
+
+  private void add(int number, String jobClass, Priority priority, int tasks) {
+    JobSpec spec =
+        new JobSpec(
+            String.format("wk-%06d", number),
+            jobClass,
+            "team",
+            JobKind.ARRAY,
+            priority,
+            tasks,
+            1,
+            0,
+            1,
+            "image-" + number % 7,
+            1,
+            null,
+            null,
+            false,
+            false,
+            true,
+            60,
+            0,
+            0,
+            null);
+    scheduler.addJob(spec, true, new BitSet(), now);
+  }
+
+  private void report(int machine, long seq, List<Report.Item> tasks) {
+    scheduler.report(
+        new Report(
+            "vm-" + machine,
+            "10.0.0.1:" + machine,
+            "small",
+            List.of("a", "b", "c", "d").get(machine % 4),
+            false,
+            1,
+            seq,
+            7,
+            null,
+            tasks),
+        now);
+  }
+
+  /** A fleet that is full, with all reports in; gives what runs where. */
+  private List<List<Report.Item>> full() {
+    for (int i = 0; i < MACHINES; i++) {
+      scheduler.inherit("vm-" + i, "10.0.0.1:" + i, "small", "abcd".charAt(i % 4) + "", false, now);
+    }
+    for (int i = 0; i < JOBS; i++) {
+      add(i, "bulk", Priority.LOW, 1000);
+    }
+    for (int i = 0; i < MACHINES; i++) {
+      report(i, 1, List.of());
+    }
+    List<List<Report.Item>> running = new ArrayList<>();
+    for (int i = 0; i < MACHINES; i++) {
+      running.add(new ArrayList<>());
+    }
+    for (int pass = 0; pass < 40; pass++) {
+      now += 250;
+      for (Decision d : scheduler.pass(now, Long.MAX_VALUE)) {
+        if (d instanceof Decision.Direct o) {
+          int machine = Integer.parseInt(o.machine().substring(3));
+          for (Order order : o.orders()) {
+            running
+                .get(machine)
+                .add(
+                    new Report.Item(
+                        order.job(), order.index(), order.attempt(), Report.Phase.RUNNING, null));
+          }
+          scheduler.directResult(o.machine(), false, null, now);
+          report(machine, 2 + pass, running.get(machine));
+        }
+      }
+    }
+    for (int i = 0; i < MACHINES; i++) {
+      report(i, 100, running.get(i));
+    }
+    now += 250;
+    scheduler.pass(now, Long.MAX_VALUE);
+    return running;
+  }
+
+  @Test
+  void fullMachinesCostNoLooks() {
+    List<List<Report.Item>> running = full();
+    assertEquals(
+        MACHINES * 4, running.stream().mapToInt(List::size).sum(), "the fleet is not full");
+    long before = scheduler.looks();
+    now += 250;
+    scheduler.pass(now, Long.MAX_VALUE);
+    assertEquals(0, scheduler.looks() - before, "a pass in which nothing could be placed");
+    before = scheduler.looks();
+    for (int i = 0; i < MACHINES; i++) {
+      report(i, 101, running.get(i));
+    }
+    assertEquals(0, scheduler.looks() - before, "reports in which nothing changed");
+  }
+
+  /** Tight work looks at each machine once and then takes the best, however much waits. */
+  @Test
+  void tightWorkLooksAtEachMachineAFewTimes() {
+    full();
+    add(JOBS, "urgent", Priority.HIGH, 50);
+    long before = scheduler.looks();
+    now += 250;
+    scheduler.pass(now, Long.MAX_VALUE);
+    long looks = scheduler.looks() - before;
+    assertTrue(looks >= MACHINES && looks <= 3 * MACHINES + 200, looks + " looks");
+  }
+}
