--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -23,7 +23,10 @@
   /** The tightest aim on finishing it, seconds; null if there is none. */
   final Double finishAimS;
 
-  /** Its deadline, or else what is aimed at for its class; null if there is neither. */
+  /**
+   * Its deadline or what is aimed at for its class, whichever is sooner; null if there is neither.
+   * Long jobs have deadlines beyond the aim on finishing, and missed that one.
+   */
   final Double dueS;
 
   /** The operators aim at something for its class. */
@@ -100,7 +103,7 @@
     this.submittedMs = submittedMs;
     this.startAimS = aims.startS();
     this.finishAimS = aims.finishS();
-    this.dueS = spec.deadlineS() != null ? spec.deadlineS() : aims.finishS();
+    this.dueS = sooner(spec.deadlineS(), aims.finishS());
     this.aimed = aims.any();
     this.opened = opened;
     this.done = done;
@@ -113,6 +116,10 @@
     this.everRan = doneCount > 0;
   }
 
+  private static Double sooner(Double a, Double b) {
+    return a == null || b == null ? (a == null ? b : a) : (Double) Math.min(a, b);
+  }
+
   /**
    * It failed on several machines and never completed a task: probably submitted with a mistake.
    */
