--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -65,11 +65,17 @@
   public static final double HOPEFUL_SHARE = 0.5;
 
   /**
-   * Share of the aims on starting and finishing after which a job that was put off is served before
-   * others. The rest is for its turn, since many may come to this at once, and for its run.
+   * Share of the aim on starting after which a job that was put off is served before others. The
+   * rest is for its turn, since many may come to this at once.
    */
   public static final double RESCUE_SHARE = 0.6;
 
+  /**
+   * The same of the aim on finishing, less its estimate: later, since long jobs are much work, and
+   * served early they make many short ones late.
+   */
+  public static final double RESCUE_END_SHARE = 0.9;
+
   /** Jobs put off queue behind all others of their priority: by more than any deadline. */
   public static final double OVERDUE_BEHIND_MS = 1e9;
 
--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -159,7 +159,7 @@
       s = startAimS * Constants.RESCUE_SHARE;
     }
     if (finishAimS != null && spec.deadlineS() != null) {
-      s = Math.min(s, finishAimS * Constants.RESCUE_SHARE - spec.estimateS());
+      s = Math.min(s, finishAimS * Constants.RESCUE_END_SHARE - spec.estimateS());
     }
     return s == Double.MAX_VALUE ? s : submittedMs + s * 1000;
   }
