--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -412,12 +412,6 @@
   /** Threads that send direct orders. */
   public static final int ORDER_THREADS = 24;
 
-  /**
-   * Threads that claim inherited machines. A claim takes some milliseconds, but on a fifth of a
-   * core all that are under way share what there is with the renewal of the lease.
-   */
-  public static final int CLAIM_THREADS = 8;
-
   /** Reports read and acted upon at the same time; the others wait without a turn of their own. */
   public static final int REPORTS_AT_ONCE = 3;
 
@@ -470,7 +464,6 @@
   public static int connectionThreads() {
     int own =
         ORDER_THREADS
-            + CLAIM_THREADS
             + QUESTION_THREADS
             + RENT_THREADS
             + RETURN_THREADS
--- a/src/main/java/org/astershift/core/Commands.java
+++ b/src/main/java/org/astershift/core/Commands.java
@@ -125,8 +125,7 @@
   private static Decision.Direct direct(Machine m, List<Order> orders, int timeoutMs, long nowMs) {
     m.orderInFlight = true;
     m.lastDirectMs = nowMs;
-    boolean claim = !m.claimed && m.inherited && orders.isEmpty();
-    return new Decision.Direct(m.name, m.addr, Math.max(1, m.session), orders, timeoutMs, claim);
+    return new Decision.Direct(m.name, m.addr, Math.max(1, m.session), orders, timeoutMs);
   }
 
   /** A direct order has its answer, or will get none. */
--- a/src/main/java/org/astershift/core/Decision.java
+++ b/src/main/java/org/astershift/core/Decision.java
@@ -8,12 +8,8 @@
   /** Record that commands for this job may go out; none goes out before that is durable. */
   record OpenJob(String job) implements Decision {}
 
-  /**
-   * Send these commands straight to the machine; {@code claim}: so that an inherited one shows this
-   * term's token.
-   */
-  record Direct(
-      String machine, String addr, long session, List<Order> orders, int timeoutMs, boolean claim)
+  /** Send these commands straight to the machine. */
+  record Direct(String machine, String addr, long session, List<Order> orders, int timeoutMs)
       implements Decision {}
 
   /** Record that the job is done. */
--- a/src/main/java/org/astershift/core/Returning.java
+++ b/src/main/java/org/astershift/core/Returning.java
@@ -137,7 +137,8 @@
     for (Machine m : c.all()) {
       Silence zone = zones.computeIfAbsent(m.zone, z -> new Silence());
       boolean overdue = c.overdue(m, nowMs);
-      zone.unanswered += overdue && m.directFailures > 0 ? 1 : 0;
+      // Not those that this leader has never heard: a busy one may not have come to them yet.
+      zone.unanswered += overdue && m.directFailures > 0 && m.session > 0 ? 1 : 0;
       if (m.state != Machine.State.BOOTING && m.state != Machine.State.RETURNING) {
         zone.all++;
         zone.overdue += overdue ? 1 : 0;
--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -47,7 +47,6 @@
   private final Object offices = new Object();
 
   private final Threads.Pool orderPool = Threads.pool("order", Constants.ORDER_THREADS);
-  private final Threads.Pool claimPool = Threads.pool("claim", Constants.CLAIM_THREADS);
   private final Threads.Pool questionPool = Threads.pool("question", Constants.QUESTION_THREADS);
   private final Object wake = new Object();
   private boolean stirred;
@@ -262,7 +261,7 @@
         for (Decision d : decisions) {
           carryOut(t, d);
         }
-        for (Threads.Pool pool : List.of(orderPool, claimPool, questionPool)) {
+        for (Threads.Pool pool : List.of(orderPool, questionPool)) {
           pool.tend();
         }
         machines.tend();
@@ -281,9 +280,7 @@
   private void carryOut(Term t, Decision d) {
     if (d instanceof Decision.Direct o) {
       // Silent machines hold a thread until the deadline: the others' orders must not wait behind.
-      // A takeover claims the whole fleet at once: by few threads, or nothing else gets its turn.
-      Threads.Pool pool = o.claim() ? claimPool : o.orders().isEmpty() ? questionPool : orderPool;
-      pool.execute("order", () -> direct(t, o));
+      (o.orders().isEmpty() ? questionPool : orderPool).execute("order", () -> direct(t, o));
     } else if (d instanceof Decision.OpenJob o) {
       t.notes.put(Notes.Kind.OPENED, o.job(), 1, 0);
     } else if (d instanceof Decision.FinishJob f) {
--- a/src/test/java/org/astershift/http/PlacesTest.java
+++ b/src/test/java/org/astershift/http/PlacesTest.java
@@ -109,7 +109,6 @@
     int connections = Constants.connections(sockets);
     int pools =
         Constants.ORDER_THREADS
-            + Constants.CLAIM_THREADS
             + Constants.QUESTION_THREADS
             + Constants.RENT_THREADS
             + Constants.RETURN_THREADS;
