From reading the change again: one way to send what waited, one look at what a machine could give up

Behaviour as before. A question that is not asked any more settled its order and looked for waiting commands in lines of its own, beside those for an order's result. What a machine could give up was found twice for each choice.

--- a/src/main/java/org/astershift/core/Preemption.java
+++ b/src/main/java/org/astershift/core/Preemption.java
@@ -190,14 +190,18 @@
   private Choice choice(Machine m, Job job, boolean onlyHits, int order, long nowMs) {
     c.looks++;
     JobSpec spec = job.spec;
-    if (!job.usableTypes.contains(m.type) || !Stoppable.of(m, job, nowMs).mayHold(m, spec)) {
+    if (!job.usableTypes.contains(m.type)) {
+      return null;
+    }
+    Stoppable stoppable = Stoppable.of(m, job, nowMs);
+    if (!stoppable.mayHold(m, spec)) {
       return null;
     }
     boolean hit = m.images.containsKey(spec.image());
     if ((onlyHits && !hit) || !placement.allowed(m, job, nowMs)) {
       return null;
     }
-    List<Run> victims = victims(m, job, nowMs);
+    List<Run> victims = victims(m, spec, stoppable);
     if (victims == null) {
       return null;
     }
@@ -210,9 +214,7 @@
   }
 
   /** What has to stop for one task, the cheapest first; null if that would not be enough. */
-  private static List<Run> victims(Machine m, Job job, long nowMs) {
-    JobSpec spec = job.spec;
-    Stoppable s = Stoppable.of(m, job, nowMs);
+  private static List<Run> victims(Machine m, JobSpec spec, Stoppable s) {
     Room room = new Room();
     room.addFree(m);
     room.add(s.ending);
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -224,12 +224,17 @@
     if (m == null || !d.orders().isEmpty() || commands.worthAsking(m, nowMs)) {
       return true;
     }
-    m.orderInFlight = false;
+    Commands.settled(m, false);
+    again(m);
+    return false;
+  }
+
+  /** Sends what was decided while a direct order to the machine waited or was under way. */
+  private void again(Machine m) {
     if (Commands.due(m)) {
-      c.stale.add(m); // decided while the question waited
+      c.stale.add(m);
       c.stir();
     }
-    return false;
   }
 
   /** Result of a direct order. {@code report} is null without an answer. */
@@ -248,10 +253,7 @@
     } else if (m.session > 0 || m.state == Machine.State.UNHEARD) {
       m.directFailures++;
     }
-    if (Commands.due(m)) {
-      c.stale.add(m); // decided while the order was under way
-      c.stir();
-    }
+    again(m);
     if (m.heldCount() < before) {
       c.stir();
     }
--- a/src/main/java/org/astershift/core/Triage.java
+++ b/src/main/java/org/astershift/core/Triage.java
@@ -36,13 +36,15 @@
       }
     }
     double perMs = Math.max(processors, 1) / 1000;
-    List<Job> rest = new ArrayList<>(jobs);
+    List<Job> rest = new ArrayList<>(jobs.size());
     // What waits so long that its longer aims are in danger is put off no more.
     for (Job job : jobs) {
-      if (nowMs >= job.rescueMs() && nowMs < job.rescuedMs()) {
-        job.urgencyMs = job.rescueMs();
-        rest.remove(job);
+      double rescueMs = job.rescueMs();
+      if (nowMs >= rescueMs && nowMs < job.rescuedMs()) {
+        job.urgencyMs = rescueMs;
         load += work(job);
+      } else {
+        rest.add(job);
       }
     }
     rest.sort(Comparator.comparingDouble(Triage::startMs));
