Nobody gives back for silence what it has no standing to judge; whoever hears nobody hands over

Change: core.Silence judges silent machines. By its own ears a leader gives up at most a twentieth of the fleet; beyond that other controllers have to have asked the machine in vain (op `witness`, GET /show, no token), while they reach others; where none can tell, only a leader that hears a quarter of the fleet goes by zones and run-out leases as before. At most 60% may go in 120 s. office.WorkerReach and office.Candidacy decide who stands and who hands over: each controller samples machines on record, one that reaches few stands 3 s later, a leader that hears few of its machines, also of those it never heard, asks the others and hands over to one that reaches more; where nobody does it stays.

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -207,6 +207,72 @@
   /** So many silent machines are always put down to the machines. */
   public static final int SILENT_FEW = 4;
 
+  /**
+   * Share of the fleet that a leader may give up as silent by its own ears alone. Before it notices
+   * that it is cut off, its machines are overdue one after the other, so the share must be small.
+   */
+  public static final double OWN_EARS_SHARE = 0.05;
+
+  /**
+   * Share of the fleet that a leader has to hear to give up any beyond that where no other
+   * controller can tell: one that hears next to nobody is more likely deaf than left alone.
+   */
+  public static final double LONE_EARS_SHARE = 0.25;
+
+  /** Share of the fleet that may be given up as silent in a time, however good the reasons. */
+  public static final double GIVEN_UP_SHARE = 0.6;
+
+  /** Milliseconds in which that share may go: longer than cuts last. */
+  public static final long GIVEN_UP_MS = 120_000;
+
+  /** Silent machines that other controllers ask in one go: two rounds of their threads. */
+  public static final int WITNESS_BATCH = 128;
+
+  /** Silent machines of one zone that they ask before they are taken for the whole of it. */
+  public static final int WITNESS_SAMPLE = 24;
+
+  /** Milliseconds for which it counts that another controller reached a machine, or did not. */
+  public static final long WITNESS_FRESH_MS = 10_000;
+
+  /** Threads that ask the other controllers: one a controller. */
+  public static final int WITNESS_THREADS = 4;
+
+  /**
+   * Deadline of such a question to a machine, milliseconds: two rounds fit into the deadline of the
+   * controller's answer.
+   */
+  public static final int WITNESS_TIMEOUT_MS = 500;
+
+  /** Milliseconds between samples of machines that each controller asks whether it reaches them. */
+  public static final long REACH_SAMPLE_MS = 2000;
+
+  /** Machines in one sample: at 1,000 machines and five controllers 15 questions a second. */
+  public static final int REACH_SAMPLE = 6;
+
+  /** Samples that count: the last two, so that a cut shows after four seconds. */
+  public static final int REACH_SAMPLES = 2;
+
+  /** A sample older than this says nothing any more, milliseconds. */
+  public static final long REACH_FRESH_MS = 8000;
+
+  /** Fewer answers and failures than this say nothing. */
+  public static final int REACH_LEAST = 3;
+
+  /** A controller that reaches less than this share of the machines it asks reaches few. */
+  public static final double REACH_FEW = 0.25;
+
+  /** Share by which another has to reach more machines for a leader to hand over. */
+  public static final double REACH_BETTER = 0.3;
+
+  /**
+   * Milliseconds by which a controller that reaches few workers stands later than the others: they
+   * see the free leadership at the same moment and look for it every 300 ms.
+   */
+  public static final long STAND_LATE_MS = 3000;
+
+  /** Milliseconds that a term lasts at least before its leader hands over for want of reach. */
+  public static final long HAND_OVER_AFTER_MS = 8000;
+
   /** More than this share of the fleet silent at once is put down to the network here. */
   public static final double SILENT_SHARE = 0.25;
 
@@ -219,8 +285,11 @@
   /** Machines given back as silent count as silent for so many milliseconds. */
   public static final long SILENCE_MS = 10_000;
 
-  /** A leader that gave up because it reached too few machines lets the others try for so long. */
-  public static final long RESIGN_PAUSE_MS = 15_000;
+  /**
+   * A leader that gave up because it reached too few machines lets the others try for so long: they
+   * stand within 300 ms, or 3 s where they reach few themselves.
+   */
+  public static final long RESIGN_PAUSE_MS = 5000;
 
   /** It does not give up again for so long: then the trouble is not with its own network. */
   public static final long RESIGN_AGAIN_MS = 60_000;
@@ -467,6 +536,7 @@
             + QUESTION_THREADS
             + RENT_THREADS
             + RETURN_THREADS
+            + WITNESS_THREADS
             + PEER_CONNECTIONS
             + LOOP_THREADS
             + RUNTIME_THREADS;
--- a/src/main/java/org/astershift/core/Decision.java
+++ b/src/main/java/org/astershift/core/Decision.java
@@ -30,4 +30,13 @@
 
   /** Drop the record of a machine that is provably gone. */
   record Strike(String machine, String addr) implements Decision {}
+
+  /**
+   * Have the other controllers ask these machines whether they are there: they are silent here, and
+   * so many that this leader's own ears may be the trouble.
+   */
+  record Witness(List<Suspect> suspects, long askedMs) implements Decision {}
+
+  /** A machine that says nothing to this leader. */
+  record Suspect(String machine, String addr) {}
 }
--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -55,6 +55,13 @@
   long seenMs;
 
   int directFailures;
+
+  /** When another controller was last asked to reach it and all that could tell failed. */
+  long unreachedMs = Long.MIN_VALUE / 2;
+
+  /** The same where one of them had an answer. */
+  long reachedMs = Long.MIN_VALUE / 2;
+
   long listedMs = -1;
   Double noticeS;
 
--- a/src/main/java/org/astershift/core/Returning.java
+++ b/src/main/java/org/astershift/core/Returning.java
@@ -1,6 +1,5 @@
 package org.astershift.core;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -20,13 +19,14 @@
   private static final int NAMES_A_CALL = 100;
 
   private final Cluster c;
-  private final ArrayDeque<Long> silentReturns = new ArrayDeque<>();
+  private final Silence silence;
   private final Set<String> failedNames = new HashSet<>();
   private final Set<String> asked = new HashSet<>();
   private final Map<String, Long> returned = new HashMap<>();
 
-  Returning(Cluster cluster) {
+  Returning(Cluster cluster, Silence silence) {
     this.c = cluster;
+    this.silence = silence;
   }
 
   /** A failed machine stays listed until it is deleted. */
@@ -67,121 +67,35 @@
         names.add(name);
       }
     }
-    boolean believe = believable(nowMs);
+    silence.survey(nowMs);
     Set<Machine> needless = needless(nowMs);
     for (Machine m : c.all()) {
       String why = null;
-      if (silent(m, nowMs)) {
-        why = believe || pastLease(m, nowMs) ? "silent with " + m.heldCount() + " tasks" : null;
-      } else if (sole) {
-        why = whyReturn(m, needless, nowMs);
+      if (m.state != Machine.State.RETURNING) {
+        if (silence.silent(m, nowMs)) {
+          why = silence.giveUp(m, nowMs) ? "silent with " + m.heldCount() + " tasks" : null;
+        } else if (sole) {
+          why = whyReturn(m, needless, nowMs);
+        }
       }
-      if (why != null && m.state != Machine.State.RETURNING) {
+      if (why != null) {
         LOG.info("machine {} ({} in {}) is returned: {}", m.name, m.type, m.zone, why);
-        if (silent(m, nowMs) && !c.isCutOff(m.zone, nowMs)) {
-          silentReturns.addLast(nowMs);
-        }
         c.enter(m, Machine.State.RETURNING);
       }
       if (m.state == Machine.State.RETURNING && asked.add(m.name)) {
         names.add(m.name);
       }
     }
+    silence.tell(nowMs);
+    Decision.Witness witness = silence.ask(nowMs);
+    if (witness != null) {
+      out.add(witness);
+    }
     for (int i = 0; i < names.size(); i += NAMES_A_CALL) {
       out.add(new Decision.Return(names.subList(i, Math.min(names.size(), i + NAMES_A_CALL))));
     }
   }
 
-  /**
-   * Whether silence may be put down to the machines, or to a zone that is cut off. If many fall
-   * silent all over the fleet the trouble is more likely between them and this leader, which must
-   * not give a healthy fleet away.
-   */
-  private boolean believable(long nowMs) {
-    while (!silentReturns.isEmpty() && nowMs - silentReturns.peekFirst() > Constants.SILENCE_MS) {
-      silentReturns.removeFirst();
-    }
-    int overdue = silentReturns.size();
-    int all = silentReturns.size();
-    Map<String, Silence> zones = silence(nowMs);
-    for (Map.Entry<String, Silence> e : zones.entrySet()) {
-      Silence zone = e.getValue();
-      if (zone.silent > Constants.SILENT_FEW
-          && zone.silent >= zone.all * Constants.ZONE_CUT_SHARE) {
-        c.cutOff(e.getKey(), nowMs);
-      } else {
-        overdue += zone.overdue;
-      }
-      all += zone.all;
-    }
-    return overdue <= Math.max(Constants.SILENT_FEW, all * Constants.SILENT_SHARE)
-        && !isolated(zones);
-  }
-
-  /**
-   * Machines of one zone that should report, those whose report is overdue, and of these the ones
-   * given up. What cuts this node off makes many overdue before the first is given up.
-   */
-  private static final class Silence {
-    int silent;
-    int overdue;
-
-    /** Machines, also those on their way back, that are overdue and did not answer when asked. */
-    int unanswered;
-
-    int all;
-  }
-
-  private Map<String, Silence> silence(long nowMs) {
-    Map<String, Silence> zones = new HashMap<>();
-    for (Machine m : c.all()) {
-      Silence zone = zones.computeIfAbsent(m.zone, z -> new Silence());
-      boolean overdue = c.overdue(m, nowMs);
-      // Not those that this leader has never heard: a busy one may not have come to them yet.
-      zone.unanswered += overdue && m.directFailures > 0 && m.session > 0 ? 1 : 0;
-      if (m.state != Machine.State.BOOTING && m.state != Machine.State.RETURNING) {
-        zone.all++;
-        zone.overdue += overdue ? 1 : 0;
-        zone.silent += silent(m, nowMs) ? 1 : 0;
-      }
-    }
-    return zones;
-  }
-
-  /**
-   * Whether most machines are overdue and those asked did not answer: another controller may reach
-   * them better.
-   */
-  boolean isolated(long nowMs) {
-    return isolated(silence(nowMs));
-  }
-
-  private static boolean isolated(Map<String, Silence> zones) {
-    int overdue = 0;
-    int unanswered = 0;
-    int all = 0;
-    for (Silence zone : zones.values()) {
-      overdue += zone.overdue;
-      unanswered += zone.unanswered;
-      all += zone.all;
-    }
-    return overdue > Constants.SILENT_FEW && overdue * 2 > all && unanswered > Constants.SILENT_FEW;
-  }
-
-  private boolean silent(Machine m, long nowMs) {
-    if (m.state == Machine.State.UNHEARD
-        && m.directFailures >= Constants.CLAIM_TRIES
-        && c.silenceMs(m, nowMs) > Constants.CLAIM_PATIENCE_MS
-        && c.fewUnheard()) {
-      return true; // all jobs opened before wait for it
-    }
-    // Not before it was asked: a busy node may not have come to that, and 40 healthy machines of a
-    // thousand were given back after a takeover for nothing else.
-    return m.state != Machine.State.BOOTING
-        && c.silenceMs(m, nowMs) > c.patienceMs()
-        && (m.directFailures > 0 || m.addr == null);
-  }
-
   private String whyReturn(Machine m, Set<Machine> needless, long nowMs) {
     MachineType t = m.kind;
     switch (m.state) {
@@ -257,9 +171,4 @@
     }
     return needless;
   }
-
-  /** Nothing it held can be alive any more, so that giving it back loses nothing. */
-  private boolean pastLease(Machine m, long nowMs) {
-    return c.silenceMs(m, nowMs) > 1.5 * c.facts.leaseS() * 1000;
-  }
 }
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -25,6 +25,7 @@
   private final Reports reports;
   private final Commands commands;
   private final Placement placement;
+  private final Silence silence;
   private final Returning returning;
   private final Renting renting;
   private final Spending spending = new Spending();
@@ -32,14 +33,15 @@
   private long lastSweepMs = Long.MIN_VALUE / 2;
   private long lastPlanMs = Long.MIN_VALUE / 2;
   private long firstPlanMs = -1;
-  private boolean isolated;
+  private Silence.Hearing hearing = new Silence.Hearing(0, 0, false, false);
 
   public Scheduler(Facts facts, Policy policy, long token) {
     this.c = new Cluster(facts, policy, token);
     this.reports = new Reports(c);
     this.commands = new Commands(c);
     this.placement = new Placement(c);
-    this.returning = new Returning(c);
+    this.silence = new Silence(c);
+    this.returning = new Returning(c, silence);
     this.renting = new Renting(c);
   }
 
@@ -175,9 +177,26 @@
     return reports.deposed();
   }
 
-  /** Whether most machines are out of this leader's reach. */
+  /**
+   * Whether most machines seem to be out of this leader's reach: those that it had heard, or most
+   * of all that it has asked.
+   */
   public boolean isolated() {
-    return isolated;
+    return hearing.isolated() || hearing.deaf();
+  }
+
+  /** Share of the machines that should report whose reports are not overdue here; 1 without any. */
+  public double heardShare() {
+    return hearing.all() == 0 ? 1 : 1 - (double) hearing.overdue() / hearing.all();
+  }
+
+  /**
+   * What the other controllers found when they asked silent machines. {@code able}: how many of
+   * them could tell, because they reach workers; {@code reached}: the machines that answered any.
+   */
+  public void witnessed(Decision.Witness witness, int able, Set<String> reached) {
+    silence.witnessed(witness, able, reached);
+    lastPlanMs = Long.MIN_VALUE / 2; // what may go now should not wait for the next plan
   }
 
   /** Whether this term has no attempt numbers left, so that it has to end. */
@@ -342,7 +361,7 @@
       for (Machine m : c.all()) {
         expire(m, Math.min(nowMs, soleUntilMs));
       }
-      isolated = returning.isolated(nowMs);
+      hearing = silence.hearing(nowMs);
     }
     placement.pass(nowMs);
     List<Machine> due = new ArrayList<>(c.stale);
--- /dev/null
+++ b/src/main/java/org/astershift/core/Silence.java
@@ -0,0 +1,325 @@
+package org.astershift.core;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.astershift.config.Constants;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Which silent machines may be given back, and whether this leader hears its fleet at all. A leader
+ * that lost its way to the workers hears what a leader of a dead fleet hears, so its own ears are
+ * enough only for a few machines. Beyond that another controller has to have asked the machine
+ * itself, in vain, and to reach others; where no such controller answers, old patterns count (one
+ * zone fell silent, or the leases are over) and only with a leader that hears a part of the fleet.
+ * Whatever the reasons, only a share of the fleet may go in a time.
+ */
+final class Silence {
+  private static final Logger LOG = LoggerFactory.getLogger(Silence.class);
+
+  private final Cluster c;
+
+  /** When machines were given up as silent, outside zones that are cut off; the oldest first. */
+  private final ArrayDeque<Long> scattered = new ArrayDeque<>();
+
+  /** When any machines were given up as silent: what bounds how many may follow. */
+  private final ArrayDeque<Long> givenUp = new ArrayDeque<>();
+
+  private Map<String, Zone> zones = new HashMap<>();
+  private int all;
+  private int overdue;
+  private boolean few;
+
+  /** So many machines may be given up as silent within {@link Constants#GIVEN_UP_MS}. */
+  private double mayGo;
+
+  private boolean lonePattern;
+  private boolean asking;
+
+  /** When the others were last asked and none of them could tell; none yet: long ago. */
+  private long nobodyMs = Long.MIN_VALUE / 2;
+
+  private long toldMs = Long.MIN_VALUE / 2;
+  private int keptAnswering;
+  private int keptUnjudged;
+  private int keptBeyond;
+
+  Silence(Cluster cluster) {
+    this.c = cluster;
+  }
+
+  /** Machines of one zone that should report, and what is known of those that do not. */
+  private static final class Zone {
+    int all;
+    int overdue;
+    int silent;
+
+    /** Heard by this leader before, overdue, and asked in vain; those on their way back too. */
+    int unanswered;
+
+    /** The same of machines that this leader has never heard. */
+    int unansweredNew;
+
+    /** Silent, and another controller asked it lately in vain, or with an answer. */
+    int unreached;
+
+    int reached;
+
+    /** Most of it is silent. */
+    boolean mostlySilent() {
+      return silent > Constants.SILENT_FEW && silent >= all * Constants.ZONE_CUT_SHARE;
+    }
+
+    /** Enough of its machines were asked by others, and not one answered. */
+    boolean witnessed() {
+      return mostlySilent()
+          && reached == 0
+          && unreached >= Math.min(silent, Constants.WITNESS_SAMPLE);
+    }
+  }
+
+  private Map<String, Zone> look(long nowMs) {
+    Map<String, Zone> out = new HashMap<>();
+    for (Machine m : c.all()) {
+      Zone zone = out.computeIfAbsent(m.zone, z -> new Zone());
+      boolean late = c.overdue(m, nowMs);
+      if (late && m.directFailures > 0) {
+        zone.unanswered += m.session > 0 ? 1 : 0;
+        zone.unansweredNew += m.session > 0 ? 0 : 1;
+      }
+      if (m.state != Machine.State.BOOTING && m.state != Machine.State.RETURNING) {
+        zone.all++;
+        zone.overdue += late ? 1 : 0;
+        if (late && fresh(m.unreachedMs, m, nowMs)) {
+          zone.unreached++;
+        }
+        if (late && fresh(m.reachedMs, m, nowMs)) {
+          zone.reached++;
+        }
+        zone.silent += silent(m, nowMs) ? 1 : 0;
+      }
+    }
+    return out;
+  }
+
+  /** What another controller found counts while the machine says nothing, and not for long. */
+  private static boolean fresh(long askedMs, Machine m, long nowMs) {
+    return askedMs > m.seenMs && nowMs - askedMs <= Constants.WITNESS_FRESH_MS;
+  }
+
+  /** Whether the machine says nothing for longer than it may, though it was asked. */
+  boolean silent(Machine m, long nowMs) {
+    if (m.state == Machine.State.UNHEARD
+        && m.directFailures >= Constants.CLAIM_TRIES
+        && c.silenceMs(m, nowMs) > Constants.CLAIM_PATIENCE_MS
+        && c.fewUnheard()) {
+      return true; // all jobs opened before wait for it
+    }
+    // Not before it was asked: a busy node may not have come to that, and 40 healthy machines of a
+    // thousand were given back after a takeover for nothing else.
+    return m.state != Machine.State.BOOTING
+        && c.silenceMs(m, nowMs) > c.patienceMs()
+        && (m.directFailures > 0 || m.addr == null);
+  }
+
+  // ---- does this leader hear its fleet ----
+
+  /**
+   * What this leader hears of its fleet. {@code isolated}: most machines are overdue, and of those
+   * that it had heard some were asked in vain; {@code deaf}: the same counting machines that it
+   * never heard, most of which it has asked in vain. A busy new leader is neither: it has not asked
+   * yet.
+   */
+  record Hearing(int all, int overdue, boolean isolated, boolean deaf) {}
+
+  Hearing hearing(long nowMs) {
+    int machines = 0;
+    int late = 0;
+    int unanswered = 0;
+    int unansweredNew = 0;
+    for (Zone zone : look(nowMs).values()) {
+      machines += zone.all;
+      late += zone.overdue;
+      unanswered += zone.unanswered;
+      unansweredNew += zone.unansweredNew;
+    }
+    boolean most = late > Constants.SILENT_FEW && late * 2 > machines;
+    boolean isolated = most && unanswered > Constants.SILENT_FEW;
+    boolean deaf = most && (unanswered + unansweredNew) * 2 > late;
+    return new Hearing(machines, late, isolated, deaf);
+  }
+
+  // ---- which silent machines may go ----
+
+  /** Looks at the fleet before machines are judged one by one. */
+  void survey(long nowMs) {
+    forget(scattered, nowMs, Constants.SILENCE_MS);
+    forget(givenUp, nowMs, Constants.GIVEN_UP_MS);
+    zones = look(nowMs);
+    all = scattered.size();
+    overdue = scattered.size();
+    int outside = scattered.size();
+    int unanswered = 0;
+    int reporting = 0;
+    for (Map.Entry<String, Zone> e : zones.entrySet()) {
+      Zone zone = e.getValue();
+      reporting += zone.all;
+      all += zone.all;
+      overdue += zone.overdue;
+      unanswered += zone.unanswered;
+      if (!zone.mostlySilent()) {
+        outside += zone.overdue;
+      }
+    }
+    // What was given up may still be on its way, or gone: it counts as part of the fleet it was of.
+    mayGo = Math.max(Constants.SILENT_FEW, (reporting + givenUp.size()) * Constants.GIVEN_UP_SHARE);
+    few = overdue <= Math.max(Constants.SILENT_FEW, all * Constants.OWN_EARS_SHARE);
+    boolean isolated =
+        overdue > Constants.SILENT_FEW && overdue * 2 > all && unanswered > Constants.SILENT_FEW;
+    lonePattern =
+        hearsEnough()
+            && !isolated
+            && outside <= Math.max(Constants.SILENT_FEW, all * Constants.SILENT_SHARE);
+    for (Map.Entry<String, Zone> e : zones.entrySet()) {
+      if (e.getValue().mostlySilent() && (e.getValue().witnessed() || lonePattern)) {
+        c.cutOff(e.getKey(), nowMs);
+      }
+    }
+    keptAnswering = 0;
+    keptUnjudged = 0;
+    keptBeyond = 0;
+  }
+
+  private static void forget(ArrayDeque<Long> times, long nowMs, long keepMs) {
+    while (!times.isEmpty() && nowMs - times.peekFirst() > keepMs) {
+      times.removeFirst();
+    }
+  }
+
+  /** A leader that hears next to nobody cannot tell dead machines from its own deafness. */
+  private boolean hearsEnough() {
+    return all - overdue >= all * Constants.LONE_EARS_SHARE;
+  }
+
+  /** Whether this silent machine may be given back; counted against what may go in a time. */
+  boolean giveUp(Machine m, long nowMs) {
+    if (fresh(m.reachedMs, m, nowMs)) {
+      keptAnswering++;
+      return false;
+    }
+    if (!few && !fresh(m.unreachedMs, m, nowMs) && !zones.get(m.zone).witnessed()) {
+      boolean nobody = nowMs - nobodyMs <= Constants.WITNESS_FRESH_MS;
+      if (!nobody || !(lonePattern || (hearsEnough() && pastLease(m, nowMs)))) {
+        keptUnjudged++;
+        return false;
+      }
+    }
+    if (givenUp.size() >= mayGo) {
+      keptBeyond++;
+      return false;
+    }
+    givenUp.addLast(nowMs);
+    if (!c.isCutOff(m.zone, nowMs)) {
+      scattered.addLast(nowMs);
+    }
+    return true;
+  }
+
+  /** Nothing it held can be alive any more, so that giving it back loses nothing. */
+  private boolean pastLease(Machine m, long nowMs) {
+    return c.silenceMs(m, nowMs) > 1.5 * c.facts.leaseS() * 1000;
+  }
+
+  /** Says now and then what is held back, and why. */
+  void tell(long nowMs) {
+    int kept = keptAnswering + keptUnjudged + keptBeyond;
+    if (kept > 0 && nowMs - toldMs > Constants.SUMMARY_MS) {
+      toldMs = nowMs;
+      LOG.info(
+          "{} silent machines are not given back: {} answer another controller, {} nobody able to"
+              + " tell has asked, {} more than may go in {} s; {} of {} are heard here",
+          kept,
+          keptAnswering,
+          keptUnjudged,
+          keptBeyond,
+          Constants.GIVEN_UP_MS / 1000,
+          all - overdue,
+          all);
+    }
+  }
+
+  // ---- witnesses ----
+
+  /**
+   * The machines that other controllers should ask, or null: where more are overdue than own ears
+   * can judge. First a sample of each zone, which is enough where a zone is cut off as a whole.
+   */
+  Decision.Witness ask(long nowMs) {
+    if (asking || few) {
+      return null;
+    }
+    Map<String, Integer> sampled = new HashMap<>();
+    List<Machine> sample = new ArrayList<>();
+    List<Machine> rest = new ArrayList<>();
+    List<Machine> oldest = new ArrayList<>(c.all());
+    oldest.sort(Comparator.comparingLong(m -> m.seenMs));
+    for (Machine m : oldest) {
+      boolean due =
+          m.state != Machine.State.BOOTING
+              && m.state != Machine.State.RETURNING
+              && m.addr != null
+              && m.directFailures > 0
+              && c.overdue(m, nowMs);
+      if (!due || fresh(m.reachedMs, m, nowMs) || fresh(m.unreachedMs, m, nowMs)) {
+        continue;
+      }
+      Zone zone = zones.get(m.zone);
+      int before = zone == null ? 0 : zone.unreached + zone.reached;
+      if (before + sampled.merge(m.zone, 1, Integer::sum) <= Constants.WITNESS_SAMPLE) {
+        sample.add(m);
+      } else if (zone == null || !zone.witnessed()) {
+        rest.add(m);
+      }
+    }
+    sample.addAll(rest);
+    if (sample.isEmpty()) {
+      return null;
+    }
+    asking = true;
+    List<Decision.Suspect> suspects = new ArrayList<>();
+    for (Machine m : sample.subList(0, Math.min(sample.size(), Constants.WITNESS_BATCH))) {
+      suspects.add(new Decision.Suspect(m.name, m.addr));
+    }
+    return new Decision.Witness(suspects, nowMs);
+  }
+
+  /**
+   * What the others found: {@code able} of them reach workers and asked all of these, {@code
+   * reached} answered at least one of them.
+   */
+  void witnessed(Decision.Witness w, int able, Set<String> reached) {
+    asking = false;
+    if (able == 0) {
+      nobodyMs = w.askedMs();
+      return;
+    }
+    nobodyMs = Long.MIN_VALUE / 2;
+    for (Decision.Suspect s : w.suspects()) {
+      Machine m = c.machines.get(s.machine());
+      if (m != null) {
+        if (reached.contains(s.machine())) {
+          m.reachedMs = w.askedMs();
+          m.unreachedMs = Long.MIN_VALUE / 2;
+        } else {
+          m.unreachedMs = w.askedMs();
+        }
+      }
+    }
+    c.stir();
+  }
+}
--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.astershift.config.Constants;
 import org.astershift.config.Settings;
 import org.astershift.core.Decision;
@@ -16,6 +17,7 @@
 import org.astershift.core.Scheduler;
 import org.astershift.http.Json;
 import org.astershift.http.Threads;
+import org.astershift.office.Candidacy;
 import org.astershift.store.Mirror;
 import org.astershift.store.RateBudget;
 import org.astershift.store.Records;
@@ -39,6 +41,7 @@
   private final OrderSender sender = new OrderSender();
   private final Leadership leadership;
   private final Machines machines;
+  private final Sampling sampling;
   private final Reach reach;
   private final EndedJobs ended = new EndedJobs();
   private volatile Term term;
@@ -62,15 +65,19 @@
     this.policy = policy;
     this.store = store;
     this.mirror = mirror;
-    this.leadership = new Leadership(settings.node(), store, mirror, this);
+    Candidacy candidacy = new Candidacy();
+    this.sampling = new Sampling(mirror, sender, questionPool, askers.values());
+    this.leadership =
+        new Leadership(settings.node(), store, mirror, this, candidacy, sampling::seen);
     this.machines = new Machines(settings, store, mirror, this::stir);
-    this.reach = new Reach(store, askers, this);
+    this.reach = new Reach(store, askers, this, candidacy);
   }
 
   public void start() {
     mirror.start(this::changed);
     leadership.start();
     reach.start();
+    sampling.start();
   }
 
   public boolean ready() {
@@ -91,6 +98,15 @@
     return reach;
   }
 
+  Sampling sampling() {
+    return sampling;
+  }
+
+  /** Another node reaches more of the fleet. */
+  void handOver(Term t, String why) {
+    leadership.resign(t.token, why);
+  }
+
   /** The other node that leads, as far as known here, or null. */
   public String otherLeader() {
     String name = reach.apart() ? reach.leader() : leadership.leader();
@@ -233,7 +249,6 @@
       try {
         List<Decision> decisions;
         String summary = null;
-        boolean isolated;
         boolean usedUp;
         synchronized (t) {
           long now = Term.nowMs();
@@ -242,16 +257,12 @@
             t.scheduler.resumed(now);
           }
           decisions = t.scheduler.pass(now, leadership.soleUntilMs());
-          isolated = t.scheduler.isolated();
           usedUp = t.scheduler.usedUp();
           if (now - told > Constants.SUMMARY_MS) {
             told = now;
             summary = t.scheduler.summary();
           }
         }
-        if (isolated) {
-          leadership.resign(t.token, "most machines do not answer here");
-        }
         if (usedUp) {
           leadership.stepDown(t.token, "its attempt numbers are used up");
         }
@@ -264,6 +275,7 @@
         for (Threads.Pool pool : List.of(orderPool, questionPool)) {
           pool.tend();
         }
+        sampling.tend();
         machines.tend();
       } catch (RuntimeException | Error e) {
         LOG.error("pass failed", e);
@@ -296,9 +308,18 @@
       machines.rent(t, r);
     } else if (d instanceof Decision.Return r) {
       machines.giveBack(t, r);
+    } else if (d instanceof Decision.Witness w) {
+      sampling.haveAsked(w, (able, reached) -> witnessed(t, w, able, reached));
     }
   }
 
+  private void witnessed(Term t, Decision.Witness w, int able, Set<String> reached) {
+    synchronized (t) {
+      t.scheduler.witnessed(w, able, reached);
+    }
+    stir();
+  }
+
   /** A note is on record: what waited for it may happen now. */
   private void durable(long token, Notes.Kind kind, String key, Object value) {
     Term t = term;
--- a/src/main/java/org/astershift/leader/Leadership.java
+++ b/src/main/java/org/astershift/leader/Leadership.java
@@ -1,8 +1,11 @@
 package org.astershift.leader;
 
 import java.io.IOException;
+import java.util.function.Supplier;
 import org.astershift.config.Constants;
 import org.astershift.http.Threads;
+import org.astershift.office.Candidacy;
+import org.astershift.office.WorkerReach;
 import org.astershift.store.Mirror;
 import org.astershift.store.RateBudget;
 import org.astershift.store.Records;
@@ -23,6 +26,8 @@
   private final StoreClient store;
   private final Mirror mirror;
   private final Office office;
+  private final Candidacy candidacy;
+  private final Supplier<WorkerReach.Seen> workers;
   private volatile long token;
   private volatile long validUntilNs;
   private volatile long lease;
@@ -32,6 +37,9 @@
   /** This process has tried to lead: a key with its node's name may be its own. */
   private boolean held;
 
+  /** It was said that this node lets others stand first. */
+  private boolean late;
+
   /** Another node has led since this one resigned. */
   private volatile boolean othersLed;
 
@@ -45,11 +53,20 @@
     void end(long token, String why);
   }
 
-  public Leadership(String node, StoreClient store, Mirror mirror, Office office) {
+  /** {@code workers}: what this node reaches of the fleet. */
+  public Leadership(
+      String node,
+      StoreClient store,
+      Mirror mirror,
+      Office office,
+      Candidacy candidacy,
+      Supplier<WorkerReach.Seen> workers) {
     this.node = node;
     this.store = store;
     this.mirror = mirror;
     this.office = office;
+    this.candidacy = candidacy;
+    this.workers = workers;
   }
 
   public void start() {
@@ -153,6 +170,8 @@
     }
     StoreClient.Row row = mirror.row(Records.LEADER);
     if (row != null) {
+      candidacy.held(String.valueOf(row.data().get("node")), Term.nowMs());
+      late = false;
       othersLed |= !node.equals(row.data().get("node"));
       if (!held && node.equals(row.data().get("node"))) {
         // Left by this node's predecessor, which is dead since this process runs in its place.
@@ -162,6 +181,18 @@
       }
       return;
     }
+    WorkerReach.Seen seen = workers.get();
+    if (!candidacy.stands(seen, Term.nowMs())) {
+      if (!late) {
+        LOG.info(
+            "{} reaches {} of {} workers asked: the others may stand first",
+            node,
+            seen.answered(),
+            seen.asked());
+      }
+      late = true;
+      return;
+    }
     long sent = System.nanoTime();
     long mine = store.grant(Constants.LEADER_LEASE_MS);
     StoreClient.Txn txn =
@@ -221,6 +252,7 @@
       stepDown(held, row == null ? "its key is gone" : "another leads");
       return;
     }
+    candidacy.held(node, Term.nowMs());
     long sent = System.nanoTime();
     if (store.renew(lease)) {
       validUntilNs = sent + lifeNs();
--- a/src/main/java/org/astershift/leader/Notes.java
+++ b/src/main/java/org/astershift/leader/Notes.java
@@ -37,7 +37,7 @@
     MACHINE('m'),
     PROGRESS('p');
 
-    private final char letter;
+    final char letter;
 
     Kind(char letter) {
       this.letter = letter;
--- a/src/main/java/org/astershift/leader/Reach.java
+++ b/src/main/java/org/astershift/leader/Reach.java
@@ -1,34 +1,45 @@
 package org.astershift.leader;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import org.astershift.config.Constants;
 import org.astershift.http.Threads;
+import org.astershift.office.Candidacy;
+import org.astershift.office.WorkerReach;
 import org.astershift.peer.JobAnswer;
 import org.astershift.store.StoreClient;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Whether this node alone has lost the state service. By itself it cannot tell that from an outage,
- * so it asks the others. In an outage it stays ready: no node could do more. Cut off alone, it
- * sends users elsewhere, and learns from the others who leads by now.
+ * What this node asks the others about its own reach. Whether it alone has lost the state service:
+ * by itself it cannot tell that from an outage. In an outage it stays ready: no node could do more.
+ * Cut off alone, it sends users elsewhere, and learns from the others who leads by now. And whether
+ * one of them reaches more workers than this one, where it leads and hears few.
  */
 final class Reach {
   private static final Logger LOG = LoggerFactory.getLogger(Reach.class);
   private final StoreClient store;
   private final Map<String, UserDesk.Asker> askers;
   private final Director director;
+  private final Candidacy candidacy;
   private volatile Leader told;
   private boolean silent;
 
   /** Who leads, as another node says; {@code node} empty if nobody does. */
   private record Leader(String node, long token) {}
 
-  Reach(StoreClient store, Map<String, UserDesk.Asker> askers, Director director) {
+  Reach(
+      StoreClient store,
+      Map<String, UserDesk.Asker> askers,
+      Director director,
+      Candidacy candidacy) {
     this.store = store;
     this.askers = askers;
     this.director = director;
+    this.candidacy = candidacy;
   }
 
   void start() {
@@ -65,12 +76,55 @@
         }
         silent = false;
         told = null;
+        hearing();
         continue;
       }
       look();
     }
   }
 
+  /**
+   * A leader that hears few of its machines asks the others whether one of them reaches more. While
+   * the state service is away it stays: nobody could take the leadership up.
+   */
+  private void hearing() throws InterruptedException {
+    Term t = director.term();
+    if (t == null) {
+      return;
+    }
+    double heard;
+    synchronized (t) {
+      if (!t.scheduler.isolated()) {
+        return;
+      }
+      heard = t.scheduler.heardShare();
+    }
+    List<Candidacy.Told> others = new ArrayList<>();
+    for (Map.Entry<String, UserDesk.Asker> e : askers.entrySet()) {
+      try {
+        JobAnswer a = e.getValue().ask("reach", "", Constants.REACH_TIMEOUT_MS);
+        WorkerReach.Seen seen = new WorkerReach.Seen(a.running(), a.done());
+        others.add(new Candidacy.Told(a.status() == 200 && "".equals(a.phase()), seen));
+      } catch (IOException | RuntimeException x) {
+        LOG.debug("asking {}: {}", e.getKey(), x.toString());
+      }
+    }
+    if (candidacy.handsOver(heard, others, askers.size(), t.beganMs, Term.nowMs())) {
+      String why =
+          others.isEmpty() ? "no other node could be asked" : "another node reaches more of them";
+      int percent = (int) Math.round(heard * 100);
+      director.handOver(t, "only " + percent + "% of its machines are heard, and " + why);
+    } else {
+      Thread.sleep(Constants.REACH_SAMPLE_MS); // what the others reach does not change sooner
+    }
+  }
+
+  /** What this node tells another that asks how much of the fleet it reaches. */
+  JobAnswer workers() {
+    WorkerReach.Seen seen = director.sampling().seen();
+    return new JobAnswer(200, store.lost() ? "apart" : "", seen.answered(), seen.asked());
+  }
+
   private void look() {
     Leader heard = null;
     String from = null;
--- a/src/main/java/org/astershift/leader/Term.java
+++ b/src/main/java/org/astershift/leader/Term.java
@@ -21,6 +21,7 @@
 final class Term {
   private static final Logger LOG = LoggerFactory.getLogger(Term.class);
   final long token;
+  final long beganMs = nowMs();
 
   /** Used by one thread at a time: under the lock of this object. */
   final Scheduler scheduler;
--- a/src/main/java/org/astershift/leader/UserDesk.java
+++ b/src/main/java/org/astershift/leader/UserDesk.java
@@ -193,6 +193,8 @@
       case "poll" -> poll(job, false);
       case "cancel" -> cancel(job, false);
       case "state" -> director.reach().answer();
+      case "reach" -> director.reach().workers();
+      case "witness" -> director.sampling().witness(job);
       default -> JobAnswer.UNDECIDED;
     };
   }
--- a/src/main/java/org/astershift/worker/OrderSender.java
+++ b/src/main/java/org/astershift/worker/OrderSender.java
@@ -34,10 +34,33 @@
   /** What came of an order. {@code unknown}: it may have been executed, or may be later. */
   public record Result(boolean unknown, Report report) {}
 
-  public Result send(String addr, long token, long session, List<Order> orders, int timeoutMs) {
+  /** Whether the worker answers a question that needs no token and changes nothing. */
+  public boolean answers(String addr, int timeoutMs) {
+    int colon = port(addr);
+    if (colon < 0) {
+      return false;
+    }
+    try {
+      return client(addr, colon).call("GET", "/show", null, timeoutMs).status() == 200;
+    } catch (IOException e) {
+      LOG.debug("asking {}: {}", addr, e.toString());
+      return false;
+    }
+  }
+
+  /** Where the port begins; -1 if this is no address. */
+  private static int port(String addr) {
     int colon = addr.lastIndexOf(':');
     if (colon <= 0 || !addr.substring(colon + 1).matches("[0-9]{1,5}")) {
       LOG.info("not a worker's address: {}", addr);
+      return -1;
+    }
+    return colon;
+  }
+
+  public Result send(String addr, long token, long session, List<Order> orders, int timeoutMs) {
+    int colon = port(addr);
+    if (colon < 0) {
       return new Result(false, null);
     }
     HttpClient client = client(addr, colon);
--- a/src/test/java/org/astershift/core/TracePlayer.java
+++ b/src/test/java/org/astershift/core/TracePlayer.java
@@ -20,6 +20,9 @@
   private final Map<String, Report> last = new HashMap<>();
   private Scheduler scheduler;
 
+  /** The question to the other controllers that was decided last. */
+  private Decision.Witness asked;
+
   List<String> event(String line) {
     String[] words = line.trim().split("\\s+");
     Map<String, String> named = new HashMap<>();
@@ -136,6 +139,7 @@
         // sole=S: until when no other node can lead; without it, for ever.
         long soleUntil = (long) (w.num("sole", 1e9) * 1000);
         for (Decision d : s.pass(now, soleUntil)) {
+          asked = d instanceof Decision.Witness a ? a : asked;
           out.add(words(d));
         }
         return out;
@@ -178,6 +182,10 @@
         }
         s.list(listed, now, now);
       }
+      case "witnessed" -> {
+        List<String> reached = p.subList(2, p.size());
+        s.witnessed(asked, (int) w.num("able", 1), new java.util.HashSet<>(reached));
+      }
       case "isolated" -> {
         return List.of("isolated " + s.isolated());
       }
@@ -303,6 +311,8 @@
       return "enrol " + e.machine();
     } else if (d instanceof Decision.Strike s) {
       return "strike " + s.machine();
+    } else if (d instanceof Decision.Witness w) {
+      return "witness " + w.suspects().stream().map(Decision.Suspect::machine).toList();
     }
     throw new IllegalArgumentException(d.toString());
   }
--- /dev/null
+++ b/src/test/java/org/astershift/office/CandidacyTest.java
@@ -0,0 +1,90 @@
+package org.astershift.office;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.astershift.config.Constants;
+import org.astershift.office.Candidacy.Told;
+import org.astershift.office.WorkerReach.Seen;
+import org.junit.jupiter.api.Test;
+
+/** Who stands for the leadership and who hands it over, by what each reaches of the fleet. */
+class CandidacyTest {
+  private static final Seen ALL = new Seen(12, 12);
+  private static final Seen HALF = new Seen(12, 6);
+  private static final Seen NONE = new Seen(12, 0);
+  private static final long LATER = 1000 + Constants.HAND_OVER_AFTER_MS;
+
+  private static Told told(Seen seen) {
+    return new Told(true, seen);
+  }
+
+  @Test
+  void whoReachesFewWorkersLetsTheOthersStandFirst() {
+    Candidacy c = new Candidacy();
+    assertFalse(c.stands(NONE, 1000));
+    assertFalse(c.stands(NONE, 1000 + Constants.STAND_LATE_MS - 1));
+    assertTrue(c.stands(NONE, 1000 + Constants.STAND_LATE_MS), "nobody else stood");
+    c.held("other", 10_000);
+    assertFalse(c.stands(NONE, 20_000), "the others have their turn each time it is free");
+    for (Seen seen : List.of(ALL, HALF, Seen.NOTHING, new Seen(2, 0))) {
+      assertTrue(new Candidacy().stands(seen, 0), seen.toString());
+    }
+  }
+
+  @Test
+  void aDeafLeaderHandsOverToOneThatReachesMore() {
+    Candidacy c = new Candidacy();
+    assertFalse(c.handsOver(0.1, List.of(told(NONE), told(ALL)), 2, 1000, LATER - 1), "too soon");
+    assertTrue(c.handsOver(0.1, List.of(told(NONE), told(ALL)), 2, 1000, LATER));
+    assertTrue(c.handsOver(0.1, List.of(told(ALL)), 4, 1000, LATER), "the others do not answer");
+    // Found on the apart day: a zone was cut off for all, and the new leader resigned.
+    assertFalse(c.handsOver(0.4, List.of(told(HALF), told(HALF)), 2, 1000, LATER));
+  }
+
+  @Test
+  void whereNobodyReachesTheWorkersOneLeaderStays() {
+    Candidacy c = new Candidacy();
+    for (long now = LATER; now < LATER + 600_000; now += 500) {
+      c.held("me", now);
+      assertFalse(c.handsOver(0, List.of(told(NONE), told(NONE)), 2, 1000, now));
+    }
+  }
+
+  @Test
+  void oneThatTheStateServiceDoesNotAnswerCannotTakeOver() {
+    assertFalse(
+        new Candidacy().handsOver(0, List.of(new Told(false, ALL), told(NONE)), 2, 1000, LATER));
+  }
+
+  @Test
+  void whereNoOtherAnswersEachHasOneTurn() {
+    Candidacy c = new Candidacy();
+    c.held("a", LATER);
+    assertTrue(c.handsOver(0, List.of(), 2, 1000, LATER));
+    c.held("b", LATER + 10_000);
+    assertTrue(c.handsOver(0, List.of(), 2, 1000, LATER + 10_000), "c has not led");
+    c.held("c", LATER + 20_000);
+    c.held("a", LATER + 30_000);
+    assertFalse(c.handsOver(0, List.of(), 2, 1000, LATER + 30_000), "all had their turn");
+    assertFalse(c.handsOver(0, List.of(), 0, 1000, LATER), "there is no other controller");
+  }
+
+  @Test
+  void onlyTheLastSamplesCountAndNotForLong() {
+    WorkerReach reach = new WorkerReach();
+    assertFalse(reach.seen(0).known());
+    reach.sampled(6, 6, 0);
+    reach.sampled(6, 6, 2000);
+    assertTrue(reach.seen(2500).able());
+    reach.sampled(6, 1, 4000);
+    reach.sampled(6, 1, 6000);
+    assertTrue(reach.seen(6500).few(), "cut off two samples ago");
+    assertEquals(new Seen(12, 2), reach.seen(6500));
+    assertFalse(reach.seen(6000 + Constants.REACH_FRESH_MS + 1).known(), "too old to say anything");
+    reach.sampled(0, 0, 20_000);
+    assertFalse(reach.seen(20_000).known(), "a site without machines");
+  }
+}
