Witnesses prove by controls that they can tell; a leader names its successor; a leader in doubt is not ended by a deaf one

Change: machines heard a moment ago are asked with the silent ones, and who does not reach these cannot tell; 56 at a time, no word on those not asked in time; kept peer connections are renewed, and a question on an ended one is asked again. Beyond a twentieth of the fleet nothing goes unless a quarter is heard here. A sample that nobody answers counts alone. The leader tells the others whom it hands over to. A leader in doubt that reaches workers goes on answering them while the later one reaches few.

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -225,8 +225,14 @@
   /** Milliseconds in which that share may go: longer than cuts last. */
   public static final long GIVEN_UP_MS = 120_000;
 
-  /** Silent machines that other controllers ask in one go: two rounds of their threads. */
-  public static final int WITNESS_BATCH = 128;
+  /**
+   * Silent machines that other controllers ask in one go. At 128 one on a fifth of a core was too
+   * late for a tenth of healthy ones.
+   */
+  public static final int WITNESS_BATCH = 56;
+
+  /** Machines heard a moment ago that are asked with them. */
+  public static final int WITNESS_CONTROLS = 8;
 
   /** Silent machines of one zone that they ask before they are taken for the whole of it. */
   public static final int WITNESS_SAMPLE = 24;
@@ -237,11 +243,8 @@
   /** Threads that ask the other controllers: one a controller. */
   public static final int WITNESS_THREADS = 4;
 
-  /**
-   * Deadline of such a question to a machine, milliseconds: two rounds fit into the deadline of the
-   * controller's answer.
-   */
-  public static final int WITNESS_TIMEOUT_MS = 500;
+  /** Deadline of such a question to a machine, milliseconds: within that of the controller's. */
+  public static final int WITNESS_TIMEOUT_MS = 800;
 
   /** Milliseconds between samples of machines that each controller asks whether it reaches them. */
   public static final long REACH_SAMPLE_MS = 2000;
@@ -249,7 +252,7 @@
   /** Machines in one sample: at 1,000 machines and five controllers 15 questions a second. */
   public static final int REACH_SAMPLE = 6;
 
-  /** Samples that count: the last two, so that a cut shows after four seconds. */
+  /** Samples that count; the last alone if nobody answered it, so that a cut shows in 3 s. */
   public static final int REACH_SAMPLES = 2;
 
   /** A sample older than this says nothing any more, milliseconds. */
--- a/src/main/java/org/astershift/core/Decision.java
+++ b/src/main/java/org/astershift/core/Decision.java
@@ -1,6 +1,7 @@
 package org.astershift.core;
 
 import java.util.List;
+import java.util.Set;
 
 /** What the core wants done outside. Each is repeated by a later pass until its effect is told. */
 public sealed interface Decision {
@@ -33,10 +34,14 @@
 
   /**
    * Have the other controllers ask these machines whether they are there: they are silent here, and
-   * so many that this leader's own ears may be the trouble.
+   * so many that this leader's own ears may be the trouble. {@code controls} are machines that were
+   * heard here a moment ago: a controller that does not reach these either cannot tell.
    */
-  record Witness(List<Suspect> suspects, long askedMs) implements Decision {}
+  record Witness(List<Named> suspects, List<Named> controls, long askedMs) implements Decision {}
 
-  /** A machine that says nothing to this leader. */
-  record Suspect(String machine, String addr) {}
+  /** A machine and where it is reached. */
+  record Named(String machine, String addr) {}
+
+  /** What one other controller found: machines that answered it, and those asked in vain. */
+  record Testimony(Set<String> reached, Set<String> unreached) {}
 }
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -190,12 +190,9 @@
     return hearing.all() == 0 ? 1 : 1 - (double) hearing.overdue() / hearing.all();
   }
 
-  /**
-   * What the other controllers found when they asked silent machines. {@code able}: how many of
-   * them could tell, because they reach workers; {@code reached}: the machines that answered any.
-   */
-  public void witnessed(Decision.Witness witness, int able, Set<String> reached) {
-    silence.witnessed(witness, able, reached);
+  /** What those other controllers said that were asked and reach workers, as far as they know. */
+  public void witnessed(Decision.Witness witness, List<Decision.Testimony> told) {
+    silence.witnessed(witness, told);
     lastPlanMs = Long.MIN_VALUE / 2; // what may go now should not wait for the next plan
   }
 
--- a/src/main/java/org/astershift/core/Silence.java
+++ b/src/main/java/org/astershift/core/Silence.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -212,12 +214,9 @@
       keptAnswering++;
       return false;
     }
-    if (!few && !fresh(m.unreachedMs, m, nowMs) && !zones.get(m.zone).witnessed()) {
-      boolean nobody = nowMs - nobodyMs <= Constants.WITNESS_FRESH_MS;
-      if (!nobody || !(lonePattern || (hearsEnough() && pastLease(m, nowMs)))) {
-        keptUnjudged++;
-        return false;
-      }
+    if (!few && !(hearsEnough() && judged(m, nowMs))) {
+      keptUnjudged++;
+      return false;
     }
     if (givenUp.size() >= mayGo) {
       keptBeyond++;
@@ -230,6 +229,15 @@
     return true;
   }
 
+  /** Others asked it in vain; or nobody can tell, and what this leader sees speaks for it. */
+  private boolean judged(Machine m, long nowMs) {
+    if (fresh(m.unreachedMs, m, nowMs) || zones.get(m.zone).witnessed()) {
+      return true;
+    }
+    boolean nobody = nowMs - nobodyMs <= Constants.WITNESS_FRESH_MS;
+    return nobody && (lonePattern || pastLease(m, nowMs));
+  }
+
   /** Nothing it held can be alive any more, so that giving it back loses nothing. */
   private boolean pastLease(Machine m, long nowMs) {
     return c.silenceMs(m, nowMs) > 1.5 * c.facts.leaseS() * 1000;
@@ -291,35 +299,66 @@
       return null;
     }
     asking = true;
-    List<Decision.Suspect> suspects = new ArrayList<>();
-    for (Machine m : sample.subList(0, Math.min(sample.size(), Constants.WITNESS_BATCH))) {
-      suspects.add(new Decision.Suspect(m.name, m.addr));
+    List<Decision.Named> suspects = named(sample, Constants.WITNESS_BATCH);
+    oldest.removeIf(m -> m.addr == null || m.seenMs == m.knownMs || c.overdue(m, nowMs));
+    Collections.reverse(oldest);
+    return new Decision.Witness(suspects, named(oldest, Constants.WITNESS_CONTROLS), nowMs);
+  }
+
+  private static List<Decision.Named> named(List<Machine> machines, int most) {
+    List<Decision.Named> out = new ArrayList<>();
+    for (Machine m : machines.subList(0, Math.min(machines.size(), most))) {
+      out.add(new Decision.Named(m.name, m.addr));
     }
-    return new Decision.Witness(suspects, nowMs);
+    return out;
   }
 
   /**
-   * What the others found: {@code able} of them reach workers and asked all of these, {@code
-   * reached} answered at least one of them.
+   * What those of the others said that reach workers, as far as they know. One that was cut off a
+   * moment ago, maybe together with this leader, does not know it yet; the controls show it. What
+   * somebody reached stays; what nobody reached, and somebody asked, is gone.
    */
-  void witnessed(Decision.Witness w, int able, Set<String> reached) {
+  void witnessed(Decision.Witness w, List<Decision.Testimony> told) {
     asking = false;
-    if (able == 0) {
-      nobodyMs = w.askedMs();
-      return;
+    Set<String> reached = new HashSet<>();
+    Set<String> unreached = new HashSet<>();
+    int able = 0;
+    for (Decision.Testimony t : told) {
+      reached.addAll(t.reached());
+      if (reachesControls(w, t)) {
+        able++;
+        unreached.addAll(t.unreached());
+      }
     }
-    nobodyMs = Long.MIN_VALUE / 2;
-    for (Decision.Suspect s : w.suspects()) {
+    nobodyMs = able == 0 ? w.askedMs() : Long.MIN_VALUE / 2;
+    int answering = 0;
+    for (Decision.Named s : w.suspects()) {
       Machine m = c.machines.get(s.machine());
-      if (m != null) {
-        if (reached.contains(s.machine())) {
-          m.reachedMs = w.askedMs();
-          m.unreachedMs = Long.MIN_VALUE / 2;
-        } else {
-          m.unreachedMs = w.askedMs();
-        }
+      if (m == null) {
+        continue;
+      }
+      if (reached.contains(s.machine())) {
+        m.reachedMs = w.askedMs();
+        m.unreachedMs = Long.MIN_VALUE / 2;
+        answering++;
+      } else if (unreached.contains(s.machine())) {
+        m.unreachedMs = w.askedMs();
       }
     }
+    LOG.info(
+        "of {} machines not heard here {} answer another controller; {} of {} could tell",
+        w.suspects().size(),
+        answering,
+        able,
+        told.size());
     c.stir();
   }
+
+  private static boolean reachesControls(Decision.Witness w, Decision.Testimony t) {
+    int answered = 0;
+    for (Decision.Named control : w.controls()) {
+      answered += t.reached().contains(control.machine()) ? 1 : 0;
+    }
+    return answered * 2 >= w.controls().size();
+  }
 }
--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -6,7 +6,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.astershift.config.Constants;
 import org.astershift.config.Settings;
 import org.astershift.core.Decision;
@@ -94,6 +93,10 @@
     leadership.told(token);
   }
 
+  String node() {
+    return settings.node();
+  }
+
   Reach reach() {
     return reach;
   }
@@ -309,13 +312,13 @@
     } else if (d instanceof Decision.Return r) {
       machines.giveBack(t, r);
     } else if (d instanceof Decision.Witness w) {
-      sampling.haveAsked(w, (able, reached) -> witnessed(t, w, able, reached));
+      sampling.haveAsked(w, told -> witnessed(t, w, told));
     }
   }
 
-  private void witnessed(Term t, Decision.Witness w, int able, Set<String> reached) {
+  private void witnessed(Term t, Decision.Witness w, List<Decision.Testimony> told) {
     synchronized (t) {
-      t.scheduler.witnessed(w, able, reached);
+      t.scheduler.witnessed(w, told);
     }
     stir();
   }
--- a/src/main/java/org/astershift/leader/Reach.java
+++ b/src/main/java/org/astershift/leader/Reach.java
@@ -104,19 +104,42 @@
       try {
         JobAnswer a = e.getValue().ask("reach", "", Constants.REACH_TIMEOUT_MS);
         WorkerReach.Seen seen = new WorkerReach.Seen(a.running(), a.done());
-        others.add(new Candidacy.Told(a.status() == 200 && "".equals(a.phase()), seen));
+        others.add(new Candidacy.Told(e.getKey(), a.status() == 200 && "".equals(a.phase()), seen));
       } catch (IOException | RuntimeException x) {
         LOG.debug("asking {}: {}", e.getKey(), x.toString());
       }
     }
-    if (candidacy.handsOver(heard, others, askers.size(), t.beganMs, Term.nowMs())) {
-      String why =
-          others.isEmpty() ? "no other node could be asked" : "another node reaches more of them";
-      int percent = (int) Math.round(heard * 100);
-      director.handOver(t, "only " + percent + "% of its machines are heard, and " + why);
-    } else {
+    Candidacy.HandOver wish =
+        candidacy.handsOver(heard, others, askers.size(), t.beganMs, Term.nowMs());
+    if (wish == null) {
       Thread.sleep(Constants.REACH_SAMPLE_MS); // what the others reach does not change sooner
+      return;
+    }
+    if (wish.to() != null) {
+      for (UserDesk.Asker other : askers.values()) {
+        tell(other, "yield", wish.to());
+      }
+    }
+    String why =
+        wish.to() == null ? "no other node could be asked" : wish.to() + " reaches more of them";
+    director.handOver(
+        t, "only " + Math.round(heard * 100) + "% of its machines are heard, and " + why);
+  }
+
+  private static void tell(UserDesk.Asker other, String op, String what) {
+    try {
+      other.ask(op, what, Constants.REACH_TIMEOUT_MS);
+    } catch (IOException | RuntimeException e) {
+      LOG.debug("telling another node: {}", e.toString());
+    }
+  }
+
+  /** The leader is about to hand over to this node, or to another one, which has to go first. */
+  JobAnswer yielded(String to) {
+    if (!to.equals(director.node())) {
+      candidacy.yields(Term.nowMs());
     }
+    return new JobAnswer(200, "", 0, 0);
   }
 
   /** What this node tells another that asks how much of the fleet it reaches. */
@@ -149,11 +172,34 @@
     }
     silent = true;
     told = heard;
-    if (heard != null) {
+    if (heard != null && !deaf(heard)) {
       director.leaderTold(heard.token());
     }
   }
 
+  /**
+   * A later leader that reaches few workers, while this one reaches them: it goes on answering them
+   * under its token, so that their leases and tasks live on. That is safe beside any successor,
+   * since a machine that has seen the later token drops what comes from here.
+   */
+  private boolean deaf(Leader later) {
+    Term t = director.term();
+    UserDesk.Asker asker = askers.get(later.node());
+    if (t == null || later.token() <= t.token || asker == null) {
+      return false;
+    }
+    if (!director.sampling().seen().able()) {
+      return false;
+    }
+    try {
+      JobAnswer a = asker.ask("reach", "", Constants.REACH_TIMEOUT_MS);
+      return a.status() == 200 && new WorkerReach.Seen(a.running(), a.done()).few();
+    } catch (IOException | RuntimeException e) {
+      LOG.debug("asking {}: {}", later.node(), e.toString());
+      return false;
+    }
+  }
+
   private static Leader leader(String told) {
     int space = told == null ? -1 : told.lastIndexOf(' ');
     return space < 0
--- a/src/main/java/org/astershift/leader/Sampling.java
+++ b/src/main/java/org/astershift/leader/Sampling.java
@@ -2,15 +2,17 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.StringJoiner;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.astershift.config.Constants;
 import org.astershift.core.Decision;
 import org.astershift.http.Json;
@@ -31,6 +33,8 @@
  */
 final class Sampling {
   private static final Logger LOG = LoggerFactory.getLogger(Sampling.class);
+  private static final char REACHED = 'y';
+  private static final char UNREACHED = 'n';
   private final Mirror mirror;
   private final OrderSender sender;
   private final Threads.Pool questions;
@@ -42,11 +46,6 @@
 
   private final Threads.Pool witnessPool = Threads.pool("witness", Constants.WITNESS_THREADS);
 
-  /** Told once all others have answered, or have not in time. */
-  interface Verdict {
-    void told(int able, Set<String> reached);
-  }
-
   Sampling(
       Mirror mirror,
       OrderSender sender,
@@ -72,17 +71,21 @@
   }
 
   private void loop() throws InterruptedException {
+    boolean none = false;
     while (true) {
-      Thread.sleep(Constants.REACH_SAMPLE_MS);
+      if (!none) {
+        Thread.sleep(Constants.REACH_SAMPLE_MS); // else the deadline of the last sample was a rest
+      }
       samplePool.tend();
       questions.tend();
       List<String> addrs = pick();
       long atMs = Term.nowMs();
       int answered = 0;
-      for (boolean yes : ask(samplePool, addrs, Constants.PROBE_TIMEOUT_MS, 1)) {
-        answered += yes ? 1 : 0;
+      for (Boolean yes : ask(samplePool, addrs, Constants.PROBE_TIMEOUT_MS)) {
+        answered += Boolean.TRUE.equals(yes) ? 1 : 0;
       }
       reach.sampled(addrs.size(), answered, atMs);
+      none = answered == 0 && Term.nowMs() - atMs >= Constants.PROBE_TIMEOUT_MS;
     }
   }
 
@@ -109,116 +112,119 @@
     return new ArrayList<>(out);
   }
 
-  /** Asks all of them; what has no answer after so many rounds of its threads counts as none. */
-  private boolean[] ask(Threads.Pool pool, List<String> addrs, int timeoutMs, int rounds)
+  /** Asks all of them; null for those whose turn did not come, of which nothing is known. */
+  private List<Boolean> ask(Threads.Pool pool, List<String> addrs, int timeoutMs)
       throws InterruptedException {
-    boolean[] answered = new boolean[addrs.size()];
+    Boolean[] answered = new Boolean[addrs.size()];
     CountDownLatch left = new CountDownLatch(addrs.size());
-    long untilMs = Term.nowMs() + (long) timeoutMs * rounds;
-    BooleanSupplier late = () -> Term.nowMs() > untilMs;
+    long untilMs = Term.nowMs() + timeoutMs;
     for (int i = 0; i < answered.length; i++) {
       int at = i;
       pool.execute(
           "question",
           () -> {
-            boolean yes = !late.getAsBoolean() && sender.answers(addrs.get(at), timeoutMs);
+            Boolean yes = Term.nowMs() > untilMs ? null : sender.answers(addrs.get(at), timeoutMs);
             synchronized (answered) {
               answered[at] = yes;
             }
             left.countDown();
           });
     }
-    if (!left.await((long) timeoutMs * rounds + Constants.SUSPECT_MS, TimeUnit.MILLISECONDS)) {
+    if (!left.await(timeoutMs + Constants.SUSPECT_MS, TimeUnit.MILLISECONDS)) {
       LOG.debug("{} of {} questions are not settled", left.getCount(), answered.length);
     }
     synchronized (answered) {
-      return answered.clone();
+      return Arrays.asList(answered.clone());
     }
   }
 
   // ---- for the leader ----
 
-  /** Has all other nodes ask these machines. */
-  void haveAsked(Decision.Witness w, Verdict verdict) {
-    StringBuilder addrs = new StringBuilder();
-    for (Decision.Suspect s : w.suspects()) {
-      addrs.append(addrs.isEmpty() ? "" : " ").append(s.addr());
-    }
-    Round round = new Round(w, verdict, others.size());
+  /**
+   * Has all other nodes ask these machines; {@code verdict} gets the answers of those that could.
+   */
+  void haveAsked(Decision.Witness w, Consumer<List<Decision.Testimony>> verdict) {
+    List<Decision.Named> all = new ArrayList<>(w.suspects());
+    all.addAll(w.controls());
+    StringJoiner addrs = new StringJoiner(" ");
+    all.forEach(m -> addrs.add(m.addr()));
+    Round round = new Round(verdict, others.size());
     if (others.isEmpty()) {
-      round.settle();
+      verdict.accept(List.of());
     }
     for (UserDesk.Asker other : others) {
       witnessPool.execute(
           "witness",
           () -> {
-            JobAnswer a = JobAnswer.UNDECIDED;
+            Decision.Testimony t = null;
             try {
-              a = other.ask("witness", addrs.toString(), Constants.PEER_TIMEOUT_MS);
+              JobAnswer a = other.ask("witness", addrs.toString(), Constants.PEER_TIMEOUT_MS);
+              t = a.status() == 200 ? testimony(all, a.phase()) : null;
             } catch (IOException | RuntimeException e) {
               LOG.debug("asking for a witness: {}", e.toString());
             }
-            round.add(a);
+            round.add(t); // whatever came: the leader waits for the last one
           });
     }
   }
 
   /** The answers to one question to all the others. */
   private static final class Round {
-    private final Decision.Witness witness;
-    private final Verdict verdict;
-    private final Set<String> reached = new HashSet<>();
-    private int able;
+    private final Consumer<List<Decision.Testimony>> verdict;
+    private final List<Decision.Testimony> told = new ArrayList<>();
     private int left;
 
-    Round(Decision.Witness witness, Verdict verdict, int others) {
-      this.witness = witness;
+    Round(Consumer<List<Decision.Testimony>> verdict, int others) {
       this.verdict = verdict;
       this.left = others;
     }
 
-    synchronized void add(JobAnswer a) {
-      if (a.status() == 200 && a.phase() != null) {
-        try {
-          for (String index : a.phase().isEmpty() ? new String[0] : a.phase().split(" ")) {
-            reached.add(witness.suspects().get(Integer.parseInt(index)).machine());
-          }
-          able++;
-        } catch (NumberFormatException | IndexOutOfBoundsException e) {
-          LOG.error("an answer of a witness makes no sense: {}", a.phase());
-        }
+    synchronized void add(Decision.Testimony t) {
+      if (t != null) {
+        told.add(t);
       }
-      left--; // whatever came: the leader waits for the last one
+      left--;
       if (left == 0) {
-        settle();
+        verdict.accept(told);
       }
     }
+  }
 
-    void settle() {
-      verdict.told(able, reached);
+  /** A sign for each machine asked, in the order asked. */
+  private static Decision.Testimony testimony(List<Decision.Named> asked, String signs)
+      throws IOException {
+    if (signs == null || signs.length() != asked.size()) {
+      throw new IOException("an answer of a witness makes no sense: " + signs);
+    }
+    Set<String> reached = new HashSet<>();
+    Set<String> unreached = new HashSet<>();
+    for (int i = 0; i < signs.length(); i++) {
+      if (signs.charAt(i) == REACHED) {
+        reached.add(asked.get(i).machine());
+      } else if (signs.charAt(i) == UNREACHED) {
+        unreached.add(asked.get(i).machine());
+      }
     }
+    return new Decision.Testimony(reached, unreached);
   }
 
   /**
-   * What this node tells a leader that asks it to try these machines: the places of those that
-   * answer, in the order asked. Undecided if it reaches few machines itself.
+   * What this node tells a leader that asks it to try these machines: a sign for each. Undecided if
+   * it knows that it reaches few itself.
    */
   JobAnswer witness(String addrs) throws InterruptedException {
     if (!seen().able()) {
       return JobAnswer.UNDECIDED;
     }
-    List<String> asked = List.of(addrs.split(" "));
-    int rounds = Constants.WITNESS_BATCH / Constants.QUESTION_THREADS;
-    boolean[] answered = ask(questions, asked, Constants.WITNESS_TIMEOUT_MS, rounds);
-    StringBuilder out = new StringBuilder();
+    List<Boolean> answered =
+        ask(questions, List.of(addrs.split(" ")), Constants.WITNESS_TIMEOUT_MS);
+    StringBuilder signs = new StringBuilder();
     int reached = 0;
-    for (int i = 0; i < answered.length; i++) {
-      if (answered[i]) {
-        out.append(reached == 0 ? "" : " ").append(i);
-        reached++;
-      }
+    for (Boolean yes : answered) {
+      signs.append(yes == null ? '?' : yes ? REACHED : UNREACHED);
+      reached += Boolean.TRUE.equals(yes) ? 1 : 0;
     }
-    LOG.info("of {} machines that the leader does not hear {} answer here", asked.size(), reached);
-    return new JobAnswer(200, out.toString(), reached, asked.size());
+    LOG.debug("of {} machines that the leader asks about {} answer here", signs.length(), reached);
+    return new JobAnswer(200, signs.toString(), reached, answered.size());
   }
 }
--- a/src/main/java/org/astershift/leader/UserDesk.java
+++ b/src/main/java/org/astershift/leader/UserDesk.java
@@ -194,6 +194,7 @@
       case "cancel" -> cancel(job, false);
       case "state" -> director.reach().answer();
       case "reach" -> director.reach().workers();
+      case "yield" -> director.reach().yielded(job);
       case "witness" -> director.sampling().witness(job);
       default -> JobAnswer.UNDECIDED;
     };
--- a/src/main/java/org/astershift/office/Candidacy.java
+++ b/src/main/java/org/astershift/office/Candidacy.java
@@ -21,9 +21,13 @@
 public final class Candidacy {
   private final Map<String, Long> ledMs = new HashMap<>();
   private long freeSinceMs = -1;
+  private long yieldedMs = Long.MIN_VALUE / 2;
 
   /** What one other controller told of itself; {@code served}: the state service answers it. */
-  public record Told(boolean served, Seen workers) {}
+  public record Told(String node, boolean served, Seen workers) {}
+
+  /** A leader's wish to hand over to this controller, or to any where {@code to} is null. */
+  public record HandOver(String to) {}
 
   /** The leadership is held by this controller, as far as known here. */
   public synchronized void held(String node, long nowMs) {
@@ -36,31 +40,41 @@
     if (freeSinceMs < 0) {
       freeSinceMs = nowMs;
     }
-    return nowMs - freeSinceMs >= (own.few() ? Constants.STAND_LATE_MS : 0);
+    boolean yields = nowMs - yieldedMs < Constants.STAND_LATE_MS;
+    return !yields && nowMs - freeSinceMs >= (own.few() ? Constants.STAND_LATE_MS : 0);
+  }
+
+  /** The leader is about to hand over to another controller than this one. */
+  public synchronized void yields(long nowMs) {
+    yieldedMs = nowMs;
   }
 
   /**
-   * Whether a leader that hears only {@code heard} of its machines hands over. {@code told}: those
-   * of the {@code others} that answered; {@code beganMs}: when its term began, since a cut that
-   * comes and goes must not turn the leadership round with it.
+   * The wish of a leader that hears only {@code heard} of its machines; null: it stays. {@code
+   * told}: those of the {@code others} that answered; {@code beganMs}: when its term began, since a
+   * cut that comes and goes must not turn the leadership round with it.
    */
-  public synchronized boolean handsOver(
+  public synchronized HandOver handsOver(
       double heard, List<Told> told, int others, long beganMs, long nowMs) {
     if (others == 0 || nowMs - beganMs < Constants.HAND_OVER_AFTER_MS) {
-      return false;
+      return null;
     }
+    Told best = null;
     for (Told t : told) {
-      if (t.served()
-          && t.workers().able()
-          && t.workers().share() >= heard + Constants.REACH_BETTER) {
-        return true;
+      boolean better =
+          t.served() && t.workers().able() && t.workers().share() >= heard + Constants.REACH_BETTER;
+      if (better && (best == null || t.workers().share() > best.workers().share())) {
+        best = t;
       }
     }
+    if (best != null) {
+      return new HandOver(best.node());
+    }
     if (!told.isEmpty()) {
-      return false;
+      return null;
     }
     // Nobody answers, so nothing is known of the others: each that has not led lately has its turn.
     ledMs.values().removeIf(at -> nowMs - at > Constants.RESIGN_AGAIN_MS);
-    return ledMs.size() <= others;
+    return ledMs.size() <= others ? new HandOver(null) : null;
   }
 }
--- a/src/main/java/org/astershift/office/WorkerReach.java
+++ b/src/main/java/org/astershift/office/WorkerReach.java
@@ -52,6 +52,10 @@
   }
 
   public synchronized Seen seen(long nowMs) {
+    Sample last = samples.peekLast();
+    if (last != null && last.answered == 0 && last.asked >= Constants.REACH_LEAST) {
+      samples.removeIf(s -> s != last); // cut off since the one before
+    }
     int asked = 0;
     int answered = 0;
     for (Sample s : samples) {
--- a/src/main/java/org/astershift/peer/PeerClient.java
+++ b/src/main/java/org/astershift/peer/PeerClient.java
@@ -12,13 +12,19 @@
 import java.util.Deque;
 import org.astershift.config.Constants;
 import org.astershift.config.Settings;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Asks one other controller, with a deadline. */
 public final class PeerClient {
+  private static final Logger LOG = LoggerFactory.getLogger(PeerClient.class);
   private final Settings.Endpoint endpoint;
-  private final Deque<Socket> idle = new ArrayDeque<>();
+  private final Deque<Kept> idle = new ArrayDeque<>();
   private volatile long restUntilNs = System.nanoTime();
 
+  /** A connection without a question on it. */
+  private record Kept(Socket socket, long sinceNs) {}
+
   public PeerClient(Settings.Endpoint endpoint) {
     this.endpoint = endpoint;
   }
@@ -32,15 +38,28 @@
       throw new IOException("did not answer a moment ago");
     }
     try {
-      return call(op, job, timeoutMs);
+      Socket kept = take();
+      if (kept != null) {
+        try {
+          return call(kept, op, job, timeoutMs);
+        } catch (SocketTimeoutException e) {
+          throw e;
+        } catch (IOException e) {
+          // Closed at the other end meanwhile, as after its restart: a leader that took this for
+          // silence believed the one witness that was cut off with it. Every question may be asked
+          // twice.
+          LOG.debug("a kept connection has ended: {}", e.toString());
+        }
+      }
+      return call(null, op, job, timeoutMs);
     } catch (SocketTimeoutException e) {
       restUntilNs = System.nanoTime() + Constants.PEER_REST_MS * 1_000_000;
       throw e;
     }
   }
 
-  private JobAnswer call(String op, String job, int timeoutMs) throws IOException {
-    Socket socket = take();
+  private JobAnswer call(Socket kept, String op, String job, int timeoutMs) throws IOException {
+    Socket socket = kept;
     boolean ok = false;
     try {
       if (socket == null) {
@@ -68,15 +87,22 @@
     }
   }
 
-  private synchronized Socket take() {
-    return idle.pollLast();
+  private synchronized Socket take() throws IOException {
+    while (!idle.isEmpty()) {
+      Kept kept = idle.pollLast();
+      if (System.nanoTime() - kept.sinceNs() < Constants.KEEP_CLIENT_NS) {
+        return kept.socket();
+      }
+      kept.socket().close();
+    }
+    return null;
   }
 
   private synchronized void give(Socket socket) throws IOException {
     if (idle.size() >= 4) {
       socket.close();
     } else {
-      idle.addLast(socket);
+      idle.addLast(new Kept(socket, System.nanoTime()));
     }
   }
 }
--- a/src/test/java/org/astershift/core/TracePlayer.java
+++ b/src/test/java/org/astershift/core/TracePlayer.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.astershift.config.Constants;
 import org.astershift.config.Operator;
@@ -183,8 +185,12 @@
         s.list(listed, now, now);
       }
       case "witnessed" -> {
-        List<String> reached = p.subList(2, p.size());
-        s.witnessed(asked, (int) w.num("able", 1), new java.util.HashSet<>(reached));
+        // Each word is what one controller reached of those asked, by comma; "nobody" reached none.
+        List<Decision.Testimony> told = new ArrayList<>();
+        for (String one : p.subList(2, p.size())) {
+          told.add(testimony(List.of(one.split(","))));
+        }
+        s.witnessed(asked, told);
       }
       case "isolated" -> {
         return List.of("isolated " + s.isolated());
@@ -197,6 +203,20 @@
     return List.of();
   }
 
+  private Decision.Testimony testimony(List<String> reached) {
+    Set<String> no = new HashSet<>();
+    for (List<Decision.Named> some : List.of(asked.suspects(), asked.controls())) {
+      some.forEach(m -> no.add(m.machine()));
+    }
+    Set<String> yes = new HashSet<>(no);
+    yes.retainAll(reached);
+    if (reached.contains("controls")) {
+      asked.controls().forEach(m -> yes.add(m.machine()));
+    }
+    no.removeAll(yes);
+    return new Decision.Testimony(yes, no);
+  }
+
   private static String show(Scheduler s, String job) {
     Job j = s.job(job);
     if (j == null) {
@@ -296,6 +316,10 @@
         + grace;
   }
 
+  private static List<String> names(List<Decision.Named> machines) {
+    return machines.stream().map(Decision.Named::machine).toList();
+  }
+
   private static String words(Decision d) {
     if (d instanceof Decision.Direct o) {
       return "send " + o.machine() + " session " + o.session() + " " + orders(o.orders());
@@ -312,7 +336,7 @@
     } else if (d instanceof Decision.Strike s) {
       return "strike " + s.machine();
     } else if (d instanceof Decision.Witness w) {
-      return "witness " + w.suspects().stream().map(Decision.Suspect::machine).toList();
+      return "witness " + names(w.suspects()) + " controls " + names(w.controls());
     }
     throw new IllegalArgumentException(d.toString());
   }
--- a/src/test/java/org/astershift/office/CandidacyTest.java
+++ b/src/test/java/org/astershift/office/CandidacyTest.java
@@ -2,10 +2,13 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import org.astershift.config.Constants;
+import org.astershift.office.Candidacy.HandOver;
 import org.astershift.office.Candidacy.Told;
 import org.astershift.office.WorkerReach.Seen;
 import org.junit.jupiter.api.Test;
@@ -18,7 +21,7 @@
   private static final long LATER = 1000 + Constants.HAND_OVER_AFTER_MS;
 
   private static Told told(Seen seen) {
-    return new Told(true, seen);
+    return new Told(seen.equals(ALL) ? "whole" : "less", true, seen);
   }
 
   @Test
@@ -34,14 +37,25 @@
     }
   }
 
+  @Test
+  void whoWasNotChosenLetsTheChosenOneStand() {
+    Candidacy c = new Candidacy();
+    c.yields(1000);
+    assertFalse(c.stands(ALL, 1500));
+    assertTrue(c.stands(ALL, 1000 + Constants.STAND_LATE_MS), "it did not");
+  }
+
   @Test
   void aDeafLeaderHandsOverToOneThatReachesMore() {
     Candidacy c = new Candidacy();
-    assertFalse(c.handsOver(0.1, List.of(told(NONE), told(ALL)), 2, 1000, LATER - 1), "too soon");
-    assertTrue(c.handsOver(0.1, List.of(told(NONE), told(ALL)), 2, 1000, LATER));
-    assertTrue(c.handsOver(0.1, List.of(told(ALL)), 4, 1000, LATER), "the others do not answer");
+    assertNull(c.handsOver(0.1, List.of(told(NONE), told(ALL)), 2, 1000, LATER - 1), "too soon");
+    assertEquals(
+        new HandOver("whole"),
+        c.handsOver(0.1, List.of(told(HALF), told(ALL)), 2, 1000, LATER),
+        "the one that reaches most");
+    assertNotNull(c.handsOver(0.1, List.of(told(ALL)), 4, 1000, LATER), "the others do not answer");
     // Found on the apart day: a zone was cut off for all, and the new leader resigned.
-    assertFalse(c.handsOver(0.4, List.of(told(HALF), told(HALF)), 2, 1000, LATER));
+    assertNull(c.handsOver(0.4, List.of(told(HALF), told(HALF)), 2, 1000, LATER));
   }
 
   @Test
@@ -49,27 +63,28 @@
     Candidacy c = new Candidacy();
     for (long now = LATER; now < LATER + 600_000; now += 500) {
       c.held("me", now);
-      assertFalse(c.handsOver(0, List.of(told(NONE), told(NONE)), 2, 1000, now));
+      assertNull(c.handsOver(0, List.of(told(NONE), told(NONE)), 2, 1000, now));
     }
   }
 
   @Test
   void oneThatTheStateServiceDoesNotAnswerCannotTakeOver() {
-    assertFalse(
-        new Candidacy().handsOver(0, List.of(new Told(false, ALL), told(NONE)), 2, 1000, LATER));
+    assertNull(
+        new Candidacy()
+            .handsOver(0, List.of(new Told("apart", false, ALL), told(NONE)), 2, 1000, LATER));
   }
 
   @Test
   void whereNoOtherAnswersEachHasOneTurn() {
     Candidacy c = new Candidacy();
     c.held("a", LATER);
-    assertTrue(c.handsOver(0, List.of(), 2, 1000, LATER));
+    assertNotNull(c.handsOver(0, List.of(), 2, 1000, LATER));
     c.held("b", LATER + 10_000);
-    assertTrue(c.handsOver(0, List.of(), 2, 1000, LATER + 10_000), "c has not led");
+    assertNotNull(c.handsOver(0, List.of(), 2, 1000, LATER + 10_000), "c has not led");
     c.held("c", LATER + 20_000);
     c.held("a", LATER + 30_000);
-    assertFalse(c.handsOver(0, List.of(), 2, 1000, LATER + 30_000), "all had their turn");
-    assertFalse(c.handsOver(0, List.of(), 0, 1000, LATER), "there is no other controller");
+    assertNull(c.handsOver(0, List.of(), 2, 1000, LATER + 30_000), "all had their turn");
+    assertNull(c.handsOver(0, List.of(), 0, 1000, LATER), "there is no other controller");
   }
 
   @Test
@@ -84,7 +99,10 @@
     assertTrue(reach.seen(6500).few(), "cut off two samples ago");
     assertEquals(new Seen(12, 2), reach.seen(6500));
     assertFalse(reach.seen(6000 + Constants.REACH_FRESH_MS + 1).known(), "too old to say anything");
-    reach.sampled(0, 0, 20_000);
-    assertFalse(reach.seen(20_000).known(), "a site without machines");
+    reach.sampled(6, 6, 16_000);
+    reach.sampled(6, 0, 18_000);
+    assertEquals(new Seen(6, 0), reach.seen(19_000), "the last is enough if nobody answered it");
+    reach.sampled(0, 0, 30_000);
+    assertFalse(reach.seen(30_000).known(), "a site without machines");
   }
 }
