Counts by class and team: what each got, in the log every 10 s, and a warning for one that gets nothing

A leader that hears less than a quarter of its machines asked the others about each of them every second, to no end.

Change: core.Served counts accepted, started, finished, replicas up and the longest wait for each class and team, and warns where one that waits got no start for 60 s though others did. A deaf leader asks no witness.

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -414,6 +414,9 @@
   /** Milliseconds between summaries in the log. */
   public static final long SUMMARY_MS = 10_000;
 
+  /** Milliseconds without a start after which a class or team that waits is warned of. */
+  public static final long STARVED_MS = 60_000;
+
   /** Milliseconds between machine lists. */
   public static final long LIST_MS = 2500;
 
--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -49,6 +49,8 @@
   /** Jobs with done tasks that no record holds yet. */
   final Set<Job> unsaved = new LinkedHashSet<>();
 
+  final Served served = new Served();
+
   /** Looks at a job for a machine, so that tests can count what a pass and a report cost. */
   long looks;
 
@@ -207,6 +209,7 @@
       waiting.add(job);
     }
     completing.add(job);
+    served.accepted(job);
     stir();
   }
 
@@ -217,6 +220,7 @@
     unopened.remove(job);
     completing.remove(job);
     unsaved.remove(job);
+    served.ended(job, cancelled);
     job.state = cancelled ? Job.State.CANCELLED : Job.State.DONE;
     for (Run run : new ArrayList<>(job.runs.values())) {
       if (run.ordered) {
--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -77,6 +77,9 @@
   long gangAttempt;
   boolean gangRan;
 
+  /** A task of it ran in this term. */
+  boolean begun;
+
   /** Runs that ended without completing their task. */
   int restarts;
 
--- a/src/main/java/org/astershift/core/Reports.java
+++ b/src/main/java/org/astershift/core/Reports.java
@@ -116,6 +116,7 @@
       }
       if (item.phase() == Report.Phase.RUNNING && run.runningSinceMs < 0) {
         run.runningSinceMs = nowMs;
+        c.served.started(job, nowMs);
         job.gangRan = true;
         LOG.debug(
             "task {} runs on {}, {} ms after it was placed",
@@ -202,6 +203,9 @@
     }
     c.recognise(run);
     job.opened = true;
+    if (item.phase() == Report.Phase.RUNNING) {
+      c.served.started(job, nowMs);
+    }
     if (job.spec.kind() == JobKind.GANG) {
       job.gangAttempt = run.attempt;
       job.gangRan |= item.phase() == Report.Phase.RUNNING;
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -521,6 +521,11 @@
         + spending;
   }
 
+  /** A line for the log: what each class and team got; warns of one that gets nothing. */
+  public String served(long nowMs) {
+    return c.served.summary(c.jobs.values(), nowMs);
+  }
+
   /** For tests: looks at a job for a machine so far. */
   long looks() {
     return c.looks;
--- a/src/main/java/org/astershift/core/Silence.java
+++ b/src/main/java/org/astershift/core/Silence.java
@@ -268,7 +268,8 @@
    * can judge. First a sample of each zone, which is enough where a zone is cut off as a whole.
    */
   Decision.Witness ask(long nowMs) {
-    if (asking || few) {
+    // Who hears next to nobody gives nothing back whatever the others say, and need not ask.
+    if (asking || few || !hearsEnough()) {
       return null;
     }
     Map<String, Integer> sampled = new HashMap<>();
@@ -345,7 +346,7 @@
         m.unreachedMs = w.askedMs();
       }
     }
-    LOG.info(
+    LOG.debug(
         "of {} machines not heard here {} answer another controller; {} of {} could tell",
         w.suspects().size(),
         answering,
--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -252,6 +252,7 @@
       try {
         List<Decision> decisions;
         String summary = null;
+        String served = null;
         boolean usedUp;
         synchronized (t) {
           long now = Term.nowMs();
@@ -264,6 +265,7 @@
           if (now - told > Constants.SUMMARY_MS) {
             told = now;
             summary = t.scheduler.summary();
+            served = t.scheduler.served(now);
           }
         }
         if (usedUp) {
@@ -271,6 +273,7 @@
         }
         if (summary != null) {
           LOG.info(summary);
+          LOG.info(served);
         }
         for (Decision d : decisions) {
           carryOut(t, d);
