Leadership as values, and a world of several controllers in one process to try it in

Cause: what controllers do together lived in threads, so no test could run three of them through a cut and repeat it.

Test side: org.astershift.world, virtual time under one seed, with models of state service, cloud and workers by the protocol, a matrix of one-way links that hold and deliver late, controllers that freeze, crash and drift, running the program's own Election, Candidacy, WorkerReach and Scheduler. Returns say whether they are for silence.

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -25,6 +25,9 @@
   /** How often the lease is renewed: several tries fit into its life. */
   public static final long LEADER_RENEW_MS = 500;
 
+  /** Deadline of a change of the leader's key, milliseconds. */
+  public static final long LEADER_CHANGE_MS = 1000;
+
   /** Pause between tries to become leader while another holds the lease. */
   public static final long ELECTION_POLL_MS = 300;
 
--- a/src/main/java/org/astershift/core/Decision.java
+++ b/src/main/java/org/astershift/core/Decision.java
@@ -19,8 +19,8 @@
   /** Rent machines. */
   record Rent(String type, String zone, boolean spot, int count) implements Decision {}
 
-  /** Give machines back. */
-  record Return(List<String> machines) implements Decision {}
+  /** Give machines back. {@code silent}: only because nothing is heard of them. */
+  record Return(List<String> machines, boolean silent) implements Decision {}
 
   /**
    * Record a machine, so that a successor knows of it. Until a record that is not {@code fresh} is
--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -72,6 +72,10 @@
   int failedProven;
 
   boolean condemned;
+
+  /** Given back because nothing was heard of it. */
+  boolean givenUp;
+
   long idleSinceMs;
   long holdUntilMs;
   boolean orderInFlight;
--- a/src/main/java/org/astershift/core/Returning.java
+++ b/src/main/java/org/astershift/core/Returning.java
@@ -62,6 +62,7 @@
    */
   void plan(List<Decision> out, boolean sole, long nowMs) {
     List<String> names = new ArrayList<>();
+    List<String> silent = new ArrayList<>();
     for (String name : failedNames) {
       if (asked.add(name)) {
         names.add(name);
@@ -73,7 +74,8 @@
       String why = null;
       if (m.state != Machine.State.RETURNING) {
         if (silence.silent(m, nowMs)) {
-          why = silence.giveUp(m, nowMs) ? "silent with " + m.heldCount() + " tasks" : null;
+          m.givenUp = silence.giveUp(m, nowMs);
+          why = m.givenUp ? "silent with " + m.heldCount() + " tasks" : null;
         } else if (sole) {
           why = whyReturn(m, needless, nowMs);
         }
@@ -83,7 +85,7 @@
         c.enter(m, Machine.State.RETURNING);
       }
       if (m.state == Machine.State.RETURNING && asked.add(m.name)) {
-        names.add(m.name);
+        (m.givenUp ? silent : names).add(m.name);
       }
     }
     silence.tell(nowMs);
@@ -91,8 +93,14 @@
     if (witness != null) {
       out.add(witness);
     }
+    calls(out, names, false);
+    calls(out, silent, true);
+  }
+
+  private static void calls(List<Decision> out, List<String> names, boolean silent) {
     for (int i = 0; i < names.size(); i += NAMES_A_CALL) {
-      out.add(new Decision.Return(names.subList(i, Math.min(names.size(), i + NAMES_A_CALL))));
+      List<String> call = names.subList(i, Math.min(names.size(), i + NAMES_A_CALL));
+      out.add(new Decision.Return(call, silent));
     }
   }
 
--- a/src/main/java/org/astershift/core/Silence.java
+++ b/src/main/java/org/astershift/core/Silence.java
@@ -315,9 +315,9 @@
   }
 
   /**
-   * What those of the others said that reach workers, as far as they know. One that was cut off a
-   * moment ago, maybe together with this leader, does not know it yet; the controls show it. What
-   * somebody reached stays; what nobody reached, and somebody asked, is gone.
+   * What the others said that answered. One that was cut off a moment ago, maybe together with this
+   * leader, does not know it yet; the controls show it. What somebody reached stays; what nobody
+   * reached, and somebody asked, is gone.
    */
   void witnessed(Decision.Witness w, List<Decision.Testimony> told) {
     asking = false;
--- a/src/main/java/org/astershift/leader/Sampling.java
+++ b/src/main/java/org/astershift/leader/Sampling.java
@@ -209,13 +209,10 @@
   }
 
   /**
-   * What this node tells a leader that asks it to try these machines: a sign for each. Undecided if
-   * it knows that it reaches few itself.
+   * What this node tells a leader that asks it to try these machines: a sign for each. Also if it
+   * reaches few itself, as far as it knows: what it does reach lives, whatever else it misses.
    */
   JobAnswer witness(String addrs) throws InterruptedException {
-    if (!seen().able()) {
-      return JobAnswer.UNDECIDED;
-    }
     List<Boolean> answered =
         ask(questions, List.of(addrs.split(" ")), Constants.WITNESS_TIMEOUT_MS);
     StringBuilder signs = new StringBuilder();
--- /dev/null
+++ b/src/main/java/org/astershift/office/Election.java
@@ -0,0 +1,296 @@
+package org.astershift.office;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.astershift.config.Constants;
+import org.astershift.office.WorkerReach.Seen;
+
+/**
+ * One controller's part in who leads: the holder of one key in the state service, on a lease. The
+ * token is the revision of the key's creation, so a later holder always has a higher one. A process
+ * never inherits the key of its predecessor. A leader whose lease may have run out is no longer
+ * {@link #valid}, and answers nothing that another leader could contradict; it leads on until it
+ * sees that there is another.
+ *
+ * <p>Its caller asks for the next {@link Act}, carries it out, tells what came of it, and asks
+ * again. What ends a term may come at any time, from any thread. Times are milliseconds of the
+ * steady clock.
+ */
+public final class Election {
+  private final String node;
+  private final Candidacy candidacy;
+  private final Deque<Act> pending = new ArrayDeque<>();
+  private long token;
+  private long lease;
+  private long leaseSentMs;
+  private long wonRevision;
+  private Step step = Step.FOLLOWS;
+  private long validUntilMs = Long.MIN_VALUE / 2;
+  private long mayResignMs = Long.MIN_VALUE / 2;
+  private long contestMs = Long.MIN_VALUE / 2;
+
+  /** This process has tried to lead: a key with its node's name may be its own. */
+  private boolean tried;
+
+  /** Another controller has led since this one resigned. */
+  private boolean othersLed;
+
+  /** It was said that this one lets others stand first. */
+  private boolean late;
+
+  private enum Step {
+    FOLLOWS,
+    GRANTED,
+    WON,
+    LEADS
+  }
+
+  /** What the caller should do. */
+  public sealed interface Act {
+    /** Nothing now: ask again after a rest, or when the key has changed. */
+    record Rest() implements Act {}
+
+    /** Read the key, as a sign of life: nothing was heard of the state service for a while. */
+    record Look() implements Act {}
+
+    /** The others may stand first: this one reaches so few workers. */
+    record Yield(Seen workers) implements Act {}
+
+    /** Remove the key at this revision: it was left by this controller's predecessor. */
+    record Remove(long revision) implements Act {}
+
+    /** Get a lease; told by {@link #granted}. */
+    record Grant(long lifeMs) implements Act {}
+
+    /** Create the key, if absent, on this lease; told by {@link #claimed}. */
+    record Claim(long lease) implements Act {}
+
+    /** Bring the mirror up to this revision; told by {@link #caughtUp}. */
+    record CatchUp(long revision) implements Act {}
+
+    /** Take up the leader's work; {@link #beginFailed} if that cannot be. */
+    record Begin(long token) implements Act {}
+
+    /** Prolong the lease; told by {@link #renewed}. */
+    record Renew(long lease) implements Act {}
+
+    /** End the lease at once, so that the key does not stand for this controller any more. */
+    record Revoke(long lease) implements Act {}
+
+    /** Lay the leader's work down. */
+    record End(long token, String why) implements Act {}
+  }
+
+  /** Who holds the key, and its revision. */
+  public record Holder(String node, long revision) {}
+
+  /**
+   * What is known here at the moment. {@code loaded}: the mirror holds something; {@code holder}
+   * null: the key does not exist, as far as the mirror knows; {@code silenceMs}: since the state
+   * service last answered this controller.
+   */
+  public record View(long nowMs, boolean loaded, Holder holder, Seen workers, long silenceMs) {}
+
+  /** What came of creating the key. */
+  public enum Claimed {
+    APPLIED,
+    REFUSED,
+    UNKNOWN
+  }
+
+  public Election(String node, Candidacy candidacy) {
+    this.node = node;
+    this.candidacy = candidacy;
+  }
+
+  // ---- what others ask ----
+
+  /** 0 if this controller does not lead. */
+  public synchronized long token() {
+    return token;
+  }
+
+  /** Whether no other controller can have become leader yet. */
+  public synchronized boolean valid(long ofToken, long nowMs) {
+    return token == ofToken && ofToken != 0 && nowMs < validUntilMs;
+  }
+
+  /** Until when no other controller can have become leader. */
+  public synchronized long soleUntilMs() {
+    return validUntilMs;
+  }
+
+  // ---- what to do next ----
+
+  public synchronized Act next(View v) {
+    if (!pending.isEmpty()) {
+      return pending.poll();
+    }
+    return switch (step) {
+      case FOLLOWS -> contest(v);
+      case GRANTED -> {
+        tried = true;
+        yield new Act.Claim(lease);
+      }
+      case WON -> new Act.CatchUp(wonRevision);
+      case LEADS -> renewal(v);
+    };
+  }
+
+  private Act contest(View v) {
+    if (v.silenceMs() > Constants.STORE_IDLE_MS) {
+      return new Act.Look();
+    }
+    if (!v.loaded() || v.nowMs() < contestMs) {
+      return new Act.Rest();
+    }
+    if (v.holder() != null) {
+      boolean own = v.holder().node().equals(node);
+      candidacy.held(v.holder().node(), v.nowMs());
+      late = false;
+      othersLed |= !own;
+      // Left by this controller's predecessor, which is dead since this process runs in its place.
+      return own && !tried ? new Act.Remove(v.holder().revision()) : new Act.Rest();
+    }
+    if (!candidacy.stands(v.workers(), v.nowMs())) {
+      boolean said = late;
+      late = true;
+      return said ? new Act.Rest() : new Act.Yield(v.workers());
+    }
+    // Counted from here: the lease may have been granted as soon as it was asked for.
+    leaseSentMs = v.nowMs();
+    return new Act.Grant(Constants.LEADER_LEASE_MS);
+  }
+
+  private Act renewal(View v) {
+    if (v.holder() == null || v.holder().revision() != token) {
+      String why = v.holder() == null ? "its key is gone" : "another leads";
+      return end(token, why) ? pending.poll() : new Act.Rest();
+    }
+    candidacy.held(node, v.nowMs());
+    leaseSentMs = v.nowMs();
+    return new Act.Renew(lease);
+  }
+
+  // ---- what came of it ----
+
+  /** A lease was granted. */
+  public synchronized void granted(long granted) {
+    if (step == Step.FOLLOWS) {
+      lease = granted;
+      step = Step.GRANTED;
+    }
+  }
+
+  /** {@code revision}: of the key, where it was created. */
+  public synchronized void claimed(Claimed outcome, long revision) {
+    if (step != Step.GRANTED) {
+      return;
+    }
+    switch (outcome) {
+      case APPLIED -> {
+        wonRevision = revision;
+        validUntilMs = leaseSentMs + lifeMs();
+        step = Step.WON;
+      }
+      case REFUSED -> step = Step.FOLLOWS;
+      case UNKNOWN -> {
+        // Whether it was applied is unknown, so the key, if it exists, must not stand for this one.
+        step = Step.FOLLOWS;
+        pending.add(new Act.Revoke(lease));
+      }
+    }
+  }
+
+  /** Whether the mirror now holds all that was there when the key was created. */
+  public synchronized void caughtUp(boolean done) {
+    if (step != Step.WON) {
+      return;
+    }
+    if (!done) {
+      step = Step.FOLLOWS;
+      pending.add(new Act.Revoke(lease));
+      return;
+    }
+    token = wonRevision;
+    step = Step.LEADS;
+    pending.add(new Act.Begin(token));
+  }
+
+  /** {@code ok} null: no answer, so nothing is known; false: the lease has ended. */
+  public synchronized void renewed(Boolean ok) {
+    if (step != Step.LEADS || ok == null) {
+      return;
+    }
+    if (ok) {
+      validUntilMs = leaseSentMs + lifeMs();
+    } else {
+      end(token, "its lease has ended");
+    }
+  }
+
+  /** A term that cannot begin would hold the lease and place nothing: another is to try. */
+  public synchronized List<Act> beginFailed(long ofToken, long nowMs) {
+    contestMs = nowMs + Constants.RESIGN_PAUSE_MS;
+    return leave(ofToken, "it could not begin");
+  }
+
+  // ---- what ends a term ----
+
+  /** It is certain that another leads. */
+  public synchronized List<Act> stepDown(long ofToken, String why) {
+    return end(ofToken, why) ? drain() : List.of();
+  }
+
+  /** Another controller says who leads: if that one came later, this one does no longer. */
+  public synchronized List<Act> told(long otherToken) {
+    return otherToken > token
+        ? stepDown(token, "another node says that a later one leads, with token " + otherToken)
+        : List.of();
+  }
+
+  /**
+   * Lets another controller lead, because this one reaches too few workers; not twice in a short
+   * time if nobody else took it, since then the others reach no more.
+   */
+  public synchronized List<Act> resign(long ofToken, String why, long nowMs) {
+    if ((nowMs < mayResignMs && !othersLed) || token != ofToken || ofToken == 0) {
+      return List.of();
+    }
+    othersLed = false;
+    mayResignMs = nowMs + Constants.RESIGN_AGAIN_MS;
+    contestMs = nowMs + Constants.RESIGN_PAUSE_MS;
+    return leave(ofToken, why);
+  }
+
+  private List<Act> leave(long ofToken, String why) {
+    if (end(ofToken, why)) {
+      pending.add(new Act.Revoke(lease));
+    }
+    return drain();
+  }
+
+  private boolean end(long ofToken, String why) {
+    if (ofToken == 0 || token != ofToken) {
+      return false;
+    }
+    token = 0;
+    step = Step.FOLLOWS;
+    pending.removeIf(a -> a instanceof Act.Begin); // over before it began
+    pending.add(new Act.End(ofToken, why));
+    return true;
+  }
+
+  private List<Act> drain() {
+    List<Act> out = new ArrayList<>(pending);
+    pending.clear();
+    return out;
+  }
+
+  private static long lifeMs() {
+    long ms = (long) (Constants.LEADER_LEASE_MS * (1 - 2 * Constants.CLOCK_DRIFT));
+    return ms - Constants.CLOCK_MARGIN_MS;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/astershift/world/CloudModel.java
@@ -0,0 +1,101 @@
+package org.astershift.world;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.astershift.core.Decision;
+import org.astershift.core.Scheduler;
+
+/**
+ * The cloud: request names, machines that boot, lists that lag and go back, dead machines that are
+ * listed as running for 30 s and then as failed.
+ */
+final class CloudModel {
+  static final String TYPE = "small";
+  private static final long LAG_MS = 3000;
+  private static final long FAILED_AFTER_MS = 30_000;
+  private static final long BOOT_MS = 10_000;
+  private final World world;
+  private final Map<String, List<String>> answered = new HashMap<>();
+  private final Map<String, Long> diedMs = new HashMap<>();
+  private final Set<String> gone = new HashSet<>();
+  private final Deque<Snapshot> snapshots = new ArrayDeque<>();
+  private final List<String> names = new ArrayList<>();
+  private final Map<String, String> zones = new HashMap<>();
+  private int next = 100_000;
+
+  private record Snapshot(long atMs, List<Scheduler.Listed> listed) {}
+
+  CloudModel(World world) {
+    this.world = world;
+    snap();
+  }
+
+  void add(String name, String zone, boolean up) {
+    names.add(name);
+    zones.put(name, zone);
+    WorkerModel w = new WorkerModel(world, name, zone);
+    world.workers.put(name, w);
+    world.after(up ? world.random.nextLong(world.setup.reportMs()) : BOOT_MS, w::start);
+  }
+
+  void die(String name) {
+    diedMs.put(name, world.now());
+    world.workers.get(name).die();
+  }
+
+  List<String> rent(String request, Decision.Rent r) {
+    return answered.computeIfAbsent(
+        request,
+        n -> {
+          List<String> out = new ArrayList<>();
+          for (int i = 0; i < r.count(); i++) {
+            String name = "vm-" + next++;
+            add(name, r.zone(), false);
+            out.add(name);
+          }
+          return out;
+        });
+  }
+
+  void giveBack(List<String> machines, boolean silent) {
+    for (String name : machines) {
+      if (zones.containsKey(name) && gone.add(name)) {
+        WorkerModel w = world.workers.get(name);
+        if (silent) {
+          world.checker.returned(name, w.alive());
+        }
+        w.die();
+      }
+    }
+  }
+
+  private void snap() {
+    List<Scheduler.Listed> listed = new ArrayList<>();
+    for (String name : names) {
+      if (!gone.contains(name)) {
+        Long died = diedMs.get(name);
+        boolean failed = died != null && world.now() - died > FAILED_AFTER_MS;
+        listed.add(
+            new Scheduler.Listed(
+                name, name, TYPE, zones.get(name), false, failed ? "failed" : "running", 60));
+      }
+    }
+    snapshots.addLast(new Snapshot(world.now(), listed));
+    while (snapshots.peekFirst().atMs() < world.now() - 2 * LAG_MS) {
+      snapshots.removeFirst();
+    }
+    world.after(500, this::snap);
+  }
+
+  /** Any state of the last six seconds, so a list may be older than the one before it. */
+  List<Scheduler.Listed> list() {
+    List<Snapshot> all = new ArrayList<>(snapshots);
+    return all.get(world.random.nextInt(all.size())).listed();
+  }
+}
--- /dev/null
+++ b/src/test/java/org/astershift/world/WorldTest.java
@@ -0,0 +1,214 @@
+package org.astershift.world;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.astershift.core.JobKind;
+import org.astershift.core.JobSpec;
+import org.astershift.core.Priority;
+import org.astershift.world.World.Setup;
+import org.junit.jupiter.api.Test;
+
+/** Several controllers together, under cuts and deaths: nobody gives away what somebody hears. */
+class WorldTest {
+  private static final int SEEDS = 25;
+
+  static JobSpec job(String id, JobKind kind, int tasks) {
+    return new JobSpec(
+        id,
+        "c",
+        "team",
+        kind,
+        Priority.NORMAL,
+        tasks,
+        1,
+        0,
+        1,
+        "i",
+        1,
+        null,
+        null,
+        false,
+        false,
+        false,
+        20,
+        0,
+        0,
+        null);
+  }
+
+  /** A world with replicas on it that has come to rest. */
+  private static World rested(long seed, Setup setup) {
+    World w = new World(seed, setup);
+    w.runTo(4);
+    // Something is on each machine to the end, so that none is ever idle: each return is for
+    // silence.
+    w.submit(job("wk-1", JobKind.SERVICE, 3 * setup.machines()), null);
+    w.submit(job("wk-2", JobKind.ARRAY, setup.machines()), 40_000L);
+    w.runTo(20);
+    assertEquals(1, leader(w).size(), w.story());
+    assertTrue(running(w) >= 4 * setup.machines(), running(w) + " run\n" + w.story());
+    return w;
+  }
+
+  private static List<NodeModel> leader(World w) {
+    return w.nodes.stream().filter(n -> n.up() && n.leads()).toList();
+  }
+
+  private static int running(World w) {
+    return w.workers.values().stream().mapToInt(WorkerModel::running).sum();
+  }
+
+  private static void sound(World w) {
+    assertEquals(List.of(), w.checker.broken, w.story());
+    assertEquals(List.of(), w.checker.healthyReturned, w.story());
+  }
+
+  private static NodeModel follower(World w, int which) {
+    return w.nodes.stream().filter(n -> !n.leads()).toList().get(which);
+  }
+
+  @Test
+  void theSecondHolderIsCutFromTheWorkersAsTheFirst() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      World w = rested(seed, Setup.of(3, 60));
+      NodeModel first = leader(w).get(0);
+      NodeModel second = follower(w, 0);
+      NodeModel third = follower(w, 1);
+      w.cutBoth(first.name, "workers");
+      w.cutBoth(second.name, "workers");
+      w.runTo(35);
+      assertEquals(List.of(third), leader(w), w.story());
+      w.runTo(95);
+      assertEquals(0, w.checker.killedByLease, w.story());
+      w.healBoth(first.name, "workers");
+      w.healBoth(second.name, "workers");
+      w.runTo(120);
+      sound(w);
+      assertEquals(List.of(), w.checker.returned, w.story());
+    }
+  }
+
+  @Test
+  void allAreCutAtOnceAndComeBackOneByOne() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      World w = rested(seed, Setup.of(3, 60));
+      w.nodes.forEach(n -> w.cutBoth(n.name, "workers"));
+      int before = w.checker.leaders.size();
+      w.runTo(90);
+      assertEquals(
+          before, w.checker.leaders.size(), "nobody reaches them: one stays\n" + w.story());
+      NodeModel back = follower(w, 1);
+      w.healBoth(back.name, "workers");
+      w.runTo(110);
+      assertEquals(List.of(back), leader(w), w.story());
+      w.nodes.forEach(n -> w.healBoth(n.name, "workers"));
+      w.runTo(150);
+      sound(w);
+      assertEquals(before + 1, w.checker.leaders.size(), w.story());
+      assertEquals(List.of(), w.checker.returned, w.story());
+      assertTrue(running(w) >= 180, running(w) + " run\n" + w.story());
+    }
+  }
+
+  @Test
+  void requestsOfWorkersArriveAndAnswersDoNot() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      World w = rested(seed, Setup.of(3, 60));
+      NodeModel first = leader(w).get(0);
+      w.cut(first.name, "workers");
+      w.runTo(80);
+      sound(w);
+      assertEquals(List.of(), w.checker.returned, w.story());
+      w.heal(first.name, "workers");
+      w.runTo(110);
+      sound(w);
+    }
+  }
+
+  @Test
+  void aLeaderIsCutOffInTheMiddleOfReturning() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      World w = rested(seed, Setup.of(3, 60));
+      NodeModel first = leader(w).get(0);
+      for (int i = 0; i < 12; i++) {
+        w.cloud.die("vm-" + i);
+      }
+      w.runTo(23.5 + seed % 25 * 0.1);
+      w.cutBoth(first.name, "workers");
+      w.runTo(60);
+      sound(w);
+      assertNotEquals(List.of(first), leader(w), w.story());
+      assertEquals(12, w.checker.returned.size(), w.story());
+      w.healBoth(first.name, "workers");
+      w.runTo(100);
+      sound(w);
+    }
+  }
+
+  @Test
+  void manyAreDeadAtTheMomentOfATakeover() {
+    World w = rested(1, Setup.of(3, 600));
+    NodeModel first = leader(w).get(0);
+    for (int i = 0; i < 180; i++) {
+      w.cloud.die("vm-" + i);
+    }
+    first.crash();
+    w.runTo(60);
+    sound(w);
+    assertEquals(180, w.checker.returned.size(), w.story());
+    assertTrue(running(w) >= 1800, running(w) + " run\n" + w.story());
+  }
+
+  @Test
+  void aZoneIsCutOffWithTheLeaderInIt() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      World w = rested(seed, Setup.of(3, 60));
+      NodeModel first = leader(w).get(0);
+      for (String host :
+          List.of("state", "cloud", "zone b", "zone c", follower(w, 0).name, follower(w, 1).name)) {
+        w.cutBoth(first.name, host);
+      }
+      for (NodeModel n : w.nodes) {
+        if (n != first) {
+          w.cutBoth(n.name, "zone a");
+        }
+      }
+      w.runTo(50);
+      assertEquals(List.of(), w.checker.broken, w.story());
+      // The zone's machines are reached by nobody who could use them: given up, and replaced.
+      assertEquals(20, w.checker.returned.size(), w.story());
+      assertTrue(w.nodes.stream().anyMatch(n -> n != first && n.leads()), w.story());
+    }
+  }
+
+  @Test
+  void aLoneControllerStillGivesUpTheDead() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      World w = rested(seed, Setup.of(3, 60));
+      follower(w, 0).crash();
+      follower(w, 1).crash();
+      for (int i = 0; i < 10; i++) {
+        w.cloud.die("vm-" + i);
+      }
+      w.runTo(45); // before the cloud says that they failed
+      sound(w);
+      assertEquals(10, w.checker.returned.size(), w.story());
+    }
+  }
+
+  @Test
+  void twoHalvesOfControllersReachHalfOfTheWorkersEach() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      World w = rested(seed, new Setup(5, 60, List.of("a", "b"), 2000, 14_000));
+      for (int i = 0; i < 5; i++) {
+        w.cutBoth("n" + i, i < 3 ? "zone a" : "zone b");
+      }
+      w.runTo(100);
+      sound(w);
+      assertTrue(w.checker.leaders.size() <= 4, w.checker.leaders + "\n" + w.story());
+    }
+  }
+}
