--- a/src/main/java/org/astershift/core/Silence.java
+++ b/src/main/java/org/astershift/core/Silence.java
@@ -14,11 +14,11 @@
 
 /**
  * Which silent machines may be given back, and whether this leader hears its fleet at all. A leader
- * that lost its way to the workers hears what a leader of a dead fleet hears, so its own ears are
- * enough only for a few machines. Beyond that another controller has to have asked the machine
- * itself, in vain, and to reach others; where no such controller answers, old patterns count (one
- * zone fell silent, or the leases are over) and only with a leader that hears a part of the fleet.
- * Whatever the reasons, only a share of the fleet may go in a time.
+ * that lost its way to the workers hears what a leader of a dead fleet hears, so another controller
+ * has to have asked the machine itself, in vain, and to reach others. Where no such controller
+ * answers, the leader's own ears are enough for a few machines; beyond that old patterns count (one
+ * zone fell silent, or the leases are over), and only if it hears a part of the fleet. Whatever the
+ * reasons, only a share of the fleet may go in a time.
  */
 final class Silence {
   private static final Logger LOG = LoggerFactory.getLogger(Silence.class);
