--- a/src/main/java/org/astershift/core/Silence.java
+++ b/src/main/java/org/astershift/core/Silence.java
@@ -32,6 +32,7 @@
   private final ArrayDeque<Long> givenUp = new ArrayDeque<>();
 
   private Map<String, Zone> zones = new HashMap<>();
+  private long surveyedMs = Long.MIN_VALUE;
   private int all;
   private int overdue;
   private boolean few;
@@ -167,6 +168,10 @@
 
   /** Looks at the fleet before machines are judged one by one. */
   void survey(long nowMs) {
+    if (nowMs == surveyedMs) {
+      return; // a plan in the same pass as a sweep: one walk over the fleet serves both
+    }
+    surveyedMs = nowMs;
     forget(scattered, nowMs, Constants.SILENCE_MS);
     forget(givenUp, nowMs, Constants.GIVEN_UP_MS);
     zones = look(nowMs);
--- a/src/main/java/org/astershift/leader/Reach.java
+++ b/src/main/java/org/astershift/leader/Reach.java
@@ -101,12 +101,9 @@
     }
     List<Candidacy.Told> others = new ArrayList<>();
     for (Map.Entry<String, UserDesk.Asker> e : askers.entrySet()) {
-      try {
-        JobAnswer a = e.getValue().ask("reach", "", Constants.REACH_TIMEOUT_MS);
-        WorkerReach.Seen seen = new WorkerReach.Seen(a.running(), a.done());
-        others.add(new Candidacy.Told(e.getKey(), a.status() == 200 && "".equals(a.phase()), seen));
-      } catch (IOException | RuntimeException x) {
-        LOG.debug("asking {}: {}", e.getKey(), x.toString());
+      Candidacy.Told other = reach(e.getKey(), e.getValue());
+      if (other != null) {
+        others.add(other);
       }
     }
     Candidacy.HandOver wish =
@@ -126,6 +123,18 @@
         t, "only " + Math.round(heard * 100) + "% of its machines are heard, and " + why);
   }
 
+  /** What another node tells of itself; null if it does not answer. */
+  private static Candidacy.Told reach(String node, UserDesk.Asker other) {
+    try {
+      JobAnswer a = other.ask("reach", "", Constants.REACH_TIMEOUT_MS);
+      WorkerReach.Seen seen = new WorkerReach.Seen(a.running(), a.done());
+      return new Candidacy.Told(node, a.status() == 200 && "".equals(a.phase()), seen);
+    } catch (IOException | RuntimeException e) {
+      LOG.debug("asking {}: {}", node, e.toString());
+      return null;
+    }
+  }
+
   private static void tell(UserDesk.Asker other, String op, String what) {
     try {
       other.ask(op, what, Constants.REACH_TIMEOUT_MS);
@@ -191,13 +200,9 @@
     if (!director.sampling().seen().able()) {
       return false;
     }
-    try {
-      JobAnswer a = asker.ask("reach", "", Constants.REACH_TIMEOUT_MS);
-      return a.status() == 200 && new WorkerReach.Seen(a.running(), a.done()).few();
-    } catch (IOException | RuntimeException e) {
-      LOG.debug("asking {}: {}", later.node(), e.toString());
-      return false;
-    }
+    // A node that does not know the question tells 0 of 0, which is not few.
+    Candidacy.Told other = reach(later.node(), asker);
+    return other != null && other.workers().few();
   }
 
   private static Leader leader(String told) {
