A session starts a lease of its own: what began in it is not dead by the last report's time

Cause: a lease's end was counted from the last report answered (or the first sight of the token). A machine whose reports find no way here ends its session, the next one is learnt from the answer to a direct order, and tasks start in it; the leader then took the lease for run out by the time of the last report, dropped these tasks and started them elsewhere while they ran.

Change: the first word of a new session moves the time from which the lease counts, as a claim does. Other places that judge by heardMs, seenMs and claimed were read: silence and questions take the latest of both and only ask; a claim is the token shown, which a worker never lowers; a cancellation needs the claim alone, since a session begun later holds only what this leader started.

--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -48,7 +48,10 @@
   long seq;
   final long knownMs;
 
-  /** When a report of it was last answered: only this renews its lease. */
+  /**
+   * From when its lease with this leader counts: a report answered, the first sight of its token,
+   * or of a new session, whichever came last. What came later may be alive for a whole lease.
+   */
   long heardMs;
 
   /** When it last said anything, be it in answer to an order. */
--- a/src/main/java/org/astershift/core/Reports.java
+++ b/src/main/java/org/astershift/core/Reports.java
@@ -66,6 +66,10 @@
         LOG.info("task {} on {} ended with its session", run.name(), m.name);
         c.drop(run);
       }
+      // A session's lease counts from its own beginning, which may be long after the last report
+      // that found its way here: told by the answer to an order, it was taken for run out by that
+      // report's time, and what had been started in it ran twice.
+      m.heardMs = Math.max(m.heardMs, nowMs);
     }
     m.session = r.session();
     m.seq = r.seq();
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -458,8 +458,9 @@
   }
 
   /**
-   * Counted from the receipt of the last report answered, which is later than its sending, plus the
-   * drift between steady clocks and a margin.
+   * Counted from the receipt of the last report answered, which is later than its sending, or of
+   * the first word of a new session, which is later than its beginning, plus the drift between
+   * steady clocks and a margin.
    */
   private long leaseMs() {
     return (long) (c.facts.leaseS() * 1000 * (1 + 2 * Constants.CLOCK_DRIFT))
--- a/src/test/java/org/astershift/world/NodeModel.java
+++ b/src/test/java/org/astershift/world/NodeModel.java
@@ -45,6 +45,12 @@
   private boolean crashed;
   private long frozenUntilMs;
 
+  /** Until then no answer to a report gets away, though orders to workers go out. */
+  private long mutedUntilMs;
+
+  /** Until then workers' reports are not even read. */
+  private long fullUntilMs;
+
   // What a process knows; gone when it crashes.
   private Election election;
   private Candidacy candidacy;
@@ -110,6 +116,17 @@
     world.after(forMs, world::changed);
   }
 
+  /**
+   * For so long no worker gets an answer to a report, as when their connections find no place: at
+   * first what they say still arrives, so that this node heard them later than they were answered.
+   */
+  void full(long forMs) {
+    world.note(name, "has no places for workers for " + forMs + " ms");
+    mutedUntilMs = world.now() + Math.min(forMs, world.setup.leaseMs()) / 2;
+    fullUntilMs = world.now() + forMs;
+    world.after(forMs, world::changed);
+  }
+
   private boolean has(Mutant m) {
     return world.mutants.contains(m);
   }
@@ -631,7 +648,8 @@
 
   /** A worker's report. */
   void report(Report r, Consumer<WorkerModel.Answer> answer) {
-    if (crashed) {
+    boolean full = world.now() < fullUntilMs;
+    if (crashed || (full && world.now() >= mutedUntilMs)) {
       return;
     }
     here(
@@ -641,6 +659,9 @@
           if (t != null) {
             List<Order> orders = t.scheduler.report(r, clock());
             deposed(t, r.machine());
+            if (t == term && full) {
+              return;
+            }
             if (t == term) {
               answer.accept(new WorkerModel.Answer(true, t.token, orders, null));
               return;
--- a/src/test/java/org/astershift/world/Swarm.java
+++ b/src/test/java/org/astershift/world/Swarm.java
@@ -12,7 +12,7 @@
   private static final int FAULTS_FROM_S = 20;
   private static final int HEALED_S = 100;
   private static final int END_S = 190;
-  private static final int KINDS = 11;
+  private static final int KINDS = 12;
   private static final int JOBS = 40;
   final World world;
   private final int kinds;
@@ -108,6 +108,10 @@
         String machine = "vm-" + world.random.nextInt(world.setup.machines());
         world.nodes.forEach(n -> cut(n.name, machine, forMs));
       }
+      case 10 -> {
+        boolean all = world.random.nextBoolean();
+        (all ? world.nodes : List.of(node)).forEach(n -> n.full(forMs));
+      }
       default -> {
         for (int i = 0; i < 1 + world.random.nextInt(5); i++) {
           world.cloud.die("vm-" + world.random.nextInt(world.setup.machines()));
--- a/src/test/java/org/astershift/world/WorldTest.java
+++ b/src/test/java/org/astershift/world/WorldTest.java
@@ -190,6 +190,22 @@
     }
   }
 
+  /**
+   * Reports find no place for longer than a lease and direct orders pass: sessions end, and what
+   * the leader starts in the next ones lives by their own beginning, not by the last report.
+   */
+  @Test
+  void reportsAreLostAndOrdersAreNot() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      World w = rested(seed, Setup.of(3, 60));
+      w.nodes.forEach(n -> n.full(40_000));
+      w.runTo(100);
+      sound(w);
+      assertNotEquals(0, w.checker.killedByLease, w.story());
+      assertTrue(running(w) >= 180, running(w) + " run\n" + w.story());
+    }
+  }
+
   @Test
   void aLeaderIsCutOffInTheMiddleOfReturning() {
     for (long seed = 1; seed <= SEEDS; seed++) {
