More machines than places come and go with their reports; a start waits for its addresses

And a process that starts while its predecessor still holds the node's addresses ended by itself with "cannot listen".

Change: Places decides after each answer whether a connection stays. A tenth of the places stays free for those that come: where fewer are left, a worker's connection is closed with its answer (Connection: close) and its worker comes again with its next report; those kept stay. Workers beyond their part do not take the last of these places, so that users and health checks get in also when all machines connect at once. A start tries for 20 s to have both of its addresses, before anything else begins: this also is what lets it take a leader's key under its own name for its dead predecessor's.

Ways weighed: parking idle connections with few threads needs a poll of each or sockets that do not block; spreading machines over controllers needs relays of reports. Closing costs a handshake a report, and only for the machines beyond the places.

--- a/src/main/java/org/astershift/Main.java
+++ b/src/main/java/org/astershift/Main.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.BindException;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Locale;
@@ -21,12 +22,14 @@
 import org.astershift.core.Policy;
 import org.astershift.http.HttpServer;
 import org.astershift.http.Places;
+import org.astershift.http.Threads;
 import org.astershift.leader.Director;
 import org.astershift.leader.UserDesk;
 import org.astershift.peer.PeerClient;
 import org.astershift.peer.PeerServer;
 import org.astershift.store.Mirror;
 import org.astershift.store.StoreClient;
+import org.slf4j.LoggerFactory;
 
 /** Command line and wiring. */
 public final class Main {
@@ -124,16 +127,24 @@
     }
     Director director = new Director(settings, policy, store, new Mirror(store), askers);
     UserDesk desk = new UserDesk(director, store, askers);
+    // Both addresses are had before anything else begins: that this node's former process is gone
+    // is what lets this one remove a leader's key that it left.
     PeerServer peers =
-        new PeerServer(settings.peerListen().host(), settings.peerListen().port(), desk::answer);
+        patiently(
+            () ->
+                new PeerServer(
+                    settings.peerListen().host(), settings.peerListen().port(), desk::answer));
     int most = Constants.connections(settings.sockets());
+    PublicApi api = new PublicApi(director, desk, settings.facts().teams());
     HttpServer http =
-        new HttpServer(
-            settings.listen().host(),
-            settings.listen().port(),
-            new Places(most, (int) (most * Constants.USERS_SHARE)),
-            PublicApi::isReport,
-            new PublicApi(director, desk, settings.facts().teams()));
+        patiently(
+            () ->
+                new HttpServer(
+                    settings.listen().host(),
+                    settings.listen().port(),
+                    new Places(most, (int) (most * Constants.USERS_SHARE)),
+                    PublicApi::isReport,
+                    api));
     peers.start();
     director.start();
     http.start();
@@ -141,6 +152,34 @@
     keep.start();
   }
 
+  /** Something that takes an address. */
+  interface Listening<T> {
+    T open() throws IOException;
+  }
+
+  /**
+   * Waits for an address that is still taken: by this node's former process, which was killed a
+   * moment ago or is about to end.
+   */
+  static <T> T patiently(Listening<T> listening) throws IOException {
+    long began = System.nanoTime();
+    boolean told = false;
+    while (true) {
+      try {
+        return listening.open();
+      } catch (BindException e) {
+        if ((System.nanoTime() - began) / 1_000_000 > Constants.LISTEN_PATIENCE_MS) {
+          throw e;
+        }
+        if (!told) {
+          LoggerFactory.getLogger(Main.class).info("waits for its address: {}", e.getMessage());
+        }
+        told = true;
+        Threads.pause();
+      }
+    }
+  }
+
   /** All other threads are daemons: this one keeps the process until it is killed. */
   private static void keepAlive() {
     while (true) {
--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -457,6 +457,12 @@
   /** Milliseconds between looks for connections that are idle or slow for too long. */
   public static final long REAP_MS = 1000;
 
+  /**
+   * Milliseconds for which a start waits for its addresses: its predecessor's process may be about
+   * to end, and a process that ends by itself is only started again.
+   */
+  public static final long LISTEN_PATIENCE_MS = 20_000;
+
   /** A started request has to arrive whole within this many milliseconds. */
   public static final int REQUEST_TIMEOUT_MS = 5000;
 
@@ -479,11 +485,17 @@
   public static final double INCOMING_SHARE = 0.75;
 
   /**
-   * Share of the incoming connections that users may take; the rest is for workers, one each. The
-   * largest deployments have about 1,100 machines, all of which may report to one node.
+   * Share of the incoming connections that users may take; the rest is for workers, which share it
+   * where they are more.
    */
   public static final double USERS_SHARE = 0.3;
 
+  /**
+   * Share of the places that are left free for connections that come: beyond that each is closed
+   * with its answer. At 1,676 machines that report every 5 s to 1,533 places some 60 come a second.
+   */
+  public static final double SPARE_PLACES = 0.1;
+
   /**
    * Connections that may wait to be taken. After a restart of a node all its workers and users come
    * at once, and those refused try another node only a second later.
--- a/src/main/java/org/astershift/http/HttpServer.java
+++ b/src/main/java/org/astershift/http/HttpServer.java
@@ -71,9 +71,20 @@
     this.places = places;
     this.reserved = reserved;
     this.threads = new Threads.Crowd(threads);
-    this.server = new ServerSocket();
-    server.setReuseAddress(true);
-    server.bind(new InetSocketAddress(InetAddress.getByName(host), port), Constants.BACKLOG);
+    this.server = listen(host, port, Constants.BACKLOG);
+  }
+
+  /** Takes an address; nothing of it is left if that fails. */
+  public static ServerSocket listen(String host, int port, int backlog) throws IOException {
+    ServerSocket server = new ServerSocket();
+    try {
+      server.setReuseAddress(true);
+      server.bind(new InetSocketAddress(InetAddress.getByName(host), port), backlog);
+      return server;
+    } catch (IOException e) {
+      server.close();
+      throw e;
+    }
   }
 
   public int port() {
@@ -231,7 +242,7 @@
       LOG.error("{} {} failed", start[0], path, e);
       response = Response.error(503, "internal error");
     }
-    boolean close = m.closes();
+    boolean close = m.closes() || !places.keeps(c);
     send(socket, response, close);
     return !close;
   }
--- a/src/main/java/org/astershift/http/Places.java
+++ b/src/main/java/org/astershift/http/Places.java
@@ -12,6 +12,11 @@
  * come. A new connection may take any place until its first request says whose it is; then a group
  * that has more than its part gives up its connection that has been idle for longest. Decides only:
  * the server closes what is given up.
+ *
+ * <p>There may be more workers than places, since each says something only every few seconds. So
+ * some places are always left free for those that come: once it comes to that, a connection is
+ * closed with the answer that it waited for, and its worker comes again with its next report. Idle
+ * connections closed at any other moment made workers take the node for dead and try others.
  */
 public final class Places {
   /** Whose a connection is. */
@@ -71,6 +76,10 @@
 
   private final int most;
   private final int others;
+
+  /** Places that are left free for connections that come. */
+  private final int spare;
+
   private final Set<Connection> all = new LinkedHashSet<>();
   private int reservedNow;
   private int othersNow;
@@ -84,6 +93,7 @@
   public Places(int most, int others) {
     this.most = most;
     this.others = others;
+    this.spare = (int) (most * Constants.SPARE_PLACES);
   }
 
   /** A connection comes; gives those to close, itself if no other can go. */
@@ -113,14 +123,28 @@
       count(c.side, -1);
       c.side = side;
       count(side, 1);
-      if (othersNow > others) {
-        Connection idlest = idlest(c, Side.OTHER, Side.OTHER);
+      boolean beyond =
+          reserved
+              ? reservedNow > most - others && most - all.size() < spare / 2
+              : othersNow > others;
+      if (beyond) {
+        Connection idlest = idlest(c, side, side);
         giveUp(idlest == null ? c : idlest, over);
       }
     }
     return over;
   }
 
+  /**
+   * Whether the connection stays open after the answer that it gets now: not if too few places are
+   * left for those that come, or the users' are nearly used up.
+   */
+  synchronized boolean keeps(Connection c) {
+    return c.side == Side.RESERVED
+        ? most - all.size() >= spare
+        : othersNow <= others - (int) (others * Constants.SPARE_PLACES);
+  }
+
   /** The connection is closed. */
   synchronized void leave(Connection c) {
     if (all.remove(c)) {
--- a/src/main/java/org/astershift/peer/PeerServer.java
+++ b/src/main/java/org/astershift/peer/PeerServer.java
@@ -4,12 +4,11 @@
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.concurrent.Semaphore;
 import org.astershift.config.Constants;
+import org.astershift.http.HttpServer;
 import org.astershift.http.Threads;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -29,9 +28,7 @@
 
   public PeerServer(String host, int port, Desk desk) throws IOException {
     this.desk = desk;
-    this.server = new ServerSocket();
-    server.setReuseAddress(true);
-    server.bind(new InetSocketAddress(InetAddress.getByName(host), port), 16);
+    this.server = HttpServer.listen(host, port, Constants.PEER_CONNECTIONS);
   }
 
   public void start() {
--- a/src/test/java/org/astershift/EndToEndTest.java
+++ b/src/test/java/org/astershift/EndToEndTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -36,6 +37,10 @@
   private final List<StandInStore.Door> doors = new ArrayList<>();
   private StandInStore store;
   private StandInCloud cloud;
+  private int starts;
+
+  /** Which start of all the one of each node was that now runs. */
+  private final Map<Integer, Integer> logs = new HashMap<>();
 
   @BeforeEach
   void start() throws Exception {
@@ -88,6 +93,7 @@
             .replace("127.0.0.1:18379", "127.0.0.1:" + doors.get(i).port())
             .replace("[external]", others + "[external]");
     Path file = Files.writeString(dir.resolve("n" + i + ".toml"), text);
+    logs.put(i, ++starts);
     return new ProcessBuilder(
             System.getProperty("java.home") + "/bin/java",
             "-cp",
@@ -95,7 +101,7 @@
             "org.astershift.Main",
             "--config",
             file.toString())
-        .redirectError(dir.resolve("n" + i + ".log").toFile())
+        .redirectError(dir.resolve(log(i)).toFile())
         .start();
   }
 
@@ -209,6 +215,45 @@
     assertEquals(200, call(1, "POST", "/v2/runs", job("wk-000005", "sweep", 40)).status());
   }
 
+  /**
+   * Processes that end are back at once, the leader five times in a row and then all of them; a
+   * process that starts while its predecessor still lives waits for its addresses.
+   */
+  @Test
+  void processesAreBackAtOnce() throws Exception {
+    await(0, "POST", "/v2/runs", job("wk-000007", "sweep", 60), "wk-000007");
+    await(1, "GET", "/v2/runs/wk-000007", null, "\"running\",");
+    for (int round = 0; round < 5; round++) {
+      for (int i = 0; i < 3; i++) {
+        if (round == 4 || Files.readString(dir.resolve(log(i))).contains(" leads with token ")) {
+          nodes.get(i).destroyForcibly().waitFor();
+          nodes.set(i, node(i));
+        }
+      }
+    }
+    for (int i = 0; i < 3; i++) {
+      await(i, "GET", "/ready", null, "ready");
+    }
+    Process old = nodes.get(2);
+    nodes.set(2, node(2));
+    String waiting = log(2);
+    while (!Files.readString(dir.resolve(waiting)).contains("waits for its address")) {
+      assertTrue(nodes.get(2).isAlive(), "a process whose address is taken has ended");
+      synchronized (this) {
+        wait(50);
+      }
+    }
+    old.destroyForcibly().waitFor();
+    await(2, "GET", "/v2/runs/wk-000007", null, "\"done\",");
+    List<String> started = started();
+    assertEquals(new HashSet<>(started).size(), started.size(), "started twice: " + started);
+  }
+
+  /** The log of the process that now stands for this node. */
+  private String log(int node) {
+    return "n" + node + "-" + logs.get(node) + ".log";
+  }
+
   private void awaitStatus(int node, String path, int status) throws Exception {
     while (call(node, "GET", path, null).status() != status) {
       synchronized (this) {
--- a/src/test/java/org/astershift/http/PlacesTest.java
+++ b/src/test/java/org/astershift/http/PlacesTest.java
@@ -76,6 +76,84 @@
     assertEquals(workers.subList(0, 1), closed, "beyond the workers' part the idlest goes");
   }
 
+  /** One report on its connection, or on a new one; null if it ends with the answer. */
+  private Connection report(Places places, Connection open, List<Connection> closed) {
+    Connection c = open == null ? come(places, closed) : open;
+    c.busy(++now);
+    closed.addAll(places.asks(c, true));
+    boolean stays = places.keeps(c);
+    c.idleSince(++now);
+    if (!stays) {
+      places.leave(c);
+    }
+    return stays ? c : null;
+  }
+
+  /**
+   * At 1,676 machines and 1,533 places each new connection gave up an idle one: 40,000 in a day,
+   * and each worker that lost its connection so took the node for dead and tried another.
+   */
+  @Test
+  void moreWorkersThanPlacesComeAndGoWithTheirReports() {
+    Places places = new Places(100, 30);
+    List<Connection> closed = new ArrayList<>();
+    Connection[] workers = new Connection[170];
+    int handshakes = 0;
+    for (int round = 0; round < 10; round++) {
+      for (int i = 0; i < workers.length; i++) {
+        handshakes += workers[i] == null ? 1 : 0;
+        workers[i] = report(places, workers[i], closed);
+      }
+    }
+    for (int i = 0; i < 20; i++) {
+      come(places, false, closed);
+      for (int j = 5 * i; j < 5 * (i + 1); j++) {
+        workers[j] = report(places, workers[j], closed);
+      }
+    }
+    assertEquals(List.of(), closed, "nobody who waits for an answer or is idle is cut off");
+    assertTrue(handshakes < 10 * 85 + 90, handshakes + " connections: those kept stay");
+  }
+
+  /** All machines connect in one second after a cut: users and health checks still get in. */
+  @Test
+  void allWorkersAtOnceLeaveRoomForUsers() {
+    Places places = new Places(100, 30);
+    List<Connection> closed = new ArrayList<>();
+    List<Connection> refused = new ArrayList<>();
+    for (int i = 0; i < 170; i++) {
+      Connection c = come(places, closed);
+      c.busy(++now);
+      for (Connection over : places.asks(c, true)) {
+        refused.add(over);
+        assertEquals(c, over, "a report at work is not given up for another");
+      }
+    }
+    assertTrue(refused.size() <= 170 - 90, refused.size() + " refused");
+    for (int i = 0; i < 5; i++) {
+      come(places, false, closed).busy(++now);
+    }
+    assertEquals(List.of(), closed);
+  }
+
+  /** Old connections of machines that come anew are half open: they go first. */
+  @Test
+  void halfOpenConnectionsGoFirst() {
+    Places places = new Places(100, 30);
+    List<Connection> closed = new ArrayList<>();
+    List<Connection> dead = new ArrayList<>();
+    for (int i = 0; i < 80; i++) {
+      dead.add(report(places, null, closed));
+    }
+    for (int i = 0; i < 90; i++) {
+      Connection c = come(places, closed);
+      c.busy(++now);
+      closed.addAll(places.asks(c, true));
+    }
+    assertTrue(closed.size() > 50, closed.size() + " closed");
+    assertEquals(dead.subList(0, closed.size()), closed);
+  }
+
   /** Whoever finds all others at work is told so instead of waiting unserved. */
   @Test
   void nobodyAtWorkIsGivenUp() {
