Each class of each team is served a little, whatever its priority

Cause: priorities are served one after the other, so for as long as a burst of urgent work lasted the classes below it got nothing.

Change, the smallest exception found: core.Floor. Once jobs of a class (by team, accelerated or not) wait beyond 120 s, or their aim on starting if that is longer, while the class holds less than a tenth of the machines it can use, its oldest jobs go before all but the first priority, up to that tenth; all such classes together have three tenths. A gang that finds no room, or a task too large for what is free, has what becomes free kept for it. What a class holds up to one and a half times its floor is not stopped for others, first priority excepted. Between passes a machine that reports is offered to it in the same order.

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -102,6 +102,21 @@
   /** Times its aim after which free room is kept for a gang that finds too little. */
   public static final double KEEP_AFTER = 2;
 
+  /**
+   * Seconds after which the jobs of a class that is hardly served count for its floor, or its aim
+   * on starting if that is longer: an operator who looks after some minutes finds it served.
+   */
+  public static final double FLOOR_AGE_S = 120;
+
+  /** Share of the machines it can use that such a class is to hold. */
+  public static final double FLOOR_SHARE = 0.1;
+
+  /** Share that all such classes together are to hold. */
+  public static final double FLOOR_ALL = 0.3;
+
+  /** Times its floor up to which nothing of such a class is stopped: gangs go beyond it at once. */
+  public static final double FLOOR_KEPT = 1.5;
+
   /** Milliseconds between passes when nothing happens. */
   public static final long PASS_MS = 250;
 
@@ -204,8 +219,11 @@
    */
   public static final long CLAIM_PATIENCE_MS = 2200;
 
-  /** Share of the fleet up to which unheard machines are a few. */
-  public static final double UNHEARD_SHARE = 0.02;
+  /**
+   * Share of the fleet up to which unheard machines are a few: when all controllers were down for
+   * long, one in twenty had died meanwhile, and all opened jobs waited 10 s for their returns.
+   */
+  public static final double UNHEARD_SHARE = 0.1;
 
   /** So many silent machines are always put down to the machines. */
   public static final int SILENT_FEW = 4;
--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -50,6 +50,7 @@
   final Set<Job> unsaved = new LinkedHashSet<>();
 
   final Served served = new Served();
+  final Floor floor = new Floor(this);
 
   /** Looks at a job for a machine, so that tests can count what a pass and a report cost. */
   long looks;
@@ -73,6 +74,7 @@
     double used;
     double all;
     double booting;
+    double gpus;
   }
 
   Cluster(Facts facts, Policy policy, long token) {
@@ -204,6 +206,7 @@
 
   void addJob(Job job) {
     fit(job);
+    job.group = floor.group(job.spec);
     jobs.put(job.spec.id(), job);
     if (!job.waiting.isEmpty()) {
       waiting.add(job);
@@ -489,12 +492,14 @@
       p.used = 0;
       p.all = 0;
       p.booting = 0;
+      p.gpus = 0;
     }
     for (Machine m : machines.values()) {
       if (m.state == Machine.State.LIVE && m.kind != null) {
         Pool p = pool(m);
         p.used += m.usedCpus();
         p.all += m.kind.cpus();
+        p.gpus += m.kind.gpus();
       } else if (m.state == Machine.State.BOOTING && m.kind != null) {
         pool(m).booting += m.kind.cpus();
       }
@@ -506,6 +511,16 @@
     return plain.all + plain.booting;
   }
 
+  /** Accelerators of live machines. */
+  double accelerators() {
+    return accelerated.gpus;
+  }
+
+  /** Processors of live machines for work without accelerators. */
+  double processors() {
+    return plain.all > 0 ? plain.all : accelerated.all;
+  }
+
   /** Busy over allocated processors, of the machines that can stand in for this one. */
   double utilization(Machine m) {
     Pool p = pool(m);
--- a/src/main/java/org/astershift/core/Gangs.java
+++ b/src/main/java/org/astershift/core/Gangs.java
@@ -28,7 +28,7 @@
   void place(List<Job> jobs, List<Machine> usable, long nowMs) {
     boolean keeps = false;
     for (Job job : jobs) {
-      if (job.spec.kind() == JobKind.GANG && !job.waiting.isEmpty() && !oldAttemptLeft(job)) {
+      if (mayStart(job)) {
         Map<String, Part> parts = parts(job, usable, nowMs);
         if (!place(job, parts, nowMs)
             && !keeps
@@ -41,6 +41,31 @@
     }
   }
 
+  /**
+   * The same for gangs of a class that is served too little: the first that finds no room has it
+   * kept.
+   */
+  void placeStarved(Floor.Group group, List<Machine> usable, long nowMs) {
+    for (Job job : group.old()) {
+      if (!group.hungry()) {
+        return;
+      }
+      if (mayStart(job) && withinLimit(job)) {
+        int tasks = job.waitingCount();
+        Map<String, Part> parts = parts(job, usable, nowMs);
+        if (place(job, parts, nowMs)) {
+          group.took(job, tasks);
+        } else if (keep(job, parts, nowMs)) {
+          return;
+        }
+      }
+    }
+  }
+
+  private static boolean mayStart(Job job) {
+    return job.spec.kind() == JobKind.GANG && !job.waiting.isEmpty() && !oldAttemptLeft(job);
+  }
+
   /** The old attempt has to be gone everywhere before the next one starts. */
   private static boolean oldAttemptLeft(Job job) {
     return !job.runs.isEmpty() && (job.gangRan || anyStopping(job));
--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -60,6 +60,12 @@
    */
   Set<String> spareTypes = Set.of();
 
+  /** What it is counted with for the least that each class is served; set when it is taken in. */
+  Floor.Group group;
+
+  /** The machine on which room is kept for a task of it; null while it waits for none. */
+  Machine keptOn;
+
   /** Within a pass: waiting tasks for which room is being made. */
   int covered;
 
--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -65,7 +65,12 @@
   /** The same where one of them had an answer. */
   long reachedMs = Long.MIN_VALUE / 2;
 
-  long listedMs = -1;
+  /**
+   * When it was last known to exist for the cloud: listed, rented, reported, or on record when the
+   * term began. A list that is certainly younger and lacks it proves that it is gone.
+   */
+  long listedMs;
+
   Double noticeS;
 
   /** Jobs not known to be sound that failed here since a task last completed here. */
@@ -122,6 +127,7 @@
     this.spot = spot;
     this.state = state;
     this.knownMs = nowMs;
+    this.listedMs = nowMs;
     this.heardMs = nowMs;
     this.seenMs = nowMs;
     this.idleSinceMs = nowMs;
--- a/src/main/java/org/astershift/core/Placement.java
+++ b/src/main/java/org/astershift/core/Placement.java
@@ -15,6 +15,10 @@
  */
 final class Placement {
   private static final Logger LOG = LoggerFactory.getLogger(Placement.class);
+
+  /** Cached images first, then those being fetched, then none. */
+  private static final double[] BY_SCORE = {1, 0.1, 0};
+
   private final Cluster c;
   private final Queue queue;
   private final Gangs gangs;
@@ -43,22 +47,71 @@
       }
     }
     for (Priority priority : Priority.values()) {
-      List<Job> jobs = queue.tier(priority);
-      if (jobs.isEmpty()) {
-        continue;
+      pass(queue.tier(priority), usable, nowMs);
+      if (priority == Priority.PRODUCTION) {
+        c.floor.starved().forEach(g -> starved(g, usable, nowMs));
       }
-      gangs.place(jobs, usable, nowMs);
-      List<Job> singles = singles(jobs);
-      if (singles.isEmpty()) {
+    }
+  }
+
+  private void pass(List<Job> jobs, List<Machine> usable, long nowMs) {
+    if (jobs.isEmpty()) {
+      return;
+    }
+    gangs.place(jobs, usable, nowMs);
+    List<Job> singles = singles(jobs);
+    if (singles.isEmpty()) {
+      return;
+    }
+    List<Machine> free = free(usable, singles);
+    fill(free, singles, 1, true, nowMs);
+    fill(free, singles, 1, false, nowMs);
+    preemption.makeRoom(singles, usable, true, nowMs);
+    fill(free, singles, 0.1, false, nowMs);
+    fill(free, singles, 0, false, nowMs);
+    preemption.makeRoom(singles, usable, false, nowMs);
+  }
+
+  /** The oldest jobs of a class that is served too little, up to the least that it should hold. */
+  private void starved(Floor.Group group, List<Machine> usable, long nowMs) {
+    gangs.placeStarved(group, usable, nowMs);
+    List<Job> singles = singles(group.old());
+    if (singles.isEmpty() || !group.hungry()) {
+      return;
+    }
+    List<Machine> free = free(usable, singles);
+    for (double least : BY_SCORE) {
+      fill(free, singles, least, false, group, nowMs);
+    }
+    if (group.hungry()) {
+      keepRoom(singles, usable, nowMs);
+    }
+  }
+
+  /** Small tasks take each processor that becomes free, and a large one would wait for ever. */
+  private void keepRoom(List<Job> singles, List<Machine> usable, long nowMs) {
+    for (Job job : singles) {
+      if (job.waiting.isEmpty() || !c.teamAllows(job)) {
         continue;
       }
-      List<Machine> free = free(usable, singles);
-      fill(free, singles, 1, true, nowMs);
-      fill(free, singles, 1, false, nowMs);
-      preemption.makeRoom(singles, usable, true, nowMs);
-      fill(free, singles, 0.1, false, nowMs);
-      fill(free, singles, 0, false, nowMs);
-      preemption.makeRoom(singles, usable, false, nowMs);
+      Machine best = null;
+      for (Machine m : usable) {
+        boolean may =
+            job.usableTypes.contains(m.type)
+                && allowed(m, job, nowMs)
+                && m.kind.capacity(job.spec) > 0;
+        if (may && (m == job.keptOn || best == null || m.freeCpus() > best.freeCpus())) {
+          best = m;
+          if (m == job.keptOn) {
+            break;
+          }
+        }
+      }
+      job.keptOn = best;
+      if (best != null) {
+        best.reserve(job.spec, 1);
+        return;
+      }
     }
   }
 
@@ -77,12 +130,24 @@
     m.taken = 0;
     List<Machine> only = List.of(m);
     for (Priority priority : Priority.values()) {
-      List<Job> jobs = singles(queue.tier(priority));
-      jobs.removeIf(job -> !queue.startable(job, nowMs) || !fits(m, job));
-      if (!jobs.isEmpty()) {
-        fill(only, jobs, 1, true, nowMs);
-        fill(only, jobs, 0.1, true, nowMs);
-        fill(only, jobs, 0, true, nowMs);
+      serve(m, only, queue.tier(priority), null, nowMs);
+      if (priority == Priority.PRODUCTION) {
+        for (Floor.Group group : c.floor.starved()) {
+          if (group.hungry()) {
+            serve(m, only, group.old(), group, nowMs);
+          }
+        }
+      }
+    }
+  }
+
+  private void serve(
+      Machine m, List<Machine> only, List<Job> tier, Floor.Group starved, long nowMs) {
+    List<Job> jobs = singles(tier);
+    jobs.removeIf(job -> !queue.startable(job, nowMs) || !fits(m, job));
+    if (!jobs.isEmpty()) {
+      for (double least : BY_SCORE) {
+        fill(only, jobs, least, true, starved, nowMs);
       }
     }
   }
@@ -123,22 +188,37 @@
   }
 
   private void fill(List<Machine> free, List<Job> jobs, double least, boolean thin, long nowMs) {
+    fill(free, jobs, least, thin, null, nowMs);
+  }
+
+  /** {@code starved}: the group whose jobs these are, if that is why they are served now. */
+  private void fill(
+      List<Machine> free,
+      List<Job> jobs,
+      double least,
+      boolean thin,
+      Floor.Group starved,
+      long nowMs) {
     Smallest smallest = new Smallest(jobs);
     for (Machine m : free) {
       if (smallest.fits(m)) {
         for (Job job : jobs) {
-          fill(m, job, least, thin, nowMs);
+          if (starved != null && !starved.hungry()) {
+            return;
+          }
+          fill(m, job, least, thin, starved, nowMs);
         }
       }
     }
   }
 
-  private void fill(Machine m, Job job, double least, boolean thin, long nowMs) {
+  private void fill(
+      Machine m, Job job, double least, boolean thin, Floor.Group starved, long nowMs) {
     c.looks++;
     if (job.waiting.isEmpty()
         || !fits(m, job)
         || !allowed(m, job, nowMs)
-        || (job.spare && queue.aimedWaits(m))) {
+        || (starved == null && job.spare && queue.aimedWaits(m))) {
       return;
     }
     double score = m.score(job.spec.image());
@@ -147,6 +227,7 @@
     }
     int index = job.waiting.nextSetBit(0);
     while (index >= 0
+        && (starved == null || starved.hungry())
         && (score == 1 || job.waitingCount() > job.covered)
         && !(thin && crowded(m, job))
         && m.taken < (m.doubted() ? 1 : c.policy.batch())
@@ -161,6 +242,9 @@
       if (!onMachine(m, job, index)) {
         c.place(job, index, m, c.nextAttempt(), nowMs);
         m.taken++;
+        if (starved != null) {
+          starved.took(job, 1);
+        }
         LOG.debug("task {}/{} placed on {} (score {})", job.spec.id(), index, m.name, score);
       }
       index = job.waiting.nextSetBit(index + 1);
--- a/src/main/java/org/astershift/core/Preemption.java
+++ b/src/main/java/org/astershift/core/Preemption.java
@@ -85,7 +85,8 @@
           most.add(run.job.spec);
         } else if (run.job.spec.kind() != JobKind.SERVICE
             && (tight || !run.job.aimed)
-            && run.job.spec.priority().compareTo(priority) > 0) {
+            && run.job.spec.priority().compareTo(priority) > 0
+            && (priority == Priority.PRODUCTION || !Floor.keeps(run.job, nowMs))) {
           candidates.add(run);
           most.add(run.job.spec);
         }
--- a/src/main/java/org/astershift/core/Queue.java
+++ b/src/main/java/org/astershift/core/Queue.java
@@ -76,6 +76,7 @@
         }
       }
     }
+    c.floor.refresh(queue, nowMs);
     timed.forEach((priority, jobs) -> triage.sort(priority, jobs, nowMs));
     queue.sort(
         Comparator.comparing((Job j) -> j.spec.priority())
@@ -102,7 +103,10 @@
         break;
       }
     }
-    smallest = new Smallest(queue.subList(0, jobs));
+    // What is starved goes before the window, and most of it stands beyond its end.
+    List<Job> all = new ArrayList<>(queue.subList(0, jobs));
+    c.floor.starved().forEach(g -> all.addAll(g.old()));
+    smallest = new Smallest(all);
   }
 
   /** Whether tasks of the job may be placed now. */
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -327,9 +327,9 @@
     }
     long lag = (long) (2 * c.facts.listLagS() * 1000) + Constants.CLOCK_MARGIN_MS;
     for (Machine m : new ArrayList<>(c.all())) {
-      // Once listed, a machine stays listed until it is gone; but a list may be older than the
-      // last.
-      if (m.listedMs >= 0 && !names.contains(m.name) && askedMs > m.listedMs + lag) {
+      // Once listed, a machine stays listed until it is gone, and it is listed at the latest when
+      // twice the lag has passed since it was there; but a list may be older than the last.
+      if (!names.contains(m.name) && askedMs > m.listedMs + lag) {
         c.gone(m.name, "no longer listed", nowMs);
       }
     }
