--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -108,6 +108,12 @@
    */
   public static final double FLOOR_AGE_S = 120;
 
+  /**
+   * Jobs that wait beyond that age, for each one done, from which their class is neglected: two of
+   * three are to be served.
+   */
+  public static final double FLOOR_LEFT = 0.5;
+
   /** Share of the machines it can use that such a class is to hold. */
   public static final double FLOOR_SHARE = 0.1;
 
@@ -126,6 +132,12 @@
   /** After a pass its own length is rested so many times: reports and answers come first. */
   public static final long PASS_REST = 2;
 
+  /**
+   * But no longer than this, milliseconds: when all machines report at once a pass takes seconds,
+   * and what it would find proved or lost waited for many more.
+   */
+  public static final long PASS_REST_MOST_MS = 750;
+
   /** Milliseconds by which a pass comes too late that show that the node stood still. */
   public static final long STOOD_STILL_MS = 1500;
 
@@ -405,6 +417,26 @@
   /** Deadline of one cloud call, milliseconds: replies take about a hundred. */
   public static final int CLOUD_TIMEOUT_MS = 5000;
 
+  /** Direct orders that may be under way at once when a term begins. */
+  public static final int ORDERS_AT_FIRST = 64;
+
+  /** The least and the most that this may become: threads for a few, and a whole large fleet. */
+  public static final int ORDERS_LEAST = 16;
+
+  public static final int ORDERS_MOST = 1024;
+
+  /** Direct orders more for each that is answered in time. */
+  public static final double ORDERS_MORE = 1;
+
+  /**
+   * Milliseconds beyond which an answer to a direct order is late: usual are a few, and a machine's
+   * next report comes after some seconds anyway.
+   */
+  public static final long ORDER_SLOW_MS = 400;
+
+  /** A direct order of which nothing was heard for so many milliseconds is under way no more. */
+  public static final long ORDER_LOST_MS = 15_000;
+
   /** Deadline of one direct order, milliseconds. */
   public static final int ORDER_TIMEOUT_MS = 2500;
 
--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -224,6 +224,9 @@
     completing.remove(job);
     unsaved.remove(job);
     served.ended(job, cancelled);
+    if (!cancelled) {
+      Floor.finished(job);
+    }
     job.state = cancelled ? Job.State.CANCELLED : Job.State.DONE;
     for (Run run : new ArrayList<>(job.runs.values())) {
       if (run.ordered) {
--- a/src/main/java/org/astershift/core/Commands.java
+++ b/src/main/java/org/astershift/core/Commands.java
@@ -10,6 +10,7 @@
  */
 final class Commands {
   private final Cluster c;
+  private final OrderBudget budget = new OrderBudget();
 
   Commands(Cluster cluster) {
     this.c = cluster;
@@ -66,6 +67,32 @@
     return false;
   }
 
+  /**
+   * Whether its commands should go out now and not with the answer to its next report: stops at any
+   * time, since those of a gang have to arrive together, starts as far as the budget goes.
+   */
+  boolean mayGo(Machine m) {
+    if (budget.open()) {
+      return true;
+    }
+    for (Run run : m.runs.values()) {
+      if (stopDue(run)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** A direct order, or a question, has its answer, or will get none. */
+  void settled(String machine, boolean answered, long nowMs) {
+    budget.settled(machine, answered, nowMs);
+  }
+
+  /** Keeps the books of what is under way. */
+  OrderBudget budget() {
+    return budget;
+  }
+
   private static boolean stopDue(Run run) {
     return !run.exited() && run.unwanted() && run.ordered && !run.stopSent && run.phase != null;
   }
@@ -86,7 +113,11 @@
         run.inFlight = true;
       }
     }
-    return orders.isEmpty() ? null : direct(m, orders, Constants.ORDER_TIMEOUT_MS, nowMs);
+    if (orders.isEmpty()) {
+      return null;
+    }
+    budget.sent(m.name, nowMs);
+    return direct(m, orders, Constants.ORDER_TIMEOUT_MS, nowMs);
   }
 
   /**
--- a/src/main/java/org/astershift/core/Floor.java
+++ b/src/main/java/org/astershift/core/Floor.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.astershift.config.Constants;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -13,24 +15,35 @@
  * What each class of each team is served at least, whatever its priority. Priorities are served one
  * after the other, so under a long burst of urgent work the classes below got nothing for as long
  * as it lasted: of 1,145 small jobs of a guest 3 were done, of its 20 gangs none. A class whose
- * jobs wait beyond an age while it holds less than a small share of the machines that it can use is
- * served before all but the first priority, the oldest job first, until it holds that share; and
- * what it holds up to there is not stopped for others.
+ * jobs wait beyond an age, too many for those done, while it holds less than a small share of the
+ * machines that it can use is served before all but the first priority, the oldest job first, until
+ * it holds that share; and what it holds up to there is not stopped for others.
  */
 final class Floor {
   private static final Logger LOG = LoggerFactory.getLogger(Floor.class);
   private final Cluster c;
   private final Map<String, Group> groups = new HashMap<>();
+  private final Map<String, Set<Group>> classes = new HashMap<>();
   private final List<Group> starved = new ArrayList<>();
 
   /** One class of one team, apart by whether it needs accelerators. */
   static final class Group {
     private final String name;
+
+    /** Teams that share the class, and with it its floor. */
+    private final Set<Group> sharers;
+
     private final boolean accelerated;
 
+    /** It has live jobs. */
+    private boolean present;
+
     /** Waiting for longer than its age, the oldest first. */
     private final List<Job> old = new ArrayList<>();
 
+    /** Its jobs that were done in this term. */
+    private int finished;
+
     /** Processors, or accelerators, that its tasks hold. */
     private double held;
 
@@ -42,8 +55,10 @@
 
     private boolean said;
 
-    private Group(String name, boolean accelerated) {
+    private Group(String name, Set<Group> sharers, boolean accelerated) {
       this.name = name;
+      this.sharers = sharers;
+      sharers.add(this);
       this.accelerated = accelerated;
     }
 
@@ -60,6 +75,22 @@
       left -= tasks * amount(job);
     }
 
+    /**
+     * Too few of its jobs are done for those that wait too long. A class that serves most of its
+     * jobs and puts off a few that are too late for their deadlines does so for good reasons.
+     */
+    private boolean neglected() {
+      return old.size() > finished * Constants.FLOOR_LEFT;
+    }
+
+    private int present() {
+      int n = 0;
+      for (Group g : sharers) {
+        n += g.present ? 1 : 0;
+      }
+      return Math.max(1, n);
+    }
+
     private double amount(Job job) {
       return accelerated ? job.spec.gpus() : job.spec.cpus();
     }
@@ -72,8 +103,14 @@
   /** The group that a new job belongs to. */
   Group group(JobSpec spec) {
     boolean accelerated = spec.gpus() > 0;
-    String name = spec.jobClass() + " of " + spec.team() + (accelerated ? " (accelerated)" : "");
-    return groups.computeIfAbsent(name, n -> new Group(n, accelerated));
+    String kind = accelerated ? " (accelerated)" : "";
+    return groups.computeIfAbsent(
+        spec.jobClass() + " of " + spec.team() + kind,
+        name ->
+            new Group(
+                name,
+                classes.computeIfAbsent(spec.jobClass() + kind, n -> new HashSet<>()),
+                accelerated));
   }
 
   /** Whether the job waits, or waited, for longer than its class should without being served. */
@@ -95,22 +132,28 @@
     for (Group g : groups.values()) {
       g.old.clear();
       g.held = 0;
+      g.present = false;
       g.left = 0;
     }
-    int waiting = 0;
     for (Job job : startable) {
       if (!job.suspect() && old(job, nowMs)) {
-        waiting += job.group.old.isEmpty() ? 1 : 0;
         job.group.old.add(job);
       }
     }
+    int neglected = 0;
+    for (Group g : groups.values()) {
+      neglected += g.neglected() ? 1 : 0;
+    }
     for (Job job : c.jobs.values()) {
+      job.group.present = true;
       job.group.held += job.runs.size() * job.group.amount(job);
     }
-    double share = Math.min(Constants.FLOOR_SHARE, Constants.FLOOR_ALL / Math.max(1, waiting));
+    double share = Math.min(Constants.FLOOR_SHARE, Constants.FLOOR_ALL / Math.max(1, neglected));
     for (Group g : groups.values()) {
-      g.floor = share * (g.accelerated ? c.accelerators() : c.processors());
-      if (!g.old.isEmpty() && g.held < g.floor) {
+      // A class that several teams share has one floor: with one each, classes that were served
+      // well in sum had late jobs served before those that could still be in time.
+      g.floor = share * (g.accelerated ? c.accelerators() : c.processors()) / g.present();
+      if (g.neglected() && g.held < g.floor) {
         g.left = g.floor - g.held;
         g.old.sort(Comparator.comparingLong(j -> j.submittedMs));
         starved.add(g);
@@ -134,6 +177,11 @@
     g.said = hungry || (g.said && !g.old.isEmpty());
   }
 
+  /** A job of the group is done. */
+  static void finished(Job job) {
+    job.group.finished++;
+  }
+
   /** Groups below their floor, those that got least first. */
   List<Group> starved() {
     return starved;
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -257,6 +257,7 @@
 
   /** Result of a direct order. {@code report} is null without an answer. */
   public void directResult(String name, boolean unknown, Report report, long nowMs) {
+    commands.settled(name, report != null, nowMs);
     Machine m = c.machines.get(name);
     if (m == null) {
       return;
@@ -371,6 +372,10 @@
     List<Machine> due = new ArrayList<>(c.stale);
     c.stale.clear();
     for (Machine m : due) {
+      if (!commands.mayGo(m)) {
+        c.stale.add(m);
+        continue;
+      }
       Decision.Direct direct = commands.urgent(m, nowMs);
       if (direct != null) {
         out.add(direct);
@@ -379,6 +384,7 @@
       }
     }
     if (sweep) {
+      commands.budget().tidy(nowMs);
       for (Machine m : c.all()) {
         Decision.Direct question = commands.question(m, nowMs);
         if (question != null) {
@@ -525,6 +531,8 @@
         + (c.machines.size() - live - booting)
         + " other, "
         + c.use()
+        + ", "
+        + commands.budget()
         + "; "
         + spending;
   }
--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -289,7 +289,10 @@
       }
       // Events gather meanwhile: reports and answers come first where processor time is short.
       long tookMs = (System.nanoTime() - began) / 1_000_000;
-      long restMs = Math.max(Constants.PASS_GAP_MS, tookMs * Constants.PASS_REST);
+      long restMs =
+          Math.min(
+              Constants.PASS_REST_MOST_MS,
+              Math.max(Constants.PASS_GAP_MS, tookMs * Constants.PASS_REST));
       dueMs = Term.nowMs() + restMs + Constants.PASS_MS;
       Thread.sleep(restMs);
     }
--- a/src/test/java/org/astershift/world/NodeModel.java
+++ b/src/test/java/org/astershift/world/NodeModel.java
@@ -131,6 +131,10 @@
     return world.mutants.contains(m);
   }
 
+  boolean crashed() {
+    return crashed;
+  }
+
   boolean up() {
     return !crashed && world.now() >= frozenUntilMs;
   }
--- a/src/test/java/org/astershift/world/Swarm.java
+++ b/src/test/java/org/astershift/world/Swarm.java
@@ -87,9 +87,11 @@
       case 4 -> node.freeze(Math.min(forMs, 25_000));
       case 5 -> {
         boolean all = world.random.nextInt(4) == 0;
+        int row = world.random.nextBoolean() ? 1 : 2 + world.random.nextInt(4);
         for (NodeModel n : all ? world.nodes : List.of(node)) {
-          n.crash();
-          world.after(3000, n::start);
+          for (int i = 0; i < row; i++) {
+            world.after(i * 600L + world.random.nextLong(600), () -> crash(n));
+          }
         }
       }
       case 6 -> {
@@ -120,6 +122,15 @@
     }
   }
 
+  /** Back after something between a twentieth of a second and ten, often at once. */
+  private void crash(NodeModel n) {
+    if (!n.crashed()) {
+      n.crash();
+      boolean atOnce = world.random.nextBoolean();
+      world.after(50 + world.random.nextLong(atOnce ? 450 : 9950), n::start);
+    }
+  }
+
   private String zone() {
     List<String> zones = world.setup.zones();
     return "zone " + zones.get(world.random.nextInt(zones.size()));
