Where replicas are is noted, as a hint: after a fall of all controllers they return to their images

Cause: a first leader after all controllers were down for longer than a lease knows no image anywhere, since the index is derived from what runs, and nothing runs.

Change: the note that a service is opened names the machines that get its replicas, and is rewritten some time (3 s, with what else changes on its page, if it has room) when one is placed anew. A new leader takes these machines to have the image, and the ordinary scan for cached images does the rest. No rule depends on it; it costs no change of its own for a new service.

Ways weighed for the proof as well (which machines may hold a task): a horizon of leases in the state service is unsound beside a leader that goes on answering its workers through an outage or a cut, or would make it stop, which kills what it keeps alive; naming the machine of each task and waiting for that alone would stop replicas from moving during an outage, since each move would need a write first. Both are left, with these reasons.

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -592,6 +592,9 @@
    */
   public static final double PAGE_SHARE = 0.75;
 
+  /** Milliseconds that the note of where replicas are may wait for other changes of its page. */
+  public static final long REMEMBER_MS = 3000;
+
   /** Milliseconds that the striking of a note may wait for other changes of its page. */
   public static final long STRIKE_MS = 1000;
 
--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -43,6 +43,9 @@
   /** Jobs with tasks placed that must be opened before the first start goes out. */
   final Set<Job> unopened = new LinkedHashSet<>();
 
+  /** Services of which a replica was placed since they were opened. */
+  final Set<Job> moved = new LinkedHashSet<>();
+
   /** Jobs that may have completed. */
   final Set<Job> completing = new LinkedHashSet<>();
 
@@ -391,6 +394,8 @@
     stale.add(m);
     if (!job.opened) {
       unopened.add(job);
+    } else if (job.spec.kind() == JobKind.SERVICE) {
+      moved.add(job);
     }
     stir();
     return run;
--- a/src/main/java/org/astershift/core/Decision.java
+++ b/src/main/java/org/astershift/core/Decision.java
@@ -6,8 +6,18 @@
 /** What the core wants done outside. Each is repeated by a later pass until its effect is told. */
 public sealed interface Decision {
 
-  /** Record that commands for this job may go out; none goes out before that is durable. */
-  record OpenJob(String job) implements Decision {}
+  /**
+   * Record that commands for this job may go out; none goes out before that is durable. {@code
+   * where}: for a service, the machines that get its replicas now; see {@link Remember}.
+   */
+  record OpenJob(String job, List<String> where) implements Decision {}
+
+  /**
+   * Record some time where the replicas of this service are now. A hint for a leader that finds all
+   * of them dead after a fall of all controllers: these machines have the image. No rule depends on
+   * it.
+   */
+  record Remember(String job, List<String> where) implements Decision {}
 
   /** Send these commands straight to the machine. */
   record Direct(String machine, String addr, long session, List<Order> orders, int timeoutMs)
--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -1,7 +1,9 @@
 package org.astershift.core;
 
+import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.astershift.config.Constants;
@@ -183,6 +185,19 @@
     return spec.kind() != JobKind.SERVICE && doneCount == spec.tasks();
   }
 
+  /** For a service, the machines that hold its replicas; of others nobody asks. */
+  List<String> machines() {
+    List<String> out = new ArrayList<>(0);
+    if (spec.kind() == JobKind.SERVICE) {
+      for (Run run : runs.values()) {
+        if (!out.contains(run.machine.name)) {
+          out.add(run.machine.name);
+        }
+      }
+    }
+    return out;
+  }
+
   int waitingCount() {
     return waitingCount;
   }
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -101,6 +101,17 @@
     renting.underWay(rental, rent);
   }
 
+  /** Where the replicas of a service were, as an earlier leader noted: these have its image. */
+  public void remembered(String id, List<String> where) {
+    Job job = c.jobs.get(id);
+    for (String name : where) {
+      Machine m = c.machines.get(name);
+      if (job != null && m != null) {
+        m.touchImage(job.spec.image(), job.spec.imageGb());
+      }
+    }
+  }
+
   /** From now on commands for the job may go out. */
   public void opened(String id) {
     asked.remove("open " + id);
@@ -397,9 +408,15 @@
     }
     for (Job job : c.unopened) {
       if (!job.cancelWanted && !job.runs.isEmpty()) {
-        ask(out, new Decision.OpenJob(job.spec.id()));
+        ask(out, new Decision.OpenJob(job.spec.id(), job.machines()));
+      }
+    }
+    for (Job job : c.moved) {
+      if (job.state == Job.State.LIVE && !job.runs.isEmpty()) {
+        out.add(new Decision.Remember(job.spec.id(), job.machines()));
       }
     }
+    c.moved.clear();
     c.completing.removeIf(job -> !job.complete());
     for (Job job : c.completing) {
       ask(out, new Decision.FinishJob(job.spec.id()));
--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -303,7 +303,12 @@
       // Silent machines hold a thread until the deadline: the others' orders must not wait behind.
       (o.orders().isEmpty() ? questionPool : orderPool).execute("order", () -> direct(t, o));
     } else if (d instanceof Decision.OpenJob o) {
-      t.notes.put(Notes.Kind.OPENED, o.job(), 1, 0);
+      t.notes.put(Notes.Kind.OPENED, o.job(), Records.opened(o.where()), 0);
+    } else if (d instanceof Decision.Remember r) {
+      if (t.keeps(r.job())) {
+        t.notes.replace(
+            Notes.Kind.OPENED, r.job(), Records.opened(r.where()), Constants.REMEMBER_MS);
+      }
     } else if (d instanceof Decision.FinishJob f) {
       t.ends.add(f.job());
     } else if (d instanceof Decision.Enrol e) {
--- a/src/main/java/org/astershift/leader/Notes.java
+++ b/src/main/java/org/astershift/leader/Notes.java
@@ -129,6 +129,18 @@
     return out;
   }
 
+  /**
+   * The same for an entry that is there, if its page has room for the new value: one that is not
+   * needed must not grow a page beyond what the state service takes.
+   */
+  synchronized void replace(Kind kind, String key, Object value, long delayMs) {
+    Page page = where.get(kind).get(key);
+    int grown = page == null ? 0 : size(key, value) - size(key, page.entries.get(key));
+    if (page != null && page.bytes + grown <= pageBytes) {
+      put(kind, key, value, delayMs);
+    }
+  }
+
   /** The entry should have this value, written after {@code delayMs} at the latest. */
   synchronized void put(Kind kind, String key, Object value, long delayMs) {
     Page page = where.get(kind).get(key);
--- a/src/main/java/org/astershift/leader/Term.java
+++ b/src/main/java/org/astershift/leader/Term.java
@@ -98,6 +98,7 @@
     for (StoreClient.Row row : mirror.below(Records.JOB)) {
       String id = row.key().substring(Records.JOB.length());
       add(row, opened.containsKey(id), done.getOrDefault(id, new BitSet()));
+      scheduler.remembered(id, Records.openedOn(opened.get(id)));
     }
     // Left by a leader that ended between a job's end and the striking of its notes.
     for (String id : opened.keySet()) {
--- a/src/main/java/org/astershift/store/Records.java
+++ b/src/main/java/org/astershift/store/Records.java
@@ -229,4 +229,16 @@
     }
     return out;
   }
+
+  /**
+   * The note that a job is opened, with the machines that its replicas are on, if any are named.
+   */
+  public static Object opened(List<String> where) {
+    return where.isEmpty() ? (Object) 1 : String.join(" ", where);
+  }
+
+  /** Machines named by such a note; null is no note. */
+  public static List<String> openedOn(Object value) {
+    return value instanceof String s ? List.of(s.split(" ")) : List.of();
+  }
 }
--- a/src/test/java/org/astershift/core/TracePlayer.java
+++ b/src/test/java/org/astershift/core/TracePlayer.java
@@ -158,6 +158,7 @@
       }
       case "resumed" -> s.resumed(now);
       case "opened" -> s.opened(p.get(2));
+      case "remembered" -> s.remembered(p.get(2), p.subList(3, p.size()));
       case "enrolled" -> s.enrolled(p.get(2));
       case "ended" -> s.ended(p.get(2), w.flag("cancelled"), now);
       case "cancel" -> {
@@ -326,6 +327,10 @@
         + grace;
   }
 
+  private static List<String> sorted(List<String> names) {
+    return names.stream().sorted().toList();
+  }
+
   private static List<String> names(List<Decision.Named> machines) {
     return machines.stream().map(Decision.Named::machine).toList();
   }
@@ -334,7 +339,9 @@
     if (d instanceof Decision.Direct o) {
       return "send " + o.machine() + " session " + o.session() + " " + orders(o.orders());
     } else if (d instanceof Decision.OpenJob o) {
-      return "open " + o.job();
+      return "open " + o.job() + (o.where().isEmpty() ? "" : " on " + sorted(o.where()));
+    } else if (d instanceof Decision.Remember r) {
+      return "remember " + r.job() + " on " + sorted(r.where());
     } else if (d instanceof Decision.FinishJob f) {
       return "finish " + f.job();
     } else if (d instanceof Decision.Rent r) {
