A leader tells nothing from memory of a job whose end may be on record already

The end's write was applied; a follower, whose question the overloaded leader did not answer in time, read it in the state service and told the user done; the leader, whose thread with the answer to that write got its turn two seconds later, told the next question queued. The window is milliseconds on an idle node and seconds on one short of processor time, and as old as the code.

Change: a term counts the writes of a job's end that are under way or without an answer, and answers from memory only for jobs without any, both under one lock; for the others it reads the state service. A try that was certainly not applied (refused, conflicting) no longer counts; one without an answer counts until the end is known.

Shown: EndToEndTest holds the answers to writes of ends at the state service's door and asks all three nodes: the leader said queued with 3 of 3 done before, done now; TermTest for the counting.

With it: the cap on the rest between passes holds only until all machines of earlier leaders are heard.

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -133,8 +133,9 @@
   public static final long PASS_REST = 2;
 
   /**
-   * But no longer than this, milliseconds: when all machines report at once a pass takes seconds,
-   * and what it would find proved or lost waited for many more.
+   * But no longer than this, milliseconds, while machines of earlier leaders are still to be heard:
+   * when all report at once a pass takes seconds, and what it would find proved or lost waited for
+   * many more. At other times an overloaded node would come to nothing but passes.
    */
   public static final long PASS_REST_MOST_MS = 750;
 
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -214,6 +214,11 @@
     return c.usedUp();
   }
 
+  /** Whether machines of earlier leaders are still to be heard or proved gone. */
+  public boolean starting() {
+    return c.unheard();
+  }
+
   /** Whether something happened that a pass may act on. */
   public boolean restless() {
     return c.restless();
--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -249,6 +249,7 @@
       }
       long began = System.nanoTime();
       long stoodStillMs = Term.nowMs() - dueMs;
+      boolean starting = false;
       try {
         List<Decision> decisions;
         String summary = null;
@@ -262,6 +263,7 @@
           }
           decisions = t.scheduler.pass(now, leadership.soleUntilMs());
           usedUp = t.scheduler.usedUp();
+          starting = t.scheduler.starting();
           if (now - told > Constants.SUMMARY_MS) {
             told = now;
             summary = t.scheduler.summary();
@@ -289,10 +291,8 @@
       }
       // Events gather meanwhile: reports and answers come first where processor time is short.
       long tookMs = (System.nanoTime() - began) / 1_000_000;
-      long restMs =
-          Math.min(
-              Constants.PASS_REST_MOST_MS,
-              Math.max(Constants.PASS_GAP_MS, tookMs * Constants.PASS_REST));
+      long restMs = Math.max(Constants.PASS_GAP_MS, tookMs * Constants.PASS_REST);
+      restMs = starting ? Math.min(Constants.PASS_REST_MOST_MS, restMs) : restMs;
       dueMs = Term.nowMs() + restMs + Constants.PASS_MS;
       Thread.sleep(restMs);
     }
@@ -457,6 +457,7 @@
         Records.Ended end = endOf(t, id, false);
         ends.put(id, end);
         write(txn, id, end);
+        t.ending(id);
       }
     }
     if (ends.isEmpty()) {
@@ -467,6 +468,7 @@
       ends.forEach((id, end) -> ended(t, id, end));
       stir();
     } else if (o instanceof Outcome.Conflict && !t.lostBy(o)) {
+      ends.keySet().forEach(t::notEnded);
       // One of them was cancelled meanwhile, or an earlier try without an answer was applied.
       for (String id : ends.keySet()) {
         if (finish(t, id, false, Constants.STORE_PATIENCE_MS) == null) {
@@ -474,6 +476,9 @@
         }
       }
     } else {
+      if (o instanceof Outcome.Refused) {
+        ends.keySet().forEach(t::notEnded);
+      }
       failed(t, ends.keySet());
     }
   }
@@ -520,7 +525,11 @@
     Records.Ended end = endOf(t, id, cancelled);
     StoreClient.Txn txn = t.txn();
     write(txn, id, end);
+    t.ending(id);
     Outcome o = store.commit(txn, RateBudget.Use.URGENT, patienceMs);
+    if (o instanceof Outcome.Conflict || o instanceof Outcome.Refused) {
+      t.notEnded(id);
+    }
     if (o instanceof Outcome.Conflict && !t.lostBy(o)) {
       try {
         StoreClient.Row row = store.get(Records.ENDED + id);
--- a/src/main/java/org/astershift/leader/Term.java
+++ b/src/main/java/org/astershift/leader/Term.java
@@ -39,6 +39,14 @@
    */
   private final Set<String> endedHere = new LinkedHashSet<>();
 
+  /**
+   * Jobs whose end may be durable though this leader does not know it yet, by the tries under way
+   * or without an answer. Nothing older may be told of them from memory: another node that reads
+   * the state service tells that they are over, and on a node short of processor time seconds pass
+   * between the write and the news of it (a user was told done, then queued).
+   */
+  private final Map<String, Integer> ending = new HashMap<>();
+
   /** {@code stepDown} is called when it is certain that another leads. */
   Term(long token, Scheduler scheduler, Notes notes, Runnable stepDown) {
     this.token = token;
@@ -154,6 +162,24 @@
     }
   }
 
+  /** A write of the job's end is about to go out. */
+  synchronized void ending(String id) {
+    ending.merge(id, 1, Integer::sum);
+  }
+
+  /** Such a write was certainly not applied, nor will be. */
+  synchronized void notEnded(String id) {
+    ending.computeIfPresent(id, (i, tries) -> tries > 1 ? tries - 1 : null);
+  }
+
+  /**
+   * A live job as its user may be told of it; null if this term does not look after it, or its end
+   * may be on record already.
+   */
+  synchronized Scheduler.JobView told(String id) {
+    return ending.containsKey(id) ? null : scheduler.view(id);
+  }
+
   /** Whether this term looks after the job. */
   synchronized boolean keeps(String id) {
     return jobs.contains(id);
@@ -166,6 +192,7 @@
       endedHere.remove(endedHere.iterator().next());
     }
     scheduler.ended(id, cancelled, nowMs());
+    ending.remove(id);
     strike(id);
   }
 
--- a/src/main/java/org/astershift/leader/UserDesk.java
+++ b/src/main/java/org/astershift/leader/UserDesk.java
@@ -89,10 +89,7 @@
     }
     Term t = director.term();
     if (t != null) {
-      Scheduler.JobView view;
-      synchronized (t) {
-        view = t.scheduler.view(id);
-      }
+      Scheduler.JobView view = t.told(id);
       if (view != null && director.valid(t)) {
         return new JobAnswer(
             200, view.running() ? "running" : "queued", view.done(), view.runningTasks());
--- a/src/test/java/org/astershift/EndToEndTest.java
+++ b/src/test/java/org/astershift/EndToEndTest.java
@@ -215,6 +215,28 @@
     assertEquals(200, call(1, "POST", "/v2/runs", job("wk-000005", "sweep", 40)).status());
   }
 
+  /**
+   * The end of a job is on record, and its leader has no answer to that write yet: another node may
+   * read it and tell it, so the leader tells nothing older meanwhile.
+   */
+  @Test
+  void whatIsOverOnRecordIsToldByNobodyAsLive() throws Exception {
+    await(0, "POST", "/v2/runs", job("wk-000008", "sweep", 3), "wk-000008");
+    doors.forEach(d -> d.holdEnds(true));
+    while (!store.has("d/wk-000008")) {
+      synchronized (this) {
+        wait(20);
+      }
+    }
+    for (int i = 0; i < 3; i++) {
+      HttpClient.Answer a = call(i, "GET", "/v2/runs/wk-000008", null);
+      String said = new String(a.body(), StandardCharsets.UTF_8);
+      assertTrue(a.status() == 503 || said.contains("\"done\","), a.status() + " " + said);
+    }
+    doors.forEach(d -> d.holdEnds(false));
+    await(1, "GET", "/v2/runs/wk-000008", null, "\"done\",");
+  }
+
   /**
    * Processes that end are back at once, the leader five times in a row and then all of them; a
    * process that starts while its predecessor still lives waits for its addresses.
--- a/src/test/java/org/astershift/leader/TermTest.java
+++ b/src/test/java/org/astershift/leader/TermTest.java
@@ -18,12 +18,14 @@
 
 /** Rules ran_cancelled and went_back: news of a job from before its end does not bring it back. */
 class TermTest {
-  @Test
-  void lateNewsOfAnEndedJobIsIgnored() {
+  private static Term term() {
     Facts facts = new Facts(Map.of(), List.of(), 2, 14, 30, 4, 40, 3);
     Settings.StoreLimits limits = new Settings.StoreLimits(100, 100, 8, 8);
     Notes notes = new Notes(5, null, limits, (kind, key, value) -> {});
-    Term term = new Term(5, new Scheduler(facts, Operator.defaults(), 5), notes, () -> {});
+    return new Term(5, new Scheduler(facts, Operator.defaults(), 5), notes, () -> {});
+  }
+
+  private static Records.JobRecord job() {
     JobSpec spec =
         new JobSpec(
             "wk-1",
@@ -46,7 +48,34 @@
             0,
             0,
             null);
-    Records.JobRecord record = new Records.JobRecord(spec, System.currentTimeMillis());
+    return new Records.JobRecord(spec, System.currentTimeMillis());
+  }
+
+  /**
+   * Another node may have read the end and told it, before this leader has the answer to its write:
+   * on a played day of an overloaded node, done and then queued.
+   */
+  @Test
+  void nothingIsToldFromMemoryWhileAnEndIsOnItsWay() {
+    Term term = term();
+    term.add(job());
+    assertNotNull(term.told("wk-1"));
+    term.ending("wk-1"); // a try that gets no answer: it may be applied at any time
+    assertNull(term.told("wk-1"));
+    term.ending("wk-1"); // the next try, which is refused
+    term.notEnded("wk-1");
+    assertNull(term.told("wk-1"), "the first may still be applied");
+    term.notEnded("wk-1");
+    assertNotNull(term.told("wk-1"));
+    term.ending("wk-1");
+    term.ended("wk-1", false);
+    assertNull(term.told("wk-1"));
+  }
+
+  @Test
+  void lateNewsOfAnEndedJobIsIgnored() {
+    Term term = term();
+    Records.JobRecord record = job();
     term.add(record);
     assertNotNull(term.scheduler.view("wk-1"));
     term.ended("wk-1", true);
--- a/src/test/java/org/astershift/standin/StandInStore.java
+++ b/src/test/java/org/astershift/standin/StandInStore.java
@@ -1,6 +1,7 @@
 package org.astershift.standin;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -39,12 +40,30 @@
   public final class Door implements AutoCloseable {
     private final HttpServer server;
     private volatile boolean refused;
+    private boolean held;
 
     private Door() throws IOException {
-      server = new HttpServer("127.0.0.1", 0, 200, r -> refused ? no() : handle(r));
+      server = new HttpServer("127.0.0.1", 0, 200, r -> refused ? no() : answer(r));
       server.start();
     }
 
+    private Response answer(Request r) throws Exception {
+      Response answer = handle(r);
+      boolean end = new String(r.body(), StandardCharsets.UTF_8).contains("\"set\":\"d/");
+      synchronized (this) {
+        while (held && end) {
+          wait();
+        }
+      }
+      return answer;
+    }
+
+    /** From now on ends of jobs are written and their writer gets no answer, until let go. */
+    public synchronized void holdEnds(boolean is) {
+      held = is;
+      notifyAll();
+    }
+
     private Response no() {
       return Response.error(503, "trouble");
     }
@@ -67,6 +86,10 @@
     return new Door();
   }
 
+  public synchronized boolean has(String key) {
+    return rows.containsKey(key);
+  }
+
   /** While down every request gets 503; afterwards each lease has its full time again. */
   public synchronized void down(boolean is) {
     down = is;
