--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -240,6 +240,8 @@
   private void passLoop(Term t) throws InterruptedException {
     long told = 0;
     long dueMs = Long.MAX_VALUE;
+    long passesMs = 0;
+    long longestMs = 0;
     while (!t.over()) {
       synchronized (wake) {
         if (!stirred) {
@@ -274,8 +276,10 @@
           leadership.stepDown(t.token, "its attempt numbers are used up");
         }
         if (summary != null) {
-          LOG.info(summary);
+          LOG.info("{}; passes took {} ms, the longest {} ms", summary, passesMs, longestMs);
           LOG.info(served);
+          passesMs = 0;
+          longestMs = 0;
         }
         for (Decision d : decisions) {
           carryOut(t, d);
@@ -291,6 +295,8 @@
       }
       // Events gather meanwhile: reports and answers come first where processor time is short.
       long tookMs = (System.nanoTime() - began) / 1_000_000;
+      passesMs += tookMs;
+      longestMs = Math.max(longestMs, tookMs);
       long restMs = Math.max(Constants.PASS_GAP_MS, tookMs * Constants.PASS_REST);
       restMs = starting ? Math.min(Constants.PASS_REST_MOST_MS, restMs) : restMs;
       dueMs = Term.nowMs() + restMs + Constants.PASS_MS;
