Reports that have waited too long are not worked on

Cause: an overloaded leader works on three reports at a time while hundreds wait.

Change: a report waits 3.3 s for its turn at most and then gets 503, at no cost (api.Turns).

Test: whoever waited too long gets no turn and holds none.

--- a/src/main/java/org/astershift/api/PublicApi.java
+++ b/src/main/java/org/astershift/api/PublicApi.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.Semaphore;
 import org.astershift.config.Constants;
 import org.astershift.core.JobKind;
 import org.astershift.core.JobSpec;
@@ -31,7 +30,7 @@
   private final UserDesk desk;
   private final Map<String, Team> teams;
   private final Traffic traffic = new Traffic();
-  private final Semaphore reports = new Semaphore(Constants.REPORTS_AT_ONCE);
+  private final Turns reports = new Turns(Constants.REPORTS_AT_ONCE, Constants.REPORT_PATIENCE_MS);
 
   public PublicApi(Director director, UserDesk desk, Map<String, Team> teams) {
     this.director = director;
@@ -139,14 +138,19 @@
 
   /**
    * After a change of leaders hundreds of reports come at once. Each thread would get its turn, and
-   * the renewal of the lease one among hundreds: so few are worked on at a time.
+   * the renewal of the lease one among hundreds: so few are worked on at a time. A report that has
+   * waited for too long is not worked on: its worker has given it up, or would drop the answer. An
+   * overloaded leader worked on nothing but reports half a minute old, all of its answers were
+   * dropped, and the whole fleet's leases ran out.
    */
   private Response report(Request r) throws InterruptedException {
-    reports.acquire();
+    if (!reports.take()) {
+      return Response.error(503, "too many reports");
+    }
     try {
       return answered(r);
     } finally {
-      reports.release();
+      reports.done();
     }
   }
 
--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -565,6 +565,12 @@
   /** Reports read and acted upon at the same time; the others wait without a turn of their own. */
   public static final int REPORTS_AT_ONCE = 3;
 
+  /**
+   * Milliseconds for which a report waits for its turn: its worker waits 4 s for the answer, and
+   * that has to be worked out and sent in what is left.
+   */
+  public static final long REPORT_PATIENCE_MS = 3300;
+
   /**
    * Threads that ask silent machines whether they are there: each is held for the deadline, and all
    * machines of a zone may fall silent at once.
--- /dev/null
+++ b/src/test/java/org/astershift/api/TurnsTest.java
@@ -0,0 +1,23 @@
+package org.astershift.api;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** An overloaded leader worked on nothing but reports that their workers had given up. */
+@Timeout(60)
+class TurnsTest {
+  @Test
+  void whoWaitedTooLongGetsNoTurn() throws Exception {
+    Turns turns = new Turns(2, 1);
+    assertTrue(turns.take());
+    assertTrue(turns.take());
+    assertFalse(turns.take(), "two are at work");
+    turns.done();
+    assertTrue(turns.take(), "the one that gave up holds no turn");
+    turns.done();
+    turns.done();
+  }
+}
