From reading the change again: the books of orders are asked directly

Cause: Commands had two methods named settled with different meanings, one of which only passed its arguments on to the budget that it also hands out. Change: the one that passes on is gone, and the scheduler asks the budget.

--- a/src/main/java/org/astershift/core/Commands.java
+++ b/src/main/java/org/astershift/core/Commands.java
@@ -83,12 +83,7 @@
     return false;
   }
 
-  /** A direct order, or a question, has its answer, or will get none. */
-  void settled(String machine, boolean answered, long nowMs) {
-    budget.settled(machine, answered, nowMs);
-  }
-
-  /** Keeps the books of what is under way. */
+  /** The books of the direct orders under way. */
   OrderBudget budget() {
     return budget;
   }
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -273,7 +273,7 @@
 
   /** Result of a direct order. {@code report} is null without an answer. */
   public void directResult(String name, boolean unknown, Report report, long nowMs) {
-    commands.settled(name, report != null, nowMs);
+    commands.budget().settled(name, report != null, nowMs);
     Machine m = c.machines.get(name);
     if (m == null) {
       return;
