Limits of processors: a bound instead of a standstill; aims of minutes on starting put jobs off

The window was full of one team's tasks at its limit while 1,200 of 12,100 processors stood idle and 8,000 to 12,000 tasks waited. Guarantees were judged by what a team uses at the moment, which gave them to whichever job of a long queue was next.

Change: what an unheard machine may hold is at most its size, and counts in full against each team (Hidden; also while it holds tasks of jobs that are over, which counted nothing before: a hole in rule quota). The window counts what its team's limit lets start (Allowance). Long aims on starting are due times for Moore's rule, also by each team's limit. A job lies within its guarantee if it fits there with the team's earlier unfinished jobs when it is taken in.

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -85,6 +85,12 @@
   /** Aims on starting up to this many seconds may stop work of lower priority. */
   public static final double TIGHT_START_S = 5;
 
+  /**
+   * Aims on starting from this many seconds on are a time by which, where machines are short, as
+   * many jobs as possible start and the others are put off; shorter ones are served as they come.
+   */
+  public static final double LONG_START_S = 60;
+
   /** Processor seconds of stopped work that a second of image fetch is worth to a tight aim. */
   public static final double FETCH_LOSS = 10;
 
--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -54,11 +55,16 @@
 
   final Served served = new Served();
   final Floor floor = new Floor(this);
+  private final Hidden hidden = new Hidden();
 
   /** Looks at a job for a machine, so that tests can count what a pass and a report cost. */
   long looks;
 
   private static final double TOLERANCE = 1e-6;
+  private static final TreeSet<Job> NONE = new TreeSet<>();
+  private static final Comparator<Job> EARLIER =
+      Comparator.comparingLong((Job j) -> j.submittedMs).thenComparing(j -> j.spec.id());
+  private final Map<String, TreeSet<Job>> teamJobs = new HashMap<>();
   private Map<String, MachineType> types = Map.of();
   private final Map<String, Spare> spare = new HashMap<>();
   private final Map<String, double[]> teamUse = new HashMap<>();
@@ -127,6 +133,7 @@
     for (Machine m : machines.values()) {
       m.kind = known.get(m.type);
     }
+    hidden.recount();
     spare.clear();
     for (Job job : jobs.values()) {
       fit(job);
@@ -214,6 +221,8 @@
     if (!job.waiting.isEmpty()) {
       waiting.add(job);
     }
+    teamJobs.computeIfAbsent(job.spec.team(), t -> new TreeSet<>(EARLIER)).add(job);
+    job.guaranteed = guaranteed(job);
     completing.add(job);
     served.accepted(job);
     stir();
@@ -222,6 +231,7 @@
   /** The job's end is durable: what was placed and never sent is let go, the rest is stopped. */
   void endJob(Job job, boolean cancelled) {
     jobs.remove(job.spec.id());
+    teamJobs.get(job.spec.team()).remove(job);
     waiting.remove(job);
     unopened.remove(job);
     completing.remove(job);
@@ -241,6 +251,33 @@
     stir();
   }
 
+  /** The team's unfinished jobs in the order of their submission. */
+  Set<Job> unfinished(String team) {
+    return teamJobs.getOrDefault(team, NONE);
+  }
+
+  /**
+   * Whether the job lies within its team's guarantee: it fits there together with the team's
+   * earlier unfinished jobs. What the team uses at the moment says something else: of a long queue
+   * it gave the guarantee to whichever job was next, before other teams' jobs that could still be
+   * in time.
+   */
+  private boolean guaranteed(Job job) {
+    Team team = facts.teams().get(job.spec.team());
+    if (team == null) {
+      return false;
+    }
+    double left = job.spec.gpus() > 0 ? team.gpus() : team.cpus();
+    for (Job earlier : teamJobs.get(team.name()).headSet(job, true)) {
+      JobSpec s = earlier.spec;
+      left -= (job.spec.gpus() > 0 ? s.gpus() : s.cpus()) * team.atOnce(s);
+      if (left < -TOLERANCE) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   void markDone(Job job, int index) {
     job.markDone(index);
     if (job.waiting.isEmpty()) {
@@ -259,6 +296,7 @@
     m.kind = types.get(m.type);
     machines.put(m.name, m);
     unheard += m.inherited && !m.claimed ? 1 : 0;
+    hidden.look(m, true);
     enter(m, m.state);
   }
 
@@ -272,6 +310,7 @@
     }
     m.claimed = true;
     m.heardMs = nowMs;
+    hidden.look(m, true);
     if (m.inherited) {
       LOG.debug("machine {} answers to token {}", m.name, token);
       heard(m, nowMs);
@@ -324,6 +363,7 @@
     for (Run run : new ArrayList<>(m.runs.values())) {
       drop(run);
     }
+    hidden.look(m, false);
     stale.remove(m);
     unrecorded.remove(m);
     struck.add(new Decision.Strike(name, m.addr));
@@ -431,6 +471,10 @@
   private void use(Run run, int sign) {
     JobSpec s = run.job.spec;
     run.machine.use(s, sign);
+    if (run.job.stranger) {
+      run.machine.strangers(sign);
+      hidden.look(run.machine, machines.get(run.machine.name) == run.machine);
+    }
     pool(run.machine).used += sign * s.cpus();
     double[] u = teamUse.computeIfAbsent(s.team(), t -> new double[2]);
     u[0] += sign * s.cpus();
@@ -443,12 +487,33 @@
 
   /** Whether the team may have one more task of the job. */
   boolean teamAllows(Job job) {
+    return teamAllows(job, 1);
+  }
+
+  /** Whether the team may have so many more tasks of the job, whatever the unheard hold of it. */
+  boolean teamAllows(Job job, int tasks) {
     Team team = facts.teams().get(job.spec.team());
     if (team == null) {
       return false;
     }
     double[] use = teamUse(team.name());
-    return team.allows(use[0] + job.spec.cpus(), use[1] + job.spec.gpus());
+    JobSpec s = job.spec;
+    return team.allows(
+        use[0] + (s.cpus() > 0 ? tasks * s.cpus() + hidden.cpus() : 0),
+        use[1] + (s.gpus() > 0 ? tasks * s.gpus() + hidden.gpus() : 0));
+  }
+
+  /** Processors and accelerators that the team may still take, whatever the unheard hold of it. */
+  double[] teamLeft(String name) {
+    Team team = facts.teams().get(name);
+    if (team == null) {
+      return new double[2];
+    }
+    double[] use = teamUse(name);
+    return new double[] {
+      team.cpusMax() > 0 ? team.cpusMax() - use[0] - hidden.cpus() : Double.MAX_VALUE,
+      team.gpusMax() > 0 ? team.gpusMax() - use[1] - hidden.gpus() : Double.MAX_VALUE
+    };
   }
 
   /** The task is off its machine; its entry there may stay until the worker has forgotten it. */
--- a/src/main/java/org/astershift/core/Gangs.java
+++ b/src/main/java/org/astershift/core/Gangs.java
@@ -78,13 +78,7 @@
   }
 
   private boolean withinLimit(Job job) {
-    Team team = c.facts.teams().get(job.spec.team());
-    if (team == null) {
-      return false;
-    }
-    double[] use = c.teamUse(team.name());
-    int tasks = job.waitingCount();
-    return team.allows(use[0] + tasks * job.spec.cpus(), use[1] + tasks * job.spec.gpus());
+    return c.teamAllows(job, job.waitingCount());
   }
 
   /** Machines among which all tasks of a gang have to find room: one zone's, or all. */
@@ -197,11 +191,6 @@
   private int seat(Job job, List<Machine> candidates, Map<Integer, Machine> plan) {
     String image = job.spec.image();
     candidates.sort(Comparator.comparingDouble(m -> -m.score(image)));
-    Team team = c.facts.teams().get(job.spec.team());
-    if (team == null) {
-      return 0;
-    }
-    double[] use = c.teamUse(team.name());
     Map<String, Integer> zoneUse = new HashMap<>();
     int hits = 0;
     int placed = 0;
@@ -212,10 +201,7 @@
         boolean spread =
             !job.spec.spread()
                 || job.inZone(m.zone) + zoneUse.getOrDefault(m.zone, 0) < job.spec.spreadLimit();
-        if (!spread
-            || Placement.onMachine(m, job, index)
-            || !team.allows(
-                use[0] + (placed + 1) * job.spec.cpus(), use[1] + (placed + 1) * job.spec.gpus())) {
+        if (!spread || Placement.onMachine(m, job, index) || !c.teamAllows(job, placed + 1)) {
           break;
         }
         plan.put(index, m);
--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -43,6 +43,10 @@
   boolean inherited;
 
   boolean cancelWanted;
+
+  /** Stands for a job that this leader does not look after: what its tasks take is not known. */
+  boolean stranger;
+
   final BitSet done;
 
   /** Those of them that are on record. */
@@ -74,7 +78,11 @@
   /** Within a sort of the queue: what it is sorted by. */
   double urgencyMs;
 
-  boolean belowGuarantee;
+  /**
+   * When it was taken in it fitted into its team's guarantee together with the team's earlier
+   * unfinished jobs: it need not wait for other teams.
+   */
+  boolean guaranteed;
 
   /** Within a sort of the queue: nobody aims at anything for it, nor is it guaranteed anything. */
   boolean spare;
@@ -155,9 +163,38 @@
    * late, and no reason to serve a class in the order of arrival.
    */
   boolean timed() {
-    return spec.kind() == JobKind.ARRAY
-        && dueS != null
-        && (startAimS == null || dueS - spec.estimateS() < startAimS);
+    return spec.kind() == JobKind.ARRAY && (dueFirst() || longStart());
+  }
+
+  private boolean dueFirst() {
+    return dueS != null && (startAimS == null || dueS - spec.estimateS() < startAimS);
+  }
+
+  /**
+   * Whether it has minutes to start. Served in the order of arrival such jobs all come late where
+   * machines are short, as with deadlines (half of a class started 124 s after its submission,
+   * where 120 were aimed at); so this aim too is a time by which some are in time and others are
+   * put off.
+   */
+  private boolean longStart() {
+    return startAimS != null && startAimS >= Constants.LONG_START_S;
+  }
+
+  /** For a timed job: seconds after its submission by which it is to be done; else its deadline. */
+  private Double endS() {
+    return timed() && !dueFirst() ? (Double) (startAimS + spec.estimateS()) : dueS;
+  }
+
+  /** When it is to be done if {@code times} the time for it may be taken, on the steady clock. */
+  double endMs(double times) {
+    return submittedMs + times * endS() * 1000;
+  }
+
+  /** When its tasks should start, on the steady clock. */
+  double startMs() {
+    Double end = endS();
+    double s = end != null ? end : Constants.NO_DEADLINE_S;
+    return submittedMs + (s - spec.estimateS()) * 1000;
   }
 
   /**
@@ -166,7 +203,7 @@
    */
   double rescueMs() {
     double s = Double.MAX_VALUE;
-    if (startAimS != null) {
+    if (startAimS != null && dueFirst()) {
       s = startAimS * Constants.RESCUE_SHARE;
     }
     if (finishAimS != null && spec.deadlineS() != null) {
--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -44,6 +44,9 @@
   /** Named by an earlier leader: until it is claimed it may hold that leader's tasks. */
   boolean inherited;
 
+  /** Tasks here, not exited, of jobs that this leader does not look after. */
+  private int strangers;
+
   long session;
   long seq;
   final long knownMs;
@@ -202,6 +205,16 @@
     return plainMemory;
   }
 
+  /** Whether it may hold tasks of which this leader does not know what they take. */
+  boolean inTheDark() {
+    return (inherited && !claimed) || strangers > 0;
+  }
+
+  /** Tasks here, not exited, of jobs that this leader does not look after: more or fewer. */
+  void strangers(int more) {
+    strangers += more;
+  }
+
   /** Nothing is here of what the machine is for. */
   boolean idle() {
     return kind != null && kind.gpus() > 0 ? usedGpus <= TOLERANCE : held == 0;
--- a/src/main/java/org/astershift/core/Queue.java
+++ b/src/main/java/org/astershift/core/Queue.java
@@ -67,9 +67,8 @@
     for (Job job : c.waiting) {
       if (startable(job, nowMs)) {
         boolean byAim = job.startAimS != null && !job.timed();
-        job.urgencyMs = byAim ? job.submittedMs + job.startAimS * 1000 : Triage.startMs(job);
-        job.belowGuarantee = belowGuarantee(job);
-        job.spare = !job.aimed && !job.belowGuarantee;
+        job.urgencyMs = byAim ? job.submittedMs + job.startAimS * 1000 : job.startMs();
+        job.spare = !job.aimed && !belowGuarantee(job);
         queue.add(job);
         if (job.timed() && !job.suspect()) {
           timed.computeIfAbsent(job.spec.priority(), p -> new ArrayList<>()).add(job);
@@ -81,7 +80,7 @@
     queue.sort(
         Comparator.comparing((Job j) -> j.spec.priority())
             .thenComparing(Job::suspect)
-            .thenComparing(j -> !j.belowGuarantee)
+            .thenComparing(j -> !j.guaranteed)
             .thenComparing(j -> j.spare)
             .thenComparingDouble(j -> j.urgencyMs)
             .thenComparingLong(j -> j.submittedMs));
@@ -90,21 +89,29 @@
 
   private void window(List<Job> queue) {
     int tasks = 0;
-    int jobs = 0;
+    int held = 0;
+    Allowance allowance = new Allowance(c);
+    List<Job> all = new ArrayList<>();
     aimed.clear();
     for (Job job : queue) {
+      // What its team's limit keeps from starting takes no place of what may start: the window was
+      // full of one team's tasks while a tenth of the machines stood idle and others' waited.
+      int startable = allowance.take(job, job.waitingCount());
+      tasks += startable;
+      held += job.waitingCount() - startable;
+      if (startable == 0 && held >= c.policy.window()) {
+        continue;
+      }
       if (job.aimed && job.spec.kind() != JobKind.GANG && !job.suspect()) {
         aimed.add(job);
       }
       window.computeIfAbsent(job.spec.priority(), p -> new ArrayList<>()).add(job);
-      tasks += job.waitingCount();
-      jobs++;
+      all.add(job);
       if (tasks >= c.policy.window()) {
         break;
       }
     }
     // What is starved goes before the window, and most of it stands beyond its end.
-    List<Job> all = new ArrayList<>(queue.subList(0, jobs));
     c.floor.starved().forEach(g -> all.addAll(g.old()));
     smallest = new Smallest(all);
   }
@@ -121,14 +128,8 @@
     if (job.beingProbed()) {
       return false;
     }
-    // What is not heard may hold tasks of opened jobs, or use up the limit of a team.
-    return !c.unheard() || !(job.inherited || limitTouches(job));
-  }
-
-  /** Whether its team's limit concerns what the job takes. */
-  private boolean limitTouches(Job job) {
-    Team team = c.facts.teams().get(job.spec.team());
-    return team != null && (team.cpusMax() > 0 || (team.gpusMax() > 0 && job.spec.gpus() > 0));
+    // What is not heard may hold tasks of opened jobs; what it may use of limits is in teamAllows.
+    return !c.unheard() || !job.inherited;
   }
 
   private boolean belowGuarantee(Job job) {
--- a/src/main/java/org/astershift/core/Reports.java
+++ b/src/main/java/org/astershift/core/Reports.java
@@ -246,6 +246,7 @@
             new BitSet(),
             Aims.NONE);
     job.state = Job.State.CANCELLED;
+    job.stranger = true;
     return job;
   }
 }
--- a/src/main/java/org/astershift/core/Triage.java
+++ b/src/main/java/org/astershift/core/Triage.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.PriorityQueue;
 import org.astershift.config.Constants;
 
@@ -47,42 +49,92 @@
         rest.add(job);
       }
     }
-    rest.sort(Comparator.comparingDouble(Triage::startMs));
+    rest.sort(Comparator.comparingDouble(Job::startMs));
     double behind = 0;
     for (double times : c.facts.deadlineTimes()) {
       List<Job> late = new ArrayList<>();
       load = choose(rest, times, load, perMs, late, nowMs);
       for (Job job : rest) {
-        job.urgencyMs = startMs(job) + behind;
+        job.urgencyMs = job.startMs() + behind;
       }
       rest = late;
-      rest.sort(Comparator.comparingDouble(Triage::startMs));
+      rest.sort(Comparator.comparingDouble(Job::startMs));
       behind += Constants.OVERDUE_BEHIND_MS;
     }
     for (Job job : rest) {
-      job.urgencyMs = startMs(job) + behind;
+      job.urgencyMs = job.startMs() + behind;
     }
   }
 
   /**
-   * Moves jobs from {@code rest} to {@code late} until the others can be in time; gives their load.
+   * Moves jobs from {@code rest} to {@code late} until the others can be in time, each with what is
+   * due before it: on all machines, and on as many as its team's limit allows. Gives their load.
    */
-  private static double choose(
+  private double choose(
       List<Job> rest, double times, double before, double perMs, List<Job> late, long nowMs) {
-    PriorityQueue<Job> chosen = new PriorityQueue<>(Comparator.comparingDouble(j -> -work(j)));
-    double load = before;
+    Chosen all = new Chosen(perMs, before);
+    Map<String, Chosen> teams = new HashMap<>();
     for (Job job : rest) {
-      load += work(job);
-      chosen.add(job);
+      Chosen team =
+          teams.computeIfAbsent(job.spec.team(), t -> new Chosen(limitPerMs(t, perMs), held(t)));
+      all.add(job);
+      team.add(job);
       double runMs = job.spec.estimateS() * 1000;
-      double endMs = nowMs + Math.max(runMs, load / perMs) - runMs * Constants.HOPEFUL_SHARE;
-      if (endMs > job.submittedMs + times * job.dueS * 1000) {
-        Job largest = chosen.remove();
-        load -= work(largest);
+      double dueMs = job.endMs(times) - nowMs + runMs * Constants.HOPEFUL_SHARE;
+      boolean overLimit = Math.max(runMs, team.needsMs()) > dueMs;
+      if (overLimit || Math.max(runMs, all.needsMs()) > dueMs) {
+        Job largest = (overLimit ? team : all).largest();
+        all.remove(largest);
+        teams.get(largest.spec.team()).remove(largest);
         late.add(largest);
       }
     }
     rest.removeAll(late);
+    return all.load;
+  }
+
+  /** Jobs that can be in time, and the processor seconds that they need. */
+  private static final class Chosen {
+    private final PriorityQueue<Job> jobs =
+        new PriorityQueue<>(Comparator.comparingDouble(j -> -work(j)));
+    private final double perMs;
+    private double load;
+
+    Chosen(double perMs, double load) {
+      this.perMs = perMs;
+      this.load = load;
+    }
+
+    void add(Job job) {
+      jobs.add(job);
+      load += work(job);
+    }
+
+    void remove(Job job) {
+      jobs.remove(job);
+      load -= work(job);
+    }
+
+    Job largest() {
+      return jobs.peek();
+    }
+
+    double needsMs() {
+      return load / perMs;
+    }
+  }
+
+  private double limitPerMs(String name, double perMs) {
+    Team team = c.facts.teams().get(name);
+    return team == null || team.cpusMax() <= 0 ? perMs : Math.min(perMs, team.cpusMax() / 1000);
+  }
+
+  /** Processor seconds that what the team's tasks hold is still taken for. */
+  private double held(String team) {
+    double load = 0;
+    for (Job job : c.unfinished(team)) {
+      load += job.runs.size() * job.spec.cpus() * job.spec.estimateS() * Constants.RUN_LEFT;
+    }
     return load;
   }
 
@@ -90,10 +142,4 @@
   private static double work(Job job) {
     return job.waitingCount() * job.spec.cpus() * Math.max(job.spec.estimateS(), 1);
   }
-
-  /** When its tasks should start, on the steady clock. */
-  static double startMs(Job job) {
-    double deadline = job.dueS != null ? job.dueS : Constants.NO_DEADLINE_S;
-    return job.submittedMs + (deadline - job.spec.estimateS()) * 1000;
-  }
 }
--- a/src/test/java/org/astershift/world/Checker.java
+++ b/src/test/java/org/astershift/world/Checker.java
@@ -12,6 +12,10 @@
   private static final long JUST_NOW_MS = 1500;
   private final World world;
   private final Map<String, String> running = new HashMap<>();
+
+  /** The same where a task is on two machines at once, for what a team uses. */
+  private final Set<String> onMachines = new HashSet<>();
+
   private final Set<String> decided = new HashSet<>();
   private final Set<String> called = new HashSet<>();
   final List<String> broken = new ArrayList<>();
@@ -28,18 +32,23 @@
     this.world = world;
   }
 
-  /** Rule ran_twice; and attempts never repeat on a machine that has forgotten one. */
+  /** Rules ran_twice and quota; each task takes one processor. */
   void started(String task, String machine, long attempt) {
     started++;
+    onMachines.add(task + " on " + machine);
     String at = running.putIfAbsent(task, machine);
     if (at != null) {
       broken.add(
           "ran_twice: " + task + " starts on " + machine + " while on " + at + " @" + attempt);
     }
+    if (world.teamLimit > 0 && onMachines.size() > world.teamLimit) {
+      broken.add("quota: " + onMachines.size() + " of " + world.teamLimit + " with " + task);
+    }
   }
 
   void over(String task, String machine) {
     running.remove(task, machine);
+    onMachines.remove(task + " on " + machine);
   }
 
   /**
--- a/src/test/java/org/astershift/world/NodeModel.java
+++ b/src/test/java/org/astershift/world/NodeModel.java
@@ -488,7 +488,7 @@
     }
     Facts facts =
         new Facts(
-            Map.of("team", new Team("team", 0, 0, 0, 0)),
+            Map.of("team", new Team("team", 0, world.teamLimit, 0, 0)),
             List.of(),
             world.setup.reportMs() / 1000.0,
             world.setup.leaseMs() / 1000.0,
--- a/src/test/java/org/astershift/world/Swarm.java
+++ b/src/test/java/org/astershift/world/Swarm.java
@@ -20,6 +20,7 @@
   private Swarm(long seed) {
     RandomSetup drawn = new RandomSetup(seed);
     world = new World(seed, drawn.setup);
+    world.teamLimit = drawn.limited ? 3 * drawn.setup.machines() : 0;
     kinds = drawn.kinds;
   }
 
@@ -27,6 +28,7 @@
   private static final class RandomSetup {
     final Setup setup;
     final int kinds;
+    final boolean limited;
 
     RandomSetup(long seed) {
       java.util.SplittableRandom r = new java.util.SplittableRandom(seed);
@@ -34,6 +36,7 @@
       List<String> zones = r.nextBoolean() ? List.of("a", "b", "c") : List.of("a", "b");
       setup = new Setup(nodes, 20 + r.nextInt(20), zones, 2000, 14_000);
       kinds = 1 + r.nextInt((1 << KINDS) - 1);
+      limited = r.nextInt(3) == 0;
     }
   }
 
--- a/src/test/java/org/astershift/world/World.java
+++ b/src/test/java/org/astershift/world/World.java
@@ -30,6 +30,10 @@
   final Set<Mutant> mutants = EnumSet.noneOf(Mutant.class);
   final Map<String, WorkerModel> workers = new LinkedHashMap<>();
   final List<NodeModel> nodes = new ArrayList<>();
+
+  /** Processors that the tasks of the only team may take at once; 0: no limit. */
+  double teamLimit;
+
   private final PriorityQueue<Event> queue = new PriorityQueue<>();
   private final Set<Link> cut = new HashSet<>();
   private final Map<Link, List<Runnable>> held = new HashMap<>();
--- a/src/test/java/org/astershift/world/WorldTest.java
+++ b/src/test/java/org/astershift/world/WorldTest.java
@@ -240,6 +240,38 @@
     assertTrue(running(w) >= 1800, running(w) + " run\n" + w.story());
   }
 
+  /**
+   * A team at its limit whose work also waits, a change of leaders, and a zone that says nothing:
+   * what its machines may hold counts until they are gone.
+   */
+  @Test
+  void aLimitHoldsThroughAChangeOfLeaders() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      World w = atItsLimit(seed);
+      loseLeaderAndZone(w);
+      w.runTo(90);
+      sound(w);
+      assertEquals(120, running(w), w.story());
+    }
+  }
+
+  private static void loseLeaderAndZone(World w) {
+    w.nodes.forEach(n -> w.cutBoth(n.name, "zone a"));
+    leader(w).get(0).crash();
+  }
+
+  private static World atItsLimit(long seed) {
+    World w = new World(seed, Setup.of(3, 60));
+    w.teamLimit = 120;
+    w.runTo(4);
+    w.submit(job("wk-1", JobKind.SERVICE, 110), null);
+    w.runTo(20);
+    w.submit(job("wk-2", JobKind.SERVICE, 40), null);
+    w.runTo(25);
+    assertEquals(120, running(w), w.story());
+    return w;
+  }
+
   @Test
   void aZoneIsCutOffWithTheLeaderInIt() {
     for (long seed = 1; seed <= SEEDS; seed++) {
