Renting: what has minutes to start cannot use machines that are not up yet

Each job of a team was rented for as if the team's limit were its own. Boots, which are paid, were not weighed: the type that boots in 20 s was rented last. Change: boot and fetch are taken off such a job's time; the limits of teams are shared out over all jobs (Allowance); a price includes its boot.

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -364,6 +364,12 @@
   /** Machines asked for in one rental; the cloud's limit. */
   public static final int RENT_BATCH = 50;
 
+  /**
+   * Seconds for which a machine is rented, as far as its boot is weighed in its price: most live
+   * for some minutes of a queue.
+   */
+  public static final double RENTED_S = 300;
+
   /** Types, zones and kinds that one plan may rent for one job. */
   public static final int POOLS_A_JOB = 20;
 
--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -176,12 +176,12 @@
    * where 120 were aimed at); so this aim too is a time by which some are in time and others are
    * put off.
    */
-  private boolean longStart() {
+  boolean longStart() {
     return startAimS != null && startAimS >= Constants.LONG_START_S;
   }
 
   /** For a timed job: seconds after its submission by which it is to be done; else its deadline. */
-  private Double endS() {
+  Double endS() {
     return timed() && !dueFirst() ? (Double) (startAimS + spec.estimateS()) : dueS;
   }
 
--- a/src/main/java/org/astershift/core/Renting.java
+++ b/src/main/java/org/astershift/core/Renting.java
@@ -90,8 +90,9 @@
       add(r, coming);
     }
     Map<Pool, Decision.Rent> wanted = new LinkedHashMap<>();
+    Allowance allowance = new Allowance(c);
     for (Job job : queue(nowMs)) {
-      Need need = new Need(job, concurrency(job, nowMs));
+      Need need = new Need(job, concurrency(job, allowance, nowMs));
       if (job.spec.oneZone()) {
         need.only(zone(need, free, coming, nowMs));
       }
@@ -188,29 +189,31 @@
   }
 
   /** How many of the waiting tasks should run at once for the job to be in time. */
-  private int concurrency(Job job, long nowMs) {
+  private int concurrency(Job job, Allowance allowance, long nowMs) {
     JobSpec spec = job.spec;
     if (job.suspect()) {
       // A probe needs no more; a gang that is probably broken waits for what is there.
       return spec.kind() == JobKind.GANG || job.beingProbed() ? 0 : 1;
     }
     int n = job.waitingCount();
-    Team team = c.facts.teams().get(spec.team());
-    if (team != null) {
-      double[] use = c.teamUse(team.name());
-      if (team.cpusMax() > 0 && spec.cpus() > 0) {
-        n = (int) Math.min(n, Math.max(0, (team.cpusMax() - use[0]) / spec.cpus() + 1e-6));
-      }
-      if (team.gpusMax() > 0 && spec.gpus() > 0) {
-        n = (int) Math.min(n, Math.max(0, (team.gpusMax() - use[1]) / spec.gpus() + 1e-6));
-      }
-    }
-    if (spec.kind() == JobKind.ARRAY && job.dueS != null && spec.estimateS() > 0) {
-      double left = job.dueS - (nowMs - job.submittedMs) / 1000.0 - spec.estimateS() / 2;
+    Double endS = job.endS();
+    if (spec.kind() == JobKind.ARRAY && endS != null && spec.estimateS() > 0) {
+      double left = endS - (nowMs - job.submittedMs) / 1000.0 - spec.estimateS() / 2;
+      left -= job.longStart() ? notYetS(job) : 0;
       double rounds = Math.max(1, left / spec.estimateS());
       n = (int) Math.min(n, Math.ceil(n / rounds));
     }
-    return n;
+    return allowance.take(job, n);
+  }
+
+  /** Seconds until a machine rented now could run a task of the job: its boot and its fetch. */
+  private double notYetS(Job job) {
+    double least = Double.MAX_VALUE;
+    for (String name : job.usableTypes) {
+      MachineType t = c.types().get(name);
+      least = Math.min(least, t.bootS() + job.spec.imageGb() / t.fetchGbPerS());
+    }
+    return least == Double.MAX_VALUE ? 0 : least;
   }
 
   /** The cheapest machines for what is left of the need; null if none can be had now. */
@@ -231,7 +234,9 @@
           int n = Math.min(count, (allowed + per - 1) / per);
           n = spec.oneZone() ? n : Math.min(n, zoneShare(count, t));
           // A tie goes to the zone with the fewest machines, which spreads the fleet.
-          double cost = count * t.price(spot) * (1 + 0.001 * inZone.getOrDefault(zone, 0));
+          // Its boot is paid for, too.
+          double price = t.price(spot) * (1 + t.bootS() / Constants.RENTED_S);
+          double cost = count * price * (1 + 0.001 * inZone.getOrDefault(zone, 0));
           if (cost < bestCost) {
             bestCost = cost;
             best = new Decision.Rent(name, zone, spot, n);
