Idle machines go that were idle at every moment of a boot's time

How many were wanted was judged by how often idle machines are taken; with tasks of 9 s each is taken many times over, so that hundreds counted as wanted. Change: of each type as many go as were idle at every moment of the last boot's time (at least the idle time of the settings), ordinary ones first.

--- a/src/main/java/org/astershift/core/Returning.java
+++ b/src/main/java/org/astershift/core/Returning.java
@@ -1,5 +1,6 @@
 package org.astershift.core;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -24,6 +25,9 @@
   private final Set<String> asked = new HashSet<>();
   private final Map<String, Long> returned = new HashMap<>();
 
+  /** By type, how many machines were idle at the least lately. */
+  private final Map<String, Least> leastIdle = new HashMap<>();
+
   Returning(Cluster cluster, Silence silence) {
     this.c = cluster;
     this.silence = silence;
@@ -140,9 +144,10 @@
   }
 
   /**
-   * Idle machines that will not be wanted for longer than a new one takes to come: if machines of a
-   * type are taken from idleness at some rate, the tenth idle one waits for ten of them. The cheap
-   * ones among them may stay as long as all together cost little beside the fleet.
+   * Idle machines that were not wanted for about as long as a new one takes to come: of each type
+   * as many as were idle at every moment of that time. How often one is taken from idleness says
+   * less: tasks of seconds take each many times over, and none is ever wanted more. The cheap ones
+   * among them may stay as long as all together cost little beside the fleet.
    */
   private Set<Machine> needless(long nowMs) {
     Map<String, List<Machine>> idle = new HashMap<>();
@@ -150,20 +155,25 @@
     for (Machine m : c.all()) {
       if (m.state == Machine.State.LIVE && m.kind != null) {
         allowance += m.kind.price(m.spot) * Constants.IDLE_SHARE;
+        List<Machine> same = idle.computeIfAbsent(m.type, t -> new ArrayList<>());
         if (m.idle()) {
-          idle.computeIfAbsent(m.type, t -> new ArrayList<>()).add(m);
+          same.add(m);
         }
       }
     }
+    leastIdle.keySet().retainAll(idle.keySet());
     List<Machine> surplus = new ArrayList<>();
     for (Map.Entry<String, List<Machine>> e : idle.entrySet()) {
       List<Machine> machines = e.getValue();
+      MachineType type = c.types().get(e.getKey());
+      long windowMs = (long) (1000 * Math.max(c.policy.idleReleaseS(), type.bootS()));
+      int least =
+          leastIdle
+              .computeIfAbsent(e.getKey(), t -> new Least())
+              .of(machines.size(), nowMs, windowMs);
       machines.sort(
-          Comparator.comparing((Machine m) -> !m.spot)
-              .thenComparingLong(m -> nowMs - m.idleSinceMs));
-      double wanted =
-          c.reusedPerS(e.getKey(), nowMs) * machines.get(0).kind.bootS() * Constants.IDLE_BOOTS;
-      surplus.addAll(machines.subList((int) Math.min(wanted, machines.size()), machines.size()));
+          Comparator.comparing((Machine m) -> m.spot).thenComparingLong(m -> m.idleSinceMs));
+      surplus.addAll(machines.subList(0, least));
     }
     surplus.sort(Comparator.comparingDouble(m -> m.kind.price(m.spot)));
     Set<Machine> needless = new HashSet<>();
@@ -175,4 +185,24 @@
     }
     return needless;
   }
+
+  /** The least of a number within a window of time; nothing before the window is full. */
+  private static final class Least {
+    /** Times and values, both rising: what a later and smaller value makes needless is left out. */
+    private final ArrayDeque<long[]> values = new ArrayDeque<>();
+
+    private long fromMs = -1;
+
+    int of(int value, long nowMs, long windowMs) {
+      fromMs = fromMs < 0 ? nowMs : fromMs;
+      while (!values.isEmpty() && values.peekLast()[1] >= value) {
+        values.removeLast();
+      }
+      values.addLast(new long[] {nowMs, value});
+      while (nowMs - values.peekFirst()[0] > windowMs) {
+        values.removeFirst();
+      }
+      return nowMs - fromMs < windowMs ? 0 : (int) values.peekFirst()[1];
+    }
+  }
 }
