One-way machines, late copies, machines that begin anew: what a report proves, and what only an answer does

Causes found by reading: a copy set seenMs and heardMs, revived a lost machine, took a gone one in again and gave it work; a new leader that heard a copy first stopped the true run of a task; a machine that began anew was 'not newer' for ever, kept its tasks and its costs; one that answers nothing held every opened job back after a change of leaders, for ever, because its reports came. Change: a message moves clocks only if it is newer (session, tick); a report that is not newer than another report renews no lease, since one is under way at a time. An answer to a question of ours is younger than all that was known when it was asked, so one that is not newer proves a new life, as does a lower token: its tasks are gone, and it is used again once that is on record (a leader in doubt cannot write, so it cannot take it for its own). Two orders in a row without an answer: nothing new goes there until it answers; an inherited one counts as silent from the begin of the term.

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -204,9 +204,6 @@
   /** A machine costs at least so many milliseconds, so it is not given back sooner; protocol's. */
   public static final long CHARGED_LEAST_MS = 60_000;
 
-  /** Seconds over which it is counted how often idle machines are taken. */
-  public static final double REUSE_WINDOW_S = 60;
-
   /** Milliseconds that a machine is kept idle even if nothing speaks for its use. */
   public static final long IDLE_LEAST_MS = 10_000;
 
@@ -228,6 +225,15 @@
   /** Milliseconds after that until a machine that does not answer is given back. */
   public static final long SILENT_MS = 1200;
 
+  /**
+   * Direct orders in a row without an answer after which nothing new goes to a machine, though its
+   * reports arrive: what is said to it may not.
+   */
+  public static final int DEAF_TRIES = 2;
+
+  /** Milliseconds between questions to such a machine: the first answer makes it whole again. */
+  public static final long DEAF_ASK_MS = 3000;
+
   /** Direct questions that an inherited machine leaves unanswered before it is given up early. */
   public static final int CLAIM_TRIES = 2;
 
@@ -359,7 +365,7 @@
   public static final double BOOT_UNKNOWN_MS = 60_000;
 
   /** A machine given back may still be spoken of so many milliseconds later: packets are held. */
-  public static final long LATE_REPORTS_MS = 60_000;
+  public static final long LATE_REPORTS_MS = 180_000;
 
   /** Machines asked for in one rental; the cloud's limit. */
   public static final int RENT_BATCH = 50;
--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -71,8 +71,8 @@
   private final List<Decision.Strike> struck = new ArrayList<>();
   private final Pool plain = new Pool();
   private final Pool accelerated = new Pool();
+  private final Map<String, Long> goneMs = new LinkedHashMap<>();
   private final Map<String, Long> cutZones = new HashMap<>();
-  private final Map<String, Decaying> reuse = new HashMap<>();
   private long attempts;
   private long resumedMs = Long.MIN_VALUE / 2;
   private int unheard;
@@ -114,7 +114,7 @@
 
   /** How long nothing at all has come from the machine, while this node listened. */
   long silenceMs(Machine m, long nowMs) {
-    return nowMs - Math.max(resumedMs, Math.max(m.seenMs, m.heardMs));
+    return nowMs - Math.max(resumedMs, m.saidMs());
   }
 
   /** Its report is overdue. */
@@ -310,6 +310,8 @@
     }
     m.claimed = true;
     m.heardMs = nowMs;
+    m.unanswered = 0;
+    m.hearsay = false;
     hidden.look(m, true);
     if (m.inherited) {
       LOG.debug("machine {} answers to token {}", m.name, token);
@@ -350,6 +352,20 @@
     return unheard <= Math.max(Constants.SILENT_FEW, machines.size() * Constants.UNHEARD_SHARE);
   }
 
+  /** The machine began anew: what it held is gone, and it has to be heard as any other. */
+  void reborn(Machine m, long nowMs) {
+    LOG.info("machine {} began anew: its {} tasks are gone", m.name, m.heldCount());
+    for (Run run : new ArrayList<>(m.runs.values())) {
+      drop(run);
+    }
+    boolean counted = m.inherited && !m.claimed;
+    m.reborn();
+    m.heardMs = nowMs;
+    unheard += counted ? 0 : 1;
+    hidden.look(m, true);
+    enter(m, Machine.State.UNHEARD);
+  }
+
   /** Proof that the machine and all on it are gone. */
   void gone(String name, String why, long nowMs) {
     Machine m = machines.remove(name);
@@ -357,6 +373,9 @@
       return;
     }
     LOG.info("machine {} is gone ({}), with {} tasks", name, why, m.heldCount());
+    long keep = (long) (4 * facts.listLagS() * 1000) + Constants.LATE_REPORTS_MS;
+    goneMs.values().removeIf(at -> at + keep < nowMs);
+    goneMs.put(name, nowMs);
     if (m.inherited && !m.claimed) {
       heard(m, nowMs);
     }
@@ -370,6 +389,11 @@
     stir();
   }
 
+  /** Whether the machine is known to be gone: old lists and late reports may still speak of it. */
+  boolean goneRecently(String name) {
+    return goneMs.containsKey(name);
+  }
+
   /** Machines gone since the last call. */
   List<Decision.Strike> struck() {
     List<Decision.Strike> out = new ArrayList<>(struck);
@@ -424,9 +448,6 @@
   }
 
   Run place(Job job, int index, Machine m, long attempt, long nowMs) {
-    if (m.idle()) {
-      reuse.computeIfAbsent(m.type, t -> new Decaying(Constants.REUSE_WINDOW_S)).add(nowMs);
-    }
     Run run = new Run(job, index, attempt, m, nowMs);
     m.add(run);
     hold(run);
@@ -441,12 +462,6 @@
     return run;
   }
 
-  /** How many machines of a type are taken from idleness in a second, lately. */
-  double reusedPerS(String type, long nowMs) {
-    Decaying d = reuse.get(type);
-    return d == null ? 0 : d.perS(nowMs);
-  }
-
   /** A task found on a machine; it is the job's unless another attempt is, or nobody wants it. */
   void adopt(Run run) {
     run.machine.add(run);
--- a/src/main/java/org/astershift/core/Commands.java
+++ b/src/main/java/org/astershift/core/Commands.java
@@ -123,14 +123,17 @@
     if (m.orderInFlight
         || m.addr == null
         || m.state == Machine.State.BOOTING
-        || m.state == Machine.State.LOST
+        || (m.state == Machine.State.LOST && !m.older)
         || m.state == Machine.State.RETURNING
         || nowMs - m.lastDirectMs < Constants.CLAIM_RETRY_MS) {
       return null;
     }
     boolean claim = claimDue(m, nowMs);
     boolean probe = m.session > 0 && c.overdue(m, nowMs);
-    return claim || probe ? direct(m, List.of(), Constants.PROBE_TIMEOUT_MS, nowMs) : null;
+    boolean puzzle = m.older || (m.deaf() && nowMs - m.lastDirectMs >= Constants.DEAF_ASK_MS);
+    return claim || probe || puzzle
+        ? direct(m, List.of(), Constants.PROBE_TIMEOUT_MS, nowMs)
+        : null;
   }
 
   /**
@@ -145,12 +148,14 @@
 
   /** Whether a question that has waited for its turn is still worth asking. */
   boolean worthAsking(Machine m, long nowMs) {
-    return claimDue(m, nowMs) || (m.claimed && c.overdue(m, nowMs));
+    return claimDue(m, nowMs) || m.older || m.deaf() || (m.claimed && c.overdue(m, nowMs));
   }
 
   private static Decision.Direct direct(Machine m, List<Order> orders, int timeoutMs, long nowMs) {
     m.orderInFlight = true;
     m.lastDirectMs = nowMs;
+    m.askedSession = m.session;
+    m.askedSeq = m.seq;
     return new Decision.Direct(m.name, m.addr, Math.max(1, m.session), orders, timeoutMs);
   }
 
--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.astershift.config.Constants;
 
 /** A machine as the leader knows it. */
 final class Machine {
@@ -62,6 +63,34 @@
 
   int directFailures;
 
+  /**
+   * Direct orders and questions in a row that it left unanswered, whatever it reported meanwhile;
+   * none once something shows that it receives.
+   */
+  int unanswered;
+
+  /** Reports without this leader's token that came after another one was answered with it. */
+  int inVain;
+
+  /** Position of the newest message that came as a report, which an answer may have renewed. */
+  long reportSession;
+
+  long reportSeq;
+
+  /** What was known of it when the question under way was decided: its answer is younger. */
+  long askedSession;
+
+  long askedSeq;
+
+  /** A message came that is older than what it said before: only its own answer tells why. */
+  boolean older;
+
+  /**
+   * Nothing but a report speaks for it, which may be as old as any: neither record nor list, nor a
+   * report that shows this leader's token.
+   */
+  boolean hearsay;
+
   /** When another controller was last asked to reach it and all that could tell failed. */
   long unreachedMs = Long.MIN_VALUE / 2;
 
@@ -141,9 +170,46 @@
     return failedProven > 0 || !failedJobs.isEmpty();
   }
 
+  /** Its reports arrive and nothing that is said to it does. */
+  boolean deaf() {
+    return unanswered >= Constants.DEAF_TRIES;
+  }
+
+  /** The same of one that an earlier leader named: it goes on showing that leader's token. */
+  boolean deafAnew() {
+    return state == State.UNHEARD && deaf() && inVain >= Constants.DEAF_TRIES;
+  }
+
+  /**
+   * When it last said anything that counts: of one that answers nothing, only until it was known.
+   */
+  long saidMs() {
+    return deafAnew() ? knownMs : Math.max(seenMs, heardMs);
+  }
+
+  /**
+   * The machine began anew, under its name and without what was on it: as if it had never been
+   * heard, and not to be used before this is on record, so that no leader it may have listened to
+   * meanwhile can take it for its own.
+   */
+  void reborn() {
+    session = 0;
+    seq = 0;
+    reportSession = 0;
+    reportSeq = 0;
+    inVain = 0;
+    claimed = false;
+    inherited = true;
+    enrolled = false;
+    noticeS = null;
+    images.clear();
+  }
+
   boolean usable(long nowMs) {
     return state == State.LIVE
         && enrolled
+        && !deaf()
+        && !hearsay
         && !condemned
         && noticeS == null
         && nowMs >= holdUntilMs
--- a/src/main/java/org/astershift/core/Reports.java
+++ b/src/main/java/org/astershift/core/Reports.java
@@ -24,8 +24,12 @@
     return deposed;
   }
 
-  /** Notes who spoke, whatever it said. */
-  Machine heard(Report r, long nowMs) {
+  /**
+   * Whose report it is, whatever its age. A token is never taken back, so a higher one counts from
+   * any copy; a machine that nobody knows is taken in, and used once more than hearsay speaks for
+   * it.
+   */
+  Machine from(Report r, long nowMs) {
     if (r.token() > c.token) {
       deposed = true;
     }
@@ -34,10 +38,25 @@
       m =
           new Machine(
               r.machine(), r.addr(), r.type(), r.zone(), r.spot(), Machine.State.LIVE, nowMs);
+      m.hearsay = true;
       c.addMachine(m);
       LOG.info(
           "machine {} ({} in {}) reports and was not asked for: taken in", m.name, m.type, m.zone);
     }
+    return m;
+  }
+
+  /**
+   * Notes that the machine spoke. A copy of an old report may come any time later, from before its
+   * return, its loss or a change of leaders: what is not newer moves no clock and revives nothing.
+   */
+  void heard(Machine m, Report r, long nowMs) {
+    if (!r.newerThan(m.session, m.seq)) {
+      return;
+    }
+    if (m.claimed && r.token() < c.token) {
+      c.reborn(m, nowMs); // no worker takes a token back
+    }
     m.addr = r.addr();
     m.seenMs = nowMs;
     c.heardFrom(m.zone);
@@ -53,15 +72,20 @@
       m.idleSinceMs = nowMs;
       c.enter(m, Machine.State.LIVE);
     }
-    return m;
   }
 
-  /** Brings what is known of the machine up to this report; false if the report is not newer. */
-  boolean absorb(Machine m, Report r, long nowMs) {
+  /**
+   * Brings what is known of the machine up to this report; false if the report is not newer. {@code
+   * wasAnswered}: the one before it was answered well within a lease.
+   */
+  boolean absorb(Machine m, Report r, boolean wasAnswered, long nowMs) {
     if (!r.newerThan(m.session, m.seq)) {
       return false;
     }
     if (r.session() > m.session) {
+      if (m.session > 0 && wasAnswered) {
+        m.older = true; // its lease ran out all the same: do answers reach it?
+      }
       for (Run run : new ArrayList<>(m.runs.values())) {
         LOG.info("task {} on {} ended with its session", run.name(), m.name);
         c.drop(run);
@@ -73,7 +97,7 @@
     }
     m.session = r.session();
     m.seq = r.seq();
-    m.directFailures = 0;
+    m.directFailures = m.deafAnew() ? m.directFailures : 0;
     if (r.noticeS() != null && m.noticeS == null) {
       LOG.info("machine {} will be taken back in {} s", m.name, r.noticeS());
       c.stir();
@@ -114,6 +138,9 @@
     Job job = run.job;
     Machine m = run.machine;
     run.ordered = true;
+    if (run.phase == null) {
+      m.unanswered = 0; // an order of ours has reached it
+    }
     if (item.phase() != Report.Phase.FETCHING && item.phase() != Report.Phase.EXITED) {
       if (run.phase == null || run.phase == Report.Phase.FETCHING) {
         m.touchImage(job.spec.image(), job.spec.imageGb());
@@ -200,6 +227,16 @@
       c.drop(other);
       other = null;
     }
+    if (other != null && m.claimed && !other.machine.claimed && job.state == Job.State.LIVE) {
+      // What the other machine said may be a copy of an old report, and was this leader's first
+      // word
+      // of it; this one shows the token, so it has the task now, and a task is never on two
+      // machines.
+      LOG.info("task {} is on {} and not on {}", run.name(), m.name, other.machine.name);
+      job.release(other);
+      other.stopping = true;
+      other = null;
+    }
     if (job.state != Job.State.LIVE || job.done.get(run.index) || other != null) {
       LOG.info("task {} attempt {} on {} is not wanted: stopped", run.name(), run.attempt, m.name);
       run.stopping = true;
--- a/src/main/java/org/astershift/core/Returning.java
+++ b/src/main/java/org/astershift/core/Returning.java
@@ -23,7 +23,6 @@
   private final Silence silence;
   private final Set<String> failedNames = new HashSet<>();
   private final Set<String> asked = new HashSet<>();
-  private final Map<String, Long> returned = new HashMap<>();
 
   /** By type, how many machines were idle at the least lately. */
   private final Map<String, Least> leastIdle = new HashMap<>();
@@ -40,12 +39,9 @@
 
   /** The cloud answered 200 to the return of these. */
   void returned(List<String> names, long nowMs) {
-    long keep = (long) (4 * c.facts.listLagS() * 1000) + Constants.LATE_REPORTS_MS;
-    returned.values().removeIf(at -> at + keep < nowMs);
     for (String name : names) {
       asked.remove(name);
       failedNames.remove(name);
-      returned.put(name, nowMs);
       c.gone(name, "returned", nowMs);
     }
   }
@@ -55,11 +51,6 @@
     asked.removeAll(names);
   }
 
-  /** Old lists and late reports may still speak of it. */
-  boolean goneRecently(String name) {
-    return returned.containsKey(name);
-  }
-
   /**
    * {@code sole}: no other node can lead. Otherwise another leader may use what seems needless
    * here, and only silence counts, which it may be that nobody else can end.
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -233,16 +233,27 @@
 
   /** A report that is being answered under this token; gives the commands for the answer. */
   public List<Order> report(Report r, long nowMs) {
-    if (returning.goneRecently(r.machine())) {
+    if (c.goneRecently(r.machine())) {
       return List.of(); // a late report of a machine that is gone
     }
-    Machine m = reports.heard(r, nowMs);
+    Machine m = reports.from(r, nowMs);
     if (reports.deposed()) {
       return List.of();
     }
+    // One report is under way at a time, so one that is not newer than another that came is a copy,
+    // or was given up: no answer to it reaches anybody, and it renews no lease.
+    if (!r.newerThan(m.reportSession, m.reportSeq) || r.session() < m.session) {
+      m.older = true;
+      return List.of();
+    }
+    m.inVain += !m.claimed && m.reportSession > 0 && r.token() < c.token ? 1 : 0;
+    m.reportSession = r.session();
+    m.reportSeq = r.seq();
+    reports.heard(m, r, nowMs);
+    boolean wasAnswered = nowMs - m.heardMs < c.facts.leaseS() * 500;
     m.heardMs = nowMs;
     int before = m.heldCount();
-    if (!reports.absorb(m, r, nowMs)) {
+    if (!reports.absorb(m, r, wasAnswered, nowMs)) {
       return List.of();
     }
     placement.serve(m, nowMs);
@@ -281,12 +292,23 @@
     Commands.settled(m, unknown);
     int before = m.heldCount();
     if (report != null && report.machine().equals(name)) {
-      reports.heard(report, nowMs);
+      reports.from(report, nowMs);
       if (!reports.deposed()) {
-        reports.absorb(m, report, nowMs);
+        m.unanswered = 0;
+        m.older = false;
+        // What it says now is younger than all that was known when it was asked.
+        if (!report.newerThan(m.askedSession, m.askedSeq)) {
+          c.reborn(m, nowMs);
+        }
+        reports.heard(m, report, nowMs);
+        reports.absorb(m, report, false, nowMs);
       }
     } else if (m.session > 0 || m.state == Machine.State.UNHEARD) {
       m.directFailures++;
+      m.unanswered++;
+      if (m.unanswered == Constants.DEAF_TRIES && !c.overdue(m, nowMs)) {
+        LOG.info("machine {} reports and answers nothing: nothing new goes there", m.name);
+      }
     }
     again(m);
     if (m.heldCount() < before) {
@@ -318,7 +340,7 @@
         continue;
       }
       if (m == null) {
-        if (returning.goneRecently(l.name())) {
+        if (c.goneRecently(l.name())) {
           continue;
         }
         m =
@@ -338,6 +360,7 @@
             l.zone());
       }
       m.listedMs = nowMs;
+      m.hearsay = false;
       if (m.addr == null) {
         m.addr = l.addr();
       }
--- a/src/main/java/org/astershift/core/Silence.java
+++ b/src/main/java/org/astershift/core/Silence.java
@@ -114,12 +114,12 @@
 
   /** What another controller found counts while the machine says nothing, and not for long. */
   private static boolean reached(Machine m, long nowMs) {
-    return m.reachedMs > m.seenMs && nowMs - m.reachedMs <= Constants.REACHED_FRESH_MS;
+    return m.reachedMs > m.saidMs() && nowMs - m.reachedMs <= Constants.REACHED_FRESH_MS;
   }
 
   /** The same of a machine that none of them reached: shorter, since a cut may just have ended. */
   private static boolean unreached(Machine m, long nowMs) {
-    return m.unreachedMs > m.seenMs && nowMs - m.unreachedMs <= Constants.UNREACHED_FRESH_MS;
+    return m.unreachedMs > m.saidMs() && nowMs - m.unreachedMs <= Constants.UNREACHED_FRESH_MS;
   }
 
   /** Whether the machine says nothing for longer than it may, though it was asked. */
@@ -328,7 +328,9 @@
     }
     asking = true;
     List<Machine> heard = new ArrayList<>(c.all());
-    heard.removeIf(m -> m.addr == null || m.seenMs == m.knownMs || c.overdue(m, nowMs));
+    // What reports and answers nothing would make each of them look cut off.
+    heard.removeIf(
+        m -> m.addr == null || m.seenMs == m.knownMs || m.unanswered > 0 || c.overdue(m, nowMs));
     heard.sort(Comparator.comparingLong(m -> -m.seenMs));
     List<Decision.Named> suspects = named(sample, Constants.WITNESS_BATCH);
     return new Decision.Witness(suspects, named(heard, Constants.WITNESS_CONTROLS), nowMs);
--- a/src/test/java/org/astershift/world/World.java
+++ b/src/test/java/org/astershift/world/World.java
@@ -34,6 +34,9 @@
   /** Processors that the tasks of the only team may take at once; 0: no limit. */
   double teamLimit;
 
+  /** Share of the reports of which a copy comes later. */
+  double copied;
+
   private final PriorityQueue<Event> queue = new PriorityQueue<>();
   private final Set<Link> cut = new HashSet<>();
   private final Map<Link, List<Runnable>> held = new HashMap<>();
