--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -77,6 +77,11 @@
 
   long reportSeq;
 
+  /** Up to here messages may be of an earlier life of the machine in this term. */
+  long pastSession;
+
+  long pastSeq;
+
   /** What was known of it when the question under way was decided: its answer is younger. */
   long askedSession;
 
@@ -94,6 +99,9 @@
   /** When another controller was last asked to reach it and all that could tell failed. */
   long unreachedMs = Long.MIN_VALUE / 2;
 
+  /** The same where none of them could tell. */
+  long untoldMs = Long.MIN_VALUE / 2;
+
   /** The same where one of them had an answer. */
   long reachedMs = Long.MIN_VALUE / 2;
 
@@ -193,6 +201,8 @@
    * meanwhile can take it for its own.
    */
   void reborn() {
+    past(session, seq);
+    past(reportSession, reportSeq);
     session = 0;
     seq = 0;
     reportSession = 0;
@@ -205,6 +215,13 @@
     images.clear();
   }
 
+  private void past(long ofSession, long ofSeq) {
+    if (ofSession > pastSession || (ofSession == pastSession && ofSeq > pastSeq)) {
+      pastSession = ofSession;
+      pastSeq = ofSeq;
+    }
+  }
+
   boolean usable(long nowMs) {
     return state == State.LIVE
         && enrolled
--- a/src/main/java/org/astershift/core/Reports.java
+++ b/src/main/java/org/astershift/core/Reports.java
@@ -46,6 +46,42 @@
     return m;
   }
 
+  /** What a message that came as a report proves. */
+  enum Worth {
+    /** The machine said this, and after all that is known of it. */
+    ALL,
+    /**
+     * A copy, or what the worker gave up: one report is under way at a time, and a newer one came.
+     * No answer to it reaches anybody, so it renews no lease.
+     */
+    NOTHING,
+    /** Of this life of the machine or of an earlier one: only an answer of its own tells. */
+    LIFE,
+    /**
+     * The same, and it says that what is held there is gone. It is not answered: if the machine is
+     * asked in vain, its lease runs out by this leader's clock.
+     */
+    DOUBT
+  }
+
+  /**
+   * Session and tick order what a machine says within one life, but it may begin anew under its
+   * name, from session 1, and copies of what it said before come for minutes. Taken for news, a
+   * copy with a higher session dropped tasks that ran, which then ran twice (seeds 516 and 3143 of
+   * the swarm).
+   */
+  Worth worth(Machine m, Report r) {
+    boolean lostToken = m.claimed && r.token() < c.token;
+    boolean lostSession = m.claimed && r.session() > m.session && m.session > 0 && m.holdsAny();
+    if (lostToken || lostSession) {
+      return Worth.DOUBT;
+    }
+    if (!r.newerThan(m.reportSession, m.reportSeq) || r.session() < m.session) {
+      return Worth.NOTHING;
+    }
+    return r.newerThan(m.pastSession, m.pastSeq) ? Worth.ALL : Worth.LIFE;
+  }
+
   /**
    * Notes that the machine spoke. A copy of an old report may come any time later, from before its
    * return, its loss or a change of leaders: what is not newer moves no clock and revives nothing.
@@ -54,9 +90,6 @@
     if (!r.newerThan(m.session, m.seq)) {
       return;
     }
-    if (m.claimed && r.token() < c.token) {
-      c.reborn(m, nowMs); // no worker takes a token back
-    }
     m.addr = r.addr();
     m.seenMs = nowMs;
     c.heardFrom(m.zone);
--- a/src/main/java/org/astershift/core/Returning.java
+++ b/src/main/java/org/astershift/core/Returning.java
@@ -157,7 +157,8 @@
     for (Map.Entry<String, List<Machine>> e : idle.entrySet()) {
       List<Machine> machines = e.getValue();
       MachineType type = c.types().get(e.getKey());
-      long windowMs = (long) (1000 * Math.max(c.policy.idleReleaseS(), type.bootS()));
+      double boots = type.bootS() * Constants.IDLE_BOOTS;
+      long windowMs = (long) (1000 * Math.max(c.policy.idleReleaseS(), boots));
       int least =
           leastIdle
               .computeIfAbsent(e.getKey(), t -> new Least())
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -231,7 +231,10 @@
 
   // ---- workers ----
 
-  /** A report that is being answered under this token; gives the commands for the answer. */
+  /**
+   * A report that is being answered under this token; gives the commands for the answer, or null if
+   * it must not be answered, since that would renew a lease of which nothing is known.
+   */
   public List<Order> report(Report r, long nowMs) {
     if (c.goneRecently(r.machine())) {
       return List.of(); // a late report of a machine that is gone
@@ -240,11 +243,21 @@
     if (reports.deposed()) {
       return List.of();
     }
-    // One report is under way at a time, so one that is not newer than another that came is a copy,
-    // or was given up: no answer to it reaches anybody, and it renews no lease.
-    if (!r.newerThan(m.reportSession, m.reportSeq) || r.session() < m.session) {
-      m.older = true;
-      return List.of();
+    switch (reports.worth(m, r)) {
+      case NOTHING -> {
+        m.older = true;
+        return List.of();
+      }
+      case DOUBT -> {
+        m.older = true;
+        return null;
+      }
+      case LIFE -> {
+        m.older = true;
+        m.heardMs = nowMs;
+        return List.of();
+      }
+      default -> {}
     }
     m.inVain += !m.claimed && m.reportSession > 0 && r.token() < c.token ? 1 : 0;
     m.reportSession = r.session();
@@ -432,7 +445,9 @@
       }
     }
     for (Machine m : c.unrecorded) {
-      ask(out, new Decision.Enrol(m.name, m.addr, m.type, m.zone, m.spot, false));
+      if (!m.hearsay) {
+        ask(out, new Decision.Enrol(m.name, m.addr, m.type, m.zone, m.spot, false));
+      }
     }
     for (Job job : c.unopened) {
       if (!job.cancelWanted && !job.runs.isEmpty()) {
--- a/src/main/java/org/astershift/core/Silence.java
+++ b/src/main/java/org/astershift/core/Silence.java
@@ -46,6 +46,9 @@
   /** When the others were last asked and none of them could tell; none yet: long ago. */
   private long nobodyMs = Long.MIN_VALUE / 2;
 
+  /** When they were last asked and none of them answered at all. */
+  private long noneMs = Long.MIN_VALUE / 2;
+
   /** When they were last asked and one of them could tell. */
   private long answeredMs = Long.MIN_VALUE / 2;
 
@@ -245,7 +248,8 @@
   private boolean alone(Machine m, long nowMs) {
     return m.addr == null
         || unreached(m, nowMs)
-        || nowMs - nobodyMs <= Constants.REACHED_FRESH_MS
+        || nowMs - noneMs <= Constants.REACHED_FRESH_MS
+        || (m.untoldMs > m.saidMs() && nowMs - m.untoldMs <= Constants.REACHED_FRESH_MS)
         || (nowMs - answeredMs > Constants.REACHED_FRESH_MS
             && c.silenceMs(m, nowMs) > c.patienceMs() + Constants.WITNESS_WAIT_MS);
   }
@@ -255,7 +259,9 @@
     if (unreached(m, nowMs) || zones.get(m.zone).witnessed()) {
       return true;
     }
-    boolean nobody = nowMs - nobodyMs <= Constants.REACHED_FRESH_MS;
+    // Where others reach a machine of the zone, that they could not tell of this one says nothing.
+    boolean nobody =
+        nowMs - nobodyMs <= Constants.REACHED_FRESH_MS && zones.get(m.zone).reached == 0;
     return nobody && (lonePattern || pastLease(m, nowMs));
   }
 
@@ -328,10 +334,10 @@
     }
     asking = true;
     List<Machine> heard = new ArrayList<>(c.all());
-    // What reports and answers nothing would make each of them look cut off.
-    heard.removeIf(
-        m -> m.addr == null || m.seenMs == m.knownMs || m.unanswered > 0 || c.overdue(m, nowMs));
-    heard.sort(Comparator.comparingLong(m -> -m.seenMs));
+    heard.removeIf(m -> m.addr == null || m.seenMs == m.knownMs || c.overdue(m, nowMs));
+    // What reports and answers nothing would make each of the others look cut off.
+    heard.sort(
+        Comparator.comparing((Machine m) -> m.unanswered > 0).thenComparingLong(m -> -m.seenMs));
     List<Decision.Named> suspects = named(sample, Constants.WITNESS_BATCH);
     return new Decision.Witness(suspects, named(heard, Constants.WITNESS_CONTROLS), nowMs);
   }
@@ -363,6 +369,7 @@
     }
     answeredMs = able == 0 ? answeredMs : w.askedMs();
     nobodyMs = able == 0 ? w.askedMs() : Long.MIN_VALUE / 2;
+    noneMs = told.isEmpty() ? w.askedMs() : Long.MIN_VALUE / 2;
     int answering = 0;
     for (Decision.Named s : w.suspects()) {
       Machine m = c.machines.get(s.machine());
@@ -375,6 +382,10 @@
         answering++;
       } else if (unreached.contains(s.machine())) {
         m.unreachedMs = w.askedMs();
+      } else if (able == 0 && !told.isEmpty()) {
+        // Nobody could tell of this one. Of those that were not among the asked they may: one was
+        // given back a moment before its turn came to be asked.
+        m.untoldMs = w.askedMs();
       }
     }
     LOG.debug(
--- a/src/test/java/org/astershift/core/TracePlayer.java
+++ b/src/test/java/org/astershift/core/TracePlayer.java
@@ -116,7 +116,8 @@
       case "job" -> s.addJob(spec(w), w.flag("opened"), new BitSet(), now);
       case "report" -> {
         last.put(p.get(2), report(w));
-        return orders(s.report(last.get(p.get(2)), now));
+        List<Order> answer = s.report(last.get(p.get(2)), now);
+        return answer == null ? List.of("not answered") : orders(answer);
       }
       case "alive" -> {
         for (String name : p.subList(2, p.size())) {
--- a/src/test/java/org/astershift/world/NodeModel.java
+++ b/src/test/java/org/astershift/world/NodeModel.java
@@ -667,7 +667,8 @@
               return;
             }
             if (t == term) {
-              answer.accept(new WorkerModel.Answer(true, t.token, orders, null));
+              boolean ok = orders != null;
+              answer.accept(new WorkerModel.Answer(ok, t.token, orders, null));
               return;
             }
           }
--- a/src/test/java/org/astershift/world/WorkerModel.java
+++ b/src/test/java/org/astershift/world/WorkerModel.java
@@ -85,6 +85,7 @@
         afterMs,
         () -> {
           if (of == life) {
+            world.changed(); // nobody can know yet that it is there again
             start();
           }
         });
