The largest begin too, a node cut off from all is not ready, idle machines by either reckoning; cases for one-way machines and copies

A node that loses the state service and the others stayed ready, since it could not tell that from an outage. Change: a job of which nothing was placed after 150 s goes first, up to a floor; the log says what its largest tenth got, and warns of a job not begun after two minutes with what keeps it. Where neither state service nor any other node answers for 6 s the node is not ready (StateReach, decided as a value). Machines go by the old reckoning or the new one. A listed machine that is up has its time to report from then on.

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -114,6 +114,12 @@
    */
   public static final double FLOOR_AGE_S = 120;
 
+  /**
+   * Seconds after which a job of which nothing was placed yet goes first: the largest too have to
+   * begin within 240 s (the operators' letter), of which a boot of 50 s and a fetch are left.
+   */
+  public static final double FLOOR_BEGIN_S = 150;
+
   /**
    * Jobs that wait beyond that age, for each one done, from which their class is neglected: two of
    * three are to be served.
@@ -204,6 +210,9 @@
   /** A machine costs at least so many milliseconds, so it is not given back sooner; protocol's. */
   public static final long CHARGED_LEAST_MS = 60_000;
 
+  /** Seconds over which it is counted how often idle machines are taken. */
+  public static final double REUSE_WINDOW_S = 60;
+
   /** Milliseconds that a machine is kept idle even if nothing speaks for its use. */
   public static final long IDLE_LEAST_MS = 10_000;
 
@@ -430,6 +439,12 @@
   /** Deadline of such a question, milliseconds: it is answered from memory. */
   public static final int REACH_TIMEOUT_MS = 400;
 
+  /**
+   * Milliseconds in which neither the state service nor any other controller answers after which a
+   * node takes itself for cut off: longer than all others take to crash and be back in an outage.
+   */
+  public static final long ALONE_MS = 6000;
+
   /** Milliseconds in which a controller that did not answer is not asked again. */
   public static final long PEER_REST_MS = 1000;
 
@@ -495,6 +510,12 @@
   /** Milliseconds between summaries in the log. */
   public static final long SUMMARY_MS = 10_000;
 
+  /** Milliseconds after which a job that has not begun is warned of: half of what it may take. */
+  public static final long UNBEGUN_WARN_MS = 120_000;
+
+  /** Jobs of a class of which it is remembered what the largest got. */
+  public static final int FATES_KEPT = 5000;
+
   /** Milliseconds without a start after which a class or team that waits is warned of. */
   public static final long STARVED_MS = 60_000;
 
--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -71,6 +71,7 @@
   private final List<Decision.Strike> struck = new ArrayList<>();
   private final Pool plain = new Pool();
   private final Pool accelerated = new Pool();
+  private final Map<String, Decaying> reuse = new HashMap<>();
   private final Map<String, Long> goneMs = new LinkedHashMap<>();
   private final Map<String, Long> cutZones = new HashMap<>();
   private long attempts;
@@ -448,6 +449,9 @@
   }
 
   Run place(Job job, int index, Machine m, long attempt, long nowMs) {
+    if (m.idle()) {
+      reuse.computeIfAbsent(m.type, t -> new Decaying(Constants.REUSE_WINDOW_S)).add(nowMs);
+    }
     Run run = new Run(job, index, attempt, m, nowMs);
     m.add(run);
     hold(run);
@@ -462,6 +466,12 @@
     return run;
   }
 
+  /** How many machines of a type are taken from idleness in a second, lately. */
+  double reusedPerS(String type, long nowMs) {
+    Decaying d = reuse.get(type);
+    return d == null ? 0 : d.perS(nowMs);
+  }
+
   /** A task found on a machine; it is the job's unless another attempt is, or nobody wants it. */
   void adopt(Run run) {
     run.machine.add(run);
--- a/src/main/java/org/astershift/core/Floor.java
+++ b/src/main/java/org/astershift/core/Floor.java
@@ -41,6 +41,11 @@
     /** Waiting for longer than its age, the oldest first. */
     private final List<Job> old = new ArrayList<>();
 
+    /**
+     * Those of them that have not begun though they should have: the least that is served first.
+     */
+    private final List<Job> unbegun = new ArrayList<>();
+
     /** Its jobs that were done in this term. */
     private int finished;
 
@@ -83,6 +88,12 @@
       return old.size() > finished * Constants.FLOOR_LEFT;
     }
 
+    /** What it may take now beyond what it has. */
+    private double lacks() {
+      // Those that have to begin do so however much the rest of their class holds.
+      return Math.max(0, neglected() ? floor - held : unbegun.isEmpty() ? 0 : floor);
+    }
+
     private int present() {
       int n = 0;
       for (Group g : sharers) {
@@ -120,6 +131,18 @@
     return job.spec.kind() != JobKind.SERVICE && nowMs - job.submittedMs >= s * 1000;
   }
 
+  /**
+   * Whether it has to begin now whatever else is urgent: no task of it was placed yet. Of a class
+   * that is served well the largest jobs are put off for as long as others can be in time; but they
+   * too have to begin within four minutes, and a boot, a fetch and a turn are still to come.
+   */
+  static boolean unbegun(Job job, long nowMs) {
+    return job.spec.kind() != JobKind.SERVICE
+        && !job.begun
+        && job.runs.isEmpty()
+        && nowMs - job.submittedMs >= Constants.FLOOR_BEGIN_S * 1000;
+  }
+
   /** Whether the task belongs to what its class is to have whoever else wants the room. */
   static boolean keeps(Job job, long nowMs) {
     Group g = job.group;
@@ -131,6 +154,7 @@
     starved.clear();
     for (Group g : groups.values()) {
       g.old.clear();
+      g.unbegun.clear();
       g.held = 0;
       g.present = false;
       g.left = 0;
@@ -139,10 +163,17 @@
       if (!job.suspect() && old(job, nowMs)) {
         job.group.old.add(job);
       }
+      if (!job.suspect() && unbegun(job, nowMs)) {
+        job.group.unbegun.add(job);
+      }
     }
     int neglected = 0;
     for (Group g : groups.values()) {
-      neglected += g.neglected() ? 1 : 0;
+      if (!g.neglected() && !g.unbegun.isEmpty()) {
+        g.old.clear();
+        g.old.addAll(g.unbegun);
+      }
+      neglected += g.neglected() || !g.unbegun.isEmpty() ? 1 : 0;
     }
     for (Job job : c.jobs.values()) {
       job.group.present = true;
@@ -153,8 +184,8 @@
       // A class that several teams share has one floor: with one each, classes that were served
       // well in sum had late jobs served before those that could still be in time.
       g.floor = share * (g.accelerated ? c.accelerators() : c.processors()) / g.present();
-      if (g.neglected() && g.held < g.floor) {
-        g.left = g.floor - g.held;
+      g.left = g.lacks();
+      if (g.left > 0) {
         g.old.sort(Comparator.comparingLong(j -> j.submittedMs));
         starved.add(g);
       }
--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -93,6 +93,12 @@
   long gangAttempt;
   boolean gangRan;
 
+  /** What the largest jobs of its class got is counted by this; set when it is taken in. */
+  Served.Fate fate;
+
+  /** The operators were told that it has not begun. */
+  boolean warned;
+
   /** A task of it ran in this term. */
   boolean begun;
 
--- a/src/main/java/org/astershift/core/Returning.java
+++ b/src/main/java/org/astershift/core/Returning.java
@@ -135,10 +135,11 @@
   }
 
   /**
-   * Idle machines that were not wanted for about as long as a new one takes to come: of each type
-   * as many as were idle at every moment of that time. How often one is taken from idleness says
-   * less: tasks of seconds take each many times over, and none is ever wanted more. The cheap ones
-   * among them may stay as long as all together cost little beside the fleet.
+   * Idle machines that will not be wanted for longer than a new one takes to come. If machines of a
+   * type are taken from idleness at some rate, the tenth idle one waits for ten of them: after a
+   * queue, from which none was ever idle, all go at once. Tasks of seconds take each idle one many
+   * times over, though, and then as many are needless as were idle at every moment of that time.
+   * The cheap ones among them may stay as long as all together cost little beside the fleet.
    */
   private Set<Machine> needless(long nowMs) {
     Map<String, List<Machine>> idle = new HashMap<>();
@@ -165,17 +166,19 @@
               .of(machines.size(), nowMs, windowMs);
       machines.sort(
           Comparator.comparing((Machine m) -> m.spot).thenComparingLong(m -> m.idleSinceMs));
-      surplus.addAll(machines.subList(0, least));
+      double wanted = c.reusedPerS(e.getKey(), nowMs) * boots;
+      int needless = Math.max(least, machines.size() - (int) Math.min(wanted, machines.size()));
+      surplus.addAll(machines.subList(0, needless));
     }
     surplus.sort(Comparator.comparingDouble(m -> m.kind.price(m.spot)));
-    Set<Machine> needless = new HashSet<>();
+    Set<Machine> out = new HashSet<>();
     for (Machine m : surplus) {
       allowance -= m.kind.price(m.spot);
       if (allowance < 0 && nowMs - m.idleSinceMs > Constants.IDLE_LEAST_MS) {
-        needless.add(m);
+        out.add(m);
       }
     }
-    return needless;
+    return out;
   }
 
   /** The least of a number within a window of time; nothing before the window is full. */
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -364,7 +364,8 @@
                 l.zone(),
                 l.spot(),
                 Machine.State.BOOTING,
-                nowMs - (long) (l.ageS() * 1000));
+                // One that is up has its time to report from now on, however old it is.
+                l.state().equals("running") ? nowMs : nowMs - (long) (l.ageS() * 1000));
         c.addMachine(m);
         LOG.info(
             "machine {} ({} in {}) is listed and was not asked for: taken in",
@@ -599,6 +600,7 @@
 
   /** A line for the log: what each class and team got; warns of one that gets nothing. */
   public String served(long nowMs) {
+    c.served.unbegun(c.waiting, c::teamAllows, nowMs);
     return c.served.summary(c.jobs.values(), nowMs);
   }
 
--- a/src/main/java/org/astershift/core/Served.java
+++ b/src/main/java/org/astershift/core/Served.java
@@ -1,10 +1,12 @@
 package org.astershift.core;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.astershift.config.Constants;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -15,15 +17,34 @@
  */
 final class Served {
   private static final Logger LOG = LoggerFactory.getLogger(Served.class);
+
+  /** One of so many of a class's jobs counts among its largest. */
+  private static final int LARGEST = 10;
+
   private final Map<String, Group> classes = new TreeMap<>();
   private final Map<String, Group> teams = new TreeMap<>();
   private long lastStartMs = Long.MIN_VALUE / 2;
 
+  /** What became of one job, for what the largest of its class got. */
+  static final class Fate {
+    private final double size;
+    private boolean started;
+    private boolean finished;
+
+    private Fate(double size) {
+      this.size = size;
+    }
+  }
+
   /** One class or team; jobs an earlier leader had accepted count as accepted when taken over. */
   private static final class Group {
     int accepted;
     int started;
     int finished;
+
+    /** Of the latest jobs, without those that were cancelled. */
+    private final ArrayDeque<Fate> fates = new ArrayDeque<>();
+
     long lastStartMs = Long.MIN_VALUE / 2;
 
     /** For the present look: replicas of services that run, and that should. */
@@ -47,7 +68,24 @@
           + finished
           + " finished"
           + (replicas > 0 ? ", " + up + " of " + replicas + " replicas up" : "")
-          + (waitingMs < 0 ? "" : ", waits " + (nowMs - waitingMs) / 1000 + " s");
+          + (waitingMs < 0 ? "" : ", waits " + (nowMs - waitingMs) / 1000 + " s")
+          + largest();
+    }
+
+    /** What the largest tenth of its jobs got. */
+    private String largest() {
+      List<Fate> sorted = new ArrayList<>(fates);
+      sorted.sort(Comparator.comparingDouble((Fate f) -> -f.size));
+      List<Fate> most = sorted.subList(0, (sorted.size() + LARGEST - 1) / LARGEST);
+      int begun = 0;
+      int over = 0;
+      for (Fate f : most) {
+        begun += f.started ? 1 : 0;
+        over += f.finished ? 1 : 0;
+      }
+      return most.size() < 2
+          ? ""
+          : ", of its " + most.size() + " largest " + begun + " started " + over + " finished";
     }
   }
 
@@ -61,6 +99,12 @@
     for (Group g : groups(job)) {
       g.accepted++;
     }
+    Group own = classes.get(job.spec.jobClass());
+    job.fate = new Fate(job.spec.tasks() * Math.max(job.spec.cpus(), job.spec.gpus()));
+    own.fates.addLast(job.fate);
+    if (own.fates.size() > Constants.FATES_KEPT) {
+      own.fates.removeFirst();
+    }
   }
 
   /** A task of the job runs. */
@@ -74,12 +118,44 @@
       g.lastStartMs = nowMs;
     }
     job.begun = true;
+    job.fate.started = true;
   }
 
   void ended(Job job, boolean cancelled) {
     for (Group g : groups(job)) {
       g.finished += cancelled ? 0 : 1;
     }
+    job.fate.finished = !cancelled;
+    if (cancelled) {
+      classes.get(job.spec.jobClass()).fates.remove(job.fate);
+    }
+  }
+
+  /**
+   * Warns once of each large job that should have begun and has not, with what keeps it: what its
+   * team's own earlier work or a mistake in it keeps is no want of machines.
+   */
+  void unbegun(Iterable<Job> waiting, Predicate<Job> withinLimit, long nowMs) {
+    for (Job job : waiting) {
+      boolean late = nowMs - job.submittedMs >= Constants.UNBEGUN_WARN_MS;
+      if (!late || job.begun || job.warned || job.spec.kind() == JobKind.SERVICE) {
+        continue;
+      }
+      job.warned = true;
+      String why =
+          job.suspect()
+              ? "it fails on every machine"
+              : job.usableTypes.isEmpty()
+                  ? "no machine type takes its tasks"
+                  : withinLimit.test(job) ? "others go first" : "its team is at its limit";
+      LOG.warn(
+          "job {} ({}, {} tasks) has not begun after {} s: {}",
+          job.spec.id(),
+          job.spec.jobClass(),
+          job.spec.tasks(),
+          (nowMs - job.submittedMs) / 1000,
+          why);
+    }
   }
 
   /** One line for the log; warns of a class or team that gets nothing though others do. */
--- a/src/main/java/org/astershift/leader/Reach.java
+++ b/src/main/java/org/astershift/leader/Reach.java
@@ -7,6 +7,7 @@
 import org.astershift.config.Constants;
 import org.astershift.http.Threads;
 import org.astershift.office.Candidacy;
+import org.astershift.office.StateReach;
 import org.astershift.office.WorkerReach;
 import org.astershift.peer.JobAnswer;
 import org.astershift.store.StoreClient;
@@ -26,6 +27,8 @@
   private final Director director;
   private final Candidacy candidacy;
   private volatile Leader told;
+  private volatile boolean alone;
+  private final StateReach state = new StateReach();
   private boolean silent;
 
   /** Who leads, as another node says; {@code node} empty if nobody does. */
@@ -46,9 +49,9 @@
     Threads.startLoop("reach", this::loop);
   }
 
-  /** The state service answers others and not this node. */
+  /** The state service answers others and not this node, or nobody answers it at all. */
   boolean apart() {
-    return told != null;
+    return told != null || alone;
   }
 
   /** The leader as another node told; null where this node knows better, or nobody leads. */
@@ -76,6 +79,8 @@
         }
         silent = false;
         told = null;
+        alone = false;
+        state.served();
         hearing();
         continue;
       }
@@ -160,9 +165,11 @@
   private void look() {
     Leader heard = null;
     String from = null;
+    int answered = 0;
     for (Map.Entry<String, UserDesk.Asker> e : askers.entrySet()) {
       try {
         JobAnswer a = e.getValue().ask("state", "", Constants.REACH_TIMEOUT_MS);
+        answered++;
         if (a.status() == 200) {
           heard = leader(a.phase());
           from = e.getKey();
@@ -181,6 +188,12 @@
     }
     silent = true;
     told = heard;
+    boolean was = alone;
+    alone =
+        state.asked(askers.size(), answered, heard != null, Term.nowMs()) == StateReach.Found.ALONE;
+    if (alone && !was) {
+      LOG.info("neither the state service nor another node answers this one: cut off, not ready");
+    }
     if (heard != null && !deaf(heard)) {
       director.leaderTold(heard.token());
     }
--- a/src/test/java/org/astershift/EndToEndTest.java
+++ b/src/test/java/org/astershift/EndToEndTest.java
@@ -153,7 +153,7 @@
   @Test
   void jobsSurviveAnOutageAndTheLossOfControllers() throws Exception {
     await(0, "POST", "/v2/runs", job("wk-000001", "sweep", 6), "wk-000001");
-    assertEquals(200, call(1, "POST", "/v2/runs", job("wk-000001", "sweep", 6)).status());
+    await(1, "POST", "/v2/runs", job("wk-000001", "sweep", 6), "wk-000001");
     await(2, "GET", "/v2/runs/wk-000001", null, "\"done\",");
     assertEquals(404, call(1, "GET", "/v2/runs/wk-999999", null).status());
     assertEquals(400, call(1, "POST", "/v2/runs", "{\"id\":7}").status());
--- a/src/test/java/org/astershift/world/Mutant.java
+++ b/src/test/java/org/astershift/world/Mutant.java
@@ -14,6 +14,8 @@
   NO_CATCHING_UP,
   /** What other controllers reach is taken for silent too. */
   DEAF_WITNESSES,
+  /** Copies of old reports are taken for the newest there are. */
+  COPIES_ARE_NEWS,
   /** A leader that hears few never hands over, and all stand at once. */
   NO_HANDING_OVER
 }
--- a/src/test/java/org/astershift/world/WorkerModel.java
+++ b/src/test/java/org/astershift/world/WorkerModel.java
@@ -122,10 +122,26 @@
     if (world.random.nextDouble() < world.copied) {
       NodeModel to = world.nodes.get(world.random.nextInt(world.nodes.size()));
       long ms = 1000 + world.random.nextLong(3 * world.setup.leaseMs());
-      world.after(ms, () -> to.report(r, a -> {}));
+      world.after(ms, () -> to.report(aged(r), a -> {}));
     }
   }
 
+  /** As it was sent, or as a leader would read it that does not order what it is told. */
+  private Report aged(Report r) {
+    boolean news = world.mutants.contains(Mutant.COPIES_ARE_NEWS);
+    return new Report(
+        r.machine(),
+        r.addr(),
+        r.type(),
+        r.zone(),
+        r.spot(),
+        r.session(),
+        news ? seq + 1 : r.seq(),
+        news ? token : r.token(),
+        null,
+        r.tasks());
+  }
+
   private void report() {
     expire();
     long sentMs = world.now();
--- a/src/test/java/org/astershift/world/WorldTest.java
+++ b/src/test/java/org/astershift/world/WorldTest.java
@@ -255,6 +255,114 @@
     }
   }
 
+  /** Reports of a zone arrive and nothing that is said to it, while leaders change. */
+  @Test
+  void whatIsSaidToAZoneDoesNotArrive() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      World w = rested(seed, Setup.of(3, 60));
+      w.nodes.forEach(n -> w.cut(n.name, "zone a"));
+      w.runTo(21 + seed % 10);
+      leader(w).get(0).crash();
+      w.runTo(40);
+      w.submit(job("wk-3", JobKind.ARRAY, 60), 5_000L);
+      w.runTo(100);
+      sound(w);
+      // What was opened before waits for none of them for ever: they are given up, and replaced.
+      assertTrue(running(w) >= 180, running(w) + " run\n" + w.story());
+      assertTrue(
+          w.checker.returned.stream().allMatch(m -> w.workers.get(m).zone.equals("a")), w.story());
+      w.nodes.forEach(n -> w.heal(n.name, "zone a"));
+      w.runTo(130);
+      sound(w);
+    }
+  }
+
+  /** A few such machines under a leader that stays: they get nothing new, and are used again. */
+  @Test
+  void whatIsSaidToAFewDoesNotArriveForAWhile() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      World w = rested(seed, Setup.of(3, 60));
+      w.nodes.forEach(n -> w.cut(n.name, "vm-7"));
+      w.submit(job("wk-3", JobKind.SERVICE, 30), null);
+      w.runTo(32);
+      assertTrue(running(w) >= 210, running(w) + " run\n" + w.story());
+      w.nodes.forEach(n -> w.heal(n.name, "vm-7"));
+      w.runTo(80);
+      sound(w);
+      assertTrue(running(w) >= 210, running(w) + " run\n" + w.story());
+    }
+  }
+
+  /** Of each report a copy comes up to three leases later, at any node, also after a takeover. */
+  @Test
+  void copiesOfReportsComeLate() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      World w = copied(seed);
+      sound(w);
+      assertEquals(List.of(), w.checker.returned, w.story());
+      assertTrue(running(w) >= 180, running(w) + " run\n" + w.story());
+    }
+    World w = copied(1, Mutant.COPIES_ARE_NEWS);
+    assertFalse(w.checker.broken.isEmpty(), "a fence was taken away");
+  }
+
+  private static World copied(long seed, Mutant... mutants) {
+    World w = rested(seed, Setup.of(3, 60));
+    w.mutants.addAll(List.of(mutants));
+    w.copied = 1;
+    for (int i = 0; i < 30; i++) {
+      int id = i;
+      w.after(i * 2000L, () -> w.submit(job("wk-1" + id, JobKind.ARRAY, 20), 8_000L));
+    }
+    w.runTo(40);
+    leader(w).get(0).crash();
+    w.runTo(60);
+    leader(w).get(0).crash();
+    w.nodes.stream().filter(n -> n.crashed()).findFirst().orElseThrow().start();
+    w.runTo(140);
+    return w;
+  }
+
+  /** Machines are back within a second, under their names, in the middle of an election. */
+  @Test
+  void machinesBeginAnewInTheMiddleOfAnElection() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      World w = rested(seed, Setup.of(3, 60));
+      w.copied = 0.2;
+      leader(w).get(0).crash();
+      for (int i = 0; i < 12; i++) {
+        WorkerModel machine = w.workers.get("vm-" + (seed + 5 * i) % 60);
+        w.after(w.random.nextLong(4000), () -> machine.beginAnew(50 + w.random.nextLong(900)));
+      }
+      w.runTo(80);
+      sound(w);
+      assertTrue(running(w) >= 180, running(w) + " run\n" + w.story());
+    }
+  }
+
+  /** Alone with its workers the old leader goes on for as long as none has heard of another. */
+  @Test
+  void aControllerLosesTheStateServiceAndTheOthersAndNotItsWorkers() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      World w = rested(seed, Setup.of(3, 60));
+      NodeModel old = leader(w).get(0);
+      for (String host : List.of("state", follower(w, 0).name, follower(w, 1).name)) {
+        w.cutBoth(old.name, host);
+      }
+      w.runTo(30);
+      if (seed % 2 == 0) {
+        leader(w).stream().filter(n -> n != old).forEach(NodeModel::crash); // in the election
+      }
+      w.submit(job("wk-3", JobKind.ARRAY, 60), 5_000L);
+      w.runTo(70);
+      sound(w);
+      assertEquals(0, w.checker.killedByLease, w.story());
+      assertEquals(List.of(), w.checker.returned, w.story());
+      assertTrue(running(w) >= 180, running(w) + " run\n" + w.story());
+      assertEquals(1, leader(w).stream().filter(n -> n != old).count(), w.story());
+    }
+  }
+
   private static void loseLeaderAndZone(World w) {
     w.nodes.forEach(n -> w.cutBoth(n.name, "zone a"));
     leader(w).get(0).crash();
