All tasks of jobs older than 150 s go first, up to a share

Change: what waits of a job after 150 s goes first, up to the floor of its class, counted by what such jobs hold.

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -115,7 +115,7 @@
   public static final double FLOOR_AGE_S = 120;
 
   /**
-   * Seconds after which a job of which nothing was placed yet goes first: the largest too have to
+   * Seconds after which a job's tasks that wait go first, up to a share: the largest too have to
    * begin within 240 s (the operators' letter), of which a boot of 50 s and a fetch are left.
    */
   public static final double FLOOR_BEGIN_S = 150;
--- a/src/main/java/org/astershift/core/Floor.java
+++ b/src/main/java/org/astershift/core/Floor.java
@@ -41,10 +41,11 @@
     /** Waiting for longer than its age, the oldest first. */
     private final List<Job> old = new ArrayList<>();
 
-    /**
-     * Those of them that have not begun though they should have: the least that is served first.
-     */
-    private final List<Job> unbegun = new ArrayList<>();
+    /** Those of them whose tasks have to start now: the least that is served first. */
+    private final List<Job> overdue = new ArrayList<>();
+
+    /** Processors, or accelerators, that tasks of these hold. */
+    private double overdueHeld;
 
     /** Its jobs that were done in this term. */
     private int finished;
@@ -90,8 +91,8 @@
 
     /** What it may take now beyond what it has. */
     private double lacks() {
-      // Those that have to begin do so however much the rest of their class holds.
-      return Math.max(0, neglected() ? floor - held : unbegun.isEmpty() ? 0 : floor);
+      // Those that have to start do so however much the rest of their class holds.
+      return Math.max(0, neglected() ? floor - held : overdue.isEmpty() ? 0 : floor - overdueHeld);
     }
 
     private int present() {
@@ -132,14 +133,12 @@
   }
 
   /**
-   * Whether it has to begin now whatever else is urgent: no task of it was placed yet. Of a class
-   * that is served well the largest jobs are put off for as long as others can be in time; but they
-   * too have to begin within four minutes, and a boot, a fetch and a turn are still to come.
+   * Whether its tasks have to start now whatever else is urgent. Of a class that is served well the
+   * largest jobs are put off for as long as others can be in time; but they too have to begin, with
+   * all their tasks, within four minutes, and a boot, a fetch and their turn are still to come.
    */
-  static boolean unbegun(Job job, long nowMs) {
+  static boolean overdue(Job job, long nowMs) {
     return job.spec.kind() != JobKind.SERVICE
-        && !job.begun
-        && job.runs.isEmpty()
         && nowMs - job.submittedMs >= Constants.FLOOR_BEGIN_S * 1000;
   }
 
@@ -154,7 +153,8 @@
     starved.clear();
     for (Group g : groups.values()) {
       g.old.clear();
-      g.unbegun.clear();
+      g.overdue.clear();
+      g.overdueHeld = 0;
       g.held = 0;
       g.present = false;
       g.left = 0;
@@ -163,17 +163,18 @@
       if (!job.suspect() && old(job, nowMs)) {
         job.group.old.add(job);
       }
-      if (!job.suspect() && unbegun(job, nowMs)) {
-        job.group.unbegun.add(job);
+      if (!job.suspect() && overdue(job, nowMs)) {
+        job.group.overdue.add(job);
+        job.group.overdueHeld += job.runs.size() * job.group.amount(job);
       }
     }
     int neglected = 0;
     for (Group g : groups.values()) {
-      if (!g.neglected() && !g.unbegun.isEmpty()) {
+      if (!g.neglected() && !g.overdue.isEmpty()) {
         g.old.clear();
-        g.old.addAll(g.unbegun);
+        g.old.addAll(g.overdue);
       }
-      neglected += g.neglected() || !g.unbegun.isEmpty() ? 1 : 0;
+      neglected += g.neglected() || !g.overdue.isEmpty() ? 1 : 0;
     }
     for (Job job : c.jobs.values()) {
       job.group.present = true;
