Notes fit into a transaction; one machine does not hold up all for ever

Causes, by reading: with 48 changes a transaction and pages of 4 KiB all notes of a large fleet at once were 192 KiB, where 64 KiB may go: refused with 400, and repeated for ever, so that no job could be opened. A machine that a new leader cannot make listen, while another controller reaches it, kept every job opened before from starting for as long as the cut lasted. Change: a transaction takes as many pages as fit 48 KiB; one refused as malformed is halved, a single page waits aside for 10 s, logged. One of a few such machines is given back after 15 s. Settings: value_kb at least 4, which a page of progress needs.

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -243,6 +243,12 @@
   /** Milliseconds between questions to such a machine: the first answer makes it whole again. */
   public static final long DEAF_ASK_MS = 3000;
 
+  /**
+   * Milliseconds after which one of a few machines that this leader cannot make listen is given
+   * back though another controller reaches it: until then no job opened before starts anything.
+   */
+  public static final long HOLD_UP_MS = 15_000;
+
   /** Direct questions that an inherited machine leaves unanswered before it is given up early. */
   public static final int CLAIM_TRIES = 2;
 
@@ -633,6 +639,18 @@
   /** Most bytes of one page of notes: each change writes its page anew. */
   public static final int PAGE_BYTES = 4096;
 
+  /** Bytes of a page's key, revision and JSON around it in a transaction, at most. */
+  public static final int PAGE_FRAME_BYTES = 250;
+
+  /** Most bytes of pages in one transaction: three quarters of what the protocol allows. */
+  public static final int TXN_BYTES = 48 * 1024;
+
+  /** Milliseconds for which a page that the state service refuses by itself waits aside. */
+  public static final long PAGE_REFUSED_MS = 10_000;
+
+  /** Jobs whose ends are written at once: each takes some 300 bytes. */
+  public static final int ENDS_AT_ONCE = 100;
+
   /**
    * Share of the state service's limit for a value that a page may take; its frame comes on top.
    */
--- a/src/main/java/org/astershift/config/Settings.java
+++ b/src/main/java/org/astershift/config/Settings.java
@@ -109,7 +109,7 @@
         new StoreLimits(
             c.number(state, "rps", 1, 1e9),
             c.number(state, "write_rps", 1, 1e9),
-            c.number(state, "value_kb", 1, 1e6),
+            c.number(state, "value_kb", 4, 1e6),
             txnOps);
     Facts f =
         new Facts(
--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -362,11 +362,22 @@
     boolean counted = m.inherited && !m.claimed;
     m.reborn();
     m.heardMs = nowMs;
+    m.unheardMs = nowMs;
     unheard += counted ? 0 : 1;
     hidden.look(m, true);
     enter(m, Machine.State.UNHEARD);
   }
 
+  /**
+   * Whether the machine is one of a few that this leader cannot make listen, for so long that all
+   * that waits for it is worth more than the machine, though other controllers may reach it.
+   */
+  boolean holdsUp(Machine m, long nowMs) {
+    return m.state == Machine.State.UNHEARD
+        && fewUnheard()
+        && nowMs - Math.max(resumedMs, m.unheardMs) > Constants.HOLD_UP_MS;
+  }
+
   /** Proof that the machine and all on it are gone. */
   void gone(String name, String why, long nowMs) {
     Machine m = machines.remove(name);
--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -69,6 +69,12 @@
    */
   int unanswered;
 
+  /**
+   * Since when it may hold what this leader does not know of: the begin of the term, or of its
+   * life.
+   */
+  long unheardMs;
+
   /** Reports without this leader's token that came after another one was answered with it. */
   int inVain;
 
@@ -167,6 +173,7 @@
     this.spot = spot;
     this.state = state;
     this.knownMs = nowMs;
+    this.unheardMs = nowMs;
     this.listedMs = nowMs;
     this.heardMs = nowMs;
     this.seenMs = nowMs;
@@ -192,7 +199,7 @@
    * When it last said anything that counts: of one that answers nothing, only until it was known.
    */
   long saidMs() {
-    return deafAnew() ? knownMs : Math.max(seenMs, heardMs);
+    return deafAnew() ? unheardMs : Math.max(seenMs, heardMs);
   }
 
   /**
--- a/src/main/java/org/astershift/core/Silence.java
+++ b/src/main/java/org/astershift/core/Silence.java
@@ -225,11 +225,13 @@
 
   /** Whether this silent machine may be given back; counted against what may go in a time. */
   boolean giveUp(Machine m, long nowMs) {
-    if (reached(m, nowMs)) {
+    boolean holdsUp = c.holdsUp(m, nowMs);
+    if (reached(m, nowMs) && !holdsUp) {
       keptAnswering++;
       return false;
     }
-    if (few ? !alone(m, nowMs) : !(hearsEnough() && judged(m, nowMs))) {
+    boolean speaks = few ? alone(m, nowMs) : hearsEnough() && judged(m, nowMs);
+    if (!speaks && !holdsUp) {
       keptUnjudged++;
       return false;
     }
--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -441,6 +441,7 @@
   /** Writes the ends of completed jobs, as many in a transaction as it may have. */
   private void endLoop(Term t) throws InterruptedException {
     int most = Math.max(1, settings.storeLimits().txnOps() / CHANGES_AN_END);
+    most = Math.min(most, Constants.ENDS_AT_ONCE);
     while (true) {
       List<String> jobs = t.ends.next(most);
       if (jobs.isEmpty()) {
--- a/src/main/java/org/astershift/leader/Notes.java
+++ b/src/main/java/org/astershift/leader/Notes.java
@@ -70,7 +70,11 @@
   private final long token;
   private final StoreClient store;
   private final Listener listener;
-  private final int pagesAtOnce;
+  private final int mostPages;
+
+  /** Fewer for a while after a transaction was refused as malformed. */
+  private int pagesAtOnce;
+
   private final int pageBytes;
   private final Map<Kind, List<Page>> pages = new EnumMap<>(Kind.class);
   private final Map<Kind, Map<String, Page>> where = new EnumMap<>(Kind.class);
@@ -80,7 +84,8 @@
     this.token = token;
     this.store = store;
     this.listener = listener;
-    this.pagesAtOnce = limits.txnOps();
+    this.mostPages = limits.txnOps();
+    this.pagesAtOnce = mostPages;
     this.pageBytes =
         (int) Math.min(Constants.PAGE_BYTES, limits.valueKb() * 1024 * Constants.PAGE_SHARE);
     for (Kind k : Kind.values()) {
@@ -216,6 +221,9 @@
           reread(drafts, c.keys());
         } else {
           LOG.debug("notes are not written yet: {}", o);
+          if (o instanceof Outcome.Refused r && r.why().equals(StoreClient.MALFORMED)) {
+            refused(drafts);
+          }
           Thread.sleep(Constants.RETRY_MS);
         }
       }
@@ -240,7 +248,8 @@
         // What waits for longest goes first: a rental is not struck before its machines are noted.
         due.sort(Comparator.comparingLong(p -> p.dueMs));
         List<Draft> drafts = new ArrayList<>();
-        for (Page page : due.subList(0, Math.min(due.size(), pagesAtOnce))) {
+        int[] bytes = due.stream().mapToInt(p -> p.bytes).toArray();
+        for (Page page : due.subList(0, fitting(bytes, pagesAtOnce))) {
           drafts.add(
               new Draft(
                   page, new LinkedHashMap<>(page.entries), new LinkedHashSet<>(page.changed)));
@@ -254,6 +263,35 @@
     return List.of();
   }
 
+  /**
+   * How many of the first pages go into one transaction: it may have many changes and is bounded in
+   * bytes all the same. With 48 changes and full pages all of a large fleet's notes at once were
+   * three times what the state service takes, which would have been refused again and again.
+   */
+  static int fitting(int[] bytes, int most) {
+    int n = 0;
+    int sum = 0;
+    while (n < Math.min(bytes.length, most)) {
+      sum += bytes[n] + Constants.PAGE_FRAME_BYTES;
+      if (n > 0 && sum > Constants.TXN_BYTES) {
+        break;
+      }
+      n++;
+    }
+    return n;
+  }
+
+  /** A transaction was refused for what it is: smaller ones next, and what is alone waits aside. */
+  private synchronized void refused(List<Draft> drafts) {
+    if (drafts.size() > 1) {
+      pagesAtOnce = Math.max(1, drafts.size() / 2);
+      return;
+    }
+    Page page = drafts.get(0).page();
+    LOG.error("page {} of {} bytes is refused by the state service", page.key, page.bytes);
+    page.dueMs = Term.nowMs() + Constants.PAGE_REFUSED_MS; // others go on
+  }
+
   /**
    * Conditional on the pages' revisions: an earlier try of ours that is applied late must not bring
    * back what has changed since.
@@ -276,6 +314,9 @@
   }
 
   private void written(List<Draft> drafts, long revision) {
+    synchronized (this) {
+      pagesAtOnce = mostPages;
+    }
     for (Draft d : drafts) {
       d.page().revision = d.entries().isEmpty() ? 0 : revision;
     }
--- a/src/main/java/org/astershift/store/StoreClient.java
+++ b/src/main/java/org/astershift/store/StoreClient.java
@@ -66,6 +66,9 @@
     return a;
   }
 
+  /** Why a transaction was refused that will be refused again as it is: too large, too many. */
+  public static final String MALFORMED = "status 400";
+
   /** One key; {@code data} null if it does not exist. */
   public record Row(String key, Map<String, Object> data, long revision) {}
 
--- /dev/null
+++ b/src/test/java/org/astershift/leader/NotesTest.java
@@ -0,0 +1,44 @@
+package org.astershift.leader;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Arrays;
+import java.util.SplittableRandom;
+import org.astershift.config.Constants;
+import org.junit.jupiter.api.Test;
+
+/** How many pages of notes one transaction takes, whatever limits the settings give. */
+class NotesTest {
+  private static final int PROTOCOL_BYTES = 64 * 1024;
+
+  @Test
+  void noTransactionIsLargerThanTheStateServiceTakes() {
+    SplittableRandom random = new SplittableRandom(1);
+    for (int i = 0; i < 10_000; i++) {
+      int[] bytes = random.ints(random.nextInt(1, 200), 0, Constants.PAGE_BYTES + 1).toArray();
+      int most = random.nextInt(2, 1000);
+      int n = Notes.fitting(bytes, most);
+      int sum = Arrays.stream(bytes, 0, n).map(b -> b + Constants.PAGE_FRAME_BYTES).sum();
+      assertTrue(n >= 1 && n <= most && sum <= PROTOCOL_BYTES, n + " pages, " + sum + " bytes");
+      boolean room = n < Math.min(bytes.length, most);
+      int next = room ? bytes[n] + Constants.PAGE_FRAME_BYTES : 0;
+      assertTrue(
+          !room || sum + next > Constants.TXN_BYTES, "no more than needed is left for later");
+    }
+  }
+
+  @Test
+  void fullPagesOfALargeFleetNeedSeveralOfThem() {
+    int[] full = new int[48];
+    Arrays.fill(full, Constants.PAGE_BYTES);
+    assertEquals(11, Notes.fitting(full, 48));
+    assertEquals(8, Notes.fitting(full, 8));
+  }
+
+  /** One that is larger than all goes alone, and is refused alone. */
+  @Test
+  void onePageAlwaysGoes() {
+    assertEquals(1, Notes.fitting(new int[] {10 * PROTOCOL_BYTES, 10}, 8));
+  }
+}
--- a/src/test/java/org/astershift/world/NodeModel.java
+++ b/src/test/java/org/astershift/world/NodeModel.java
@@ -798,6 +798,16 @@
     return term != null;
   }
 
+  /** Whether it leads and has not heard all machines of earlier leaders yet. */
+  boolean starting() {
+    return term != null && term.scheduler.starting();
+  }
+
+  /** For how long it has led. */
+  long ledMs() {
+    return term == null ? 0 : clock() - term.beganMs;
+  }
+
   Scheduler scheduler() {
     return term == null ? null : term.scheduler;
   }
--- a/src/test/java/org/astershift/world/WorldTest.java
+++ b/src/test/java/org/astershift/world/WorldTest.java
@@ -293,6 +293,28 @@
     }
   }
 
+  /**
+   * The next leader cannot make one machine listen, though the other controller reaches it: for a
+   * while it is kept, but not for as long as the cut lasts, since all jobs opened before wait for
+   * it.
+   */
+  @Test
+  void oneMachineDoesNotHoldUpAllForEver() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      World w = rested(seed, Setup.of(3, 60));
+      leader(w).get(0).crash();
+      w.nodes.stream().filter(n -> !n.crashed()).forEach(n -> w.cut(n.name, "vm-3"));
+      w.runTo(24);
+      NodeModel next = leader(w).get(0);
+      w.nodes.stream().filter(n -> n != next).forEach(n -> w.heal(n.name, "vm-3"));
+      w.submit(job("wk-3", JobKind.ARRAY, 60), 5_000L);
+      w.runTo(70);
+      sound(w);
+      assertFalse(next.starting(), w.story());
+      assertTrue(running(w) >= 180, running(w) + " run\n" + w.story());
+    }
+  }
+
   /** Of each report a copy comes up to three leases later, at any node, also after a takeover. */
   @Test
   void copiesOfReportsComeLate() {
