World: users ask each node about each job; a job without an answer for 75 s fails

The world's users ask each node about each accepted job every five seconds from the middle of the troubles on, in the order in which the program answers (the leader from memory while it is certainly one and no end is under way, others by asking it, all else by a read, the live record first); the checker holds that nobody is told less than before and that 75 s after the last trouble each node has answered about each job. A mutant that forgets one job at one node is found.

--- a/src/test/java/org/astershift/world/Checker.java
+++ b/src/test/java/org/astershift/world/Checker.java
@@ -11,6 +11,12 @@
 /** What must never happen, and what users would call a failure, over the whole history. */
 final class Checker {
   private static final long JUST_NOW_MS = 1500;
+
+  /** The operators' letter: so long after all troubles a job without an answer is forgotten. */
+  private static final long FORGOTTEN_MS = 75_000;
+
+  private final Map<String, Long> answeredMs = new HashMap<>();
+  private final Map<String, Long> toldDoneMs = new HashMap<>();
   private final World world;
   private final Map<String, String> running = new HashMap<>();
 
@@ -87,6 +93,33 @@
     }
   }
 
+  /** Rules went_back and forgotten: what a node answered about an accepted job; null: nothing. */
+  void told(String job, String node, String said, long askedMs) {
+    if (said == null || said.equals("503")) {
+      return;
+    }
+    answeredMs.put(job + " at " + node, world.now());
+    if (said.equals("404")) {
+      broken.add("forgotten: " + node + " does not know " + job);
+    } else if (said.equals("done")) {
+      toldDoneMs.putIfAbsent(job, world.now());
+    } else if (toldDoneMs.getOrDefault(job, Long.MAX_VALUE) < askedMs) {
+      broken.add("went_back: " + node + " says that " + job + " is " + said);
+    }
+  }
+
+  /** All troubles were over at {@code healedMs}: no job may be without an answer for 75 s. */
+  void allAnswered(long healedMs) {
+    for (String job : world.accepted()) {
+      for (NodeModel n : world.nodes) {
+        long last = answeredMs.getOrDefault(job + " at " + n.name, 0L);
+        if (world.now() - Math.max(last, healedMs) >= FORGOTTEN_MS) {
+          broken.add("forgotten: " + n.name + " answers nothing about " + job);
+        }
+      }
+    }
+  }
+
   /** Jobs that are over. */
   int ended() {
     return called.size();
--- a/src/test/java/org/astershift/world/Mutant.java
+++ b/src/test/java/org/astershift/world/Mutant.java
@@ -16,6 +16,8 @@
   DEAF_WITNESSES,
   /** Copies of old reports are taken for the newest there are. */
   COPIES_ARE_NEWS,
+  /** One node answers no question about one job. */
+  ONE_JOB_IS_FORGOTTEN,
   /** A leader that hears few never hands over, and all stand at once. */
   NO_HANDING_OVER
 }
--- a/src/test/java/org/astershift/world/NodeModel.java
+++ b/src/test/java/org/astershift/world/NodeModel.java
@@ -69,6 +69,10 @@
     final Scheduler scheduler;
     final Set<String> jobs = new HashSet<>();
     final Map<String, BitSet> progress = new HashMap<>();
+
+    /** Jobs whose end may be on record already: nothing is told of them from memory. */
+    final Set<String> ending = new HashSet<>();
+
     int rentals;
     long dueMs = Long.MAX_VALUE;
 
@@ -570,6 +574,7 @@
       JobRow job = (JobRow) mirror.get("j/" + f.job()).value();
       Scheduler.JobView view = t.scheduler.view(f.job());
       int[] doneOf = {view.done(), job.spec().tasks()};
+      t.ending.add(f.job());
       // If absent: an earlier try without an answer may have been applied.
       write(
           t,
@@ -792,6 +797,73 @@
     state(() -> world.store.commit(when, writes), done);
   }
 
+  // ---- users ----
+
+  /**
+   * A user's question about a job, in the order in which the program answers it: the leader from
+   * memory while it is certainly one, others by asking it, and all else by a read of the state
+   * service, the live record first. 503 where none of these says anything.
+   */
+  void ask(String job, boolean forward, Consumer<String> answer) {
+    if (crashed) {
+      return;
+    }
+    here(
+        incarnation,
+        () -> {
+          if (has(Mutant.ONE_JOB_IS_FORGOTTEN) && name.equals("n1") && job.equals("wk-7")) {
+            answer.accept("503");
+            return;
+          }
+          Term t = term;
+          boolean told = t != null && !t.ending.contains(job);
+          Scheduler.JobView view = told ? t.scheduler.view(job) : null;
+          if (view != null && election.valid(t.token, clock())) {
+            answer.accept(view.running() ? "running" : "queued");
+            return;
+          }
+          Row row = mirror.get(StoreModel.LEADER);
+          String leader = toldLeader != null || row == null ? toldLeader : (String) row.value();
+          if (t != null || !forward || leader == null || leader.equals(name)) {
+            read(job, answer);
+            return;
+          }
+          NodeModel other =
+              world.nodes.stream().filter(n -> n.name.equals(leader)).findFirst().orElseThrow();
+          call(
+              leader,
+              Constants.PEER_TIMEOUT_MS,
+              (Consumer<String> a) -> other.ask(job, false, a),
+              (String said) -> {
+                if (said == null || said.equals("503")) {
+                  read(job, answer);
+                } else {
+                  answer.accept(said);
+                }
+              });
+        });
+  }
+
+  private void read(String job, Consumer<String> answer) {
+    if (lost()) {
+      answer.accept("503");
+      return;
+    }
+    state(
+        () -> world.store.get("j/" + job) != null,
+        (Boolean live) -> {
+          if (live == null) {
+            answer.accept("503");
+          } else if (live) {
+            answer.accept("queued");
+          } else {
+            state(
+                () -> world.store.get("d/" + job) != null,
+                (Boolean over) -> answer.accept(over == null ? "503" : over ? "done" : "404"));
+          }
+        });
+  }
+
   // ---- for tests ----
 
   boolean leads() {
--- a/src/test/java/org/astershift/world/Swarm.java
+++ b/src/test/java/org/astershift/world/Swarm.java
@@ -12,6 +12,10 @@
   private static final int FAULTS_FROM_S = 20;
   private static final int HEALED_S = 100;
   private static final int END_S = 190;
+
+  /** From the middle of the troubles on; earlier would only cost time. */
+  private static final int ASKED_FROM_S = 60;
+
   private static final int KINDS = 16;
   private static final int JOBS = 40;
   final World world;
@@ -58,12 +62,14 @@
     for (int i = 0; i < faults; i++) {
       w.after(w.random.nextLong((HEALED_S - FAULTS_FROM_S) * 1000L), s::fault);
     }
+    w.after(ASKED_FROM_S * 1000L - w.now(), w::askAll);
     w.runTo(HEALED_S);
     w.healAll();
     if (w.store.isDown()) {
       w.store.down(false);
     }
     w.runTo(END_S);
+    w.checker.allAnswered(HEALED_S * 1000L);
     return s;
   }
 
--- a/src/test/java/org/astershift/world/World.java
+++ b/src/test/java/org/astershift/world/World.java
@@ -217,6 +217,43 @@
       runMs.put(spec.id(), ms);
     }
     store.accept(spec);
+    accepted.add(spec.id());
+    if (asking) {
+      ask(spec.id());
+    }
+  }
+
+  private final List<String> accepted = new ArrayList<>();
+
+  private boolean asking;
+
+  /** From now on users ask each node about each accepted job every five seconds. */
+  void askAll() {
+    asking = true;
+    accepted.forEach(this::ask);
+  }
+
+  private void ask(String job) {
+    for (NodeModel n : nodes) {
+      after(random.nextLong(5000), () -> ask(job, n));
+    }
+  }
+
+  private void ask(String job, NodeModel n) {
+    long askedMs = nowMs;
+    call(
+        "user",
+        n.name,
+        2000,
+        (Consumer<String> answer) -> n.ask(job, true, answer),
+        (String said) -> {
+          checker.told(job, n.name, said, askedMs);
+          after(5000, () -> ask(job, n));
+        });
+  }
+
+  List<String> accepted() {
+    return accepted;
   }
 
   Long runMsOf(String job) {
--- a/src/test/java/org/astershift/world/WorldTest.java
+++ b/src/test/java/org/astershift/world/WorldTest.java
@@ -85,7 +85,8 @@
   @Test
   void eachFenceTakenAwayIsMissed() {
     StringBuilder found = new StringBuilder();
-    for (Mutant mutant : List.of(Mutant.DEAF_WITNESSES, Mutant.NO_ROSTER)) {
+    for (Mutant mutant :
+        List.of(Mutant.DEAF_WITNESSES, Mutant.NO_ROSTER, Mutant.ONE_JOB_IS_FORGOTTEN)) {
       long seed = 1;
       while (seed <= MUTANT_SEEDS && !Swarm.play(seed, mutant).failed()) {
         seed++;
