--- a/src/main/java/org/astershift/core/Hidden.java
+++ b/src/main/java/org/astershift/core/Hidden.java
@@ -25,10 +25,9 @@
 
   /** Brings the sums up to what is known of the machine now. */
   void look(Machine m, boolean there) {
-    if (there && m.inTheDark()
-        ? machines.add(m)
-        : !(there && m.inTheDark()) && machines.remove(m)) {
-      add(m, there && m.inTheDark() ? 1 : -1);
+    boolean dark = there && m.inTheDark();
+    if (dark ? machines.add(m) : machines.remove(m)) {
+      add(m, dark ? 1 : -1);
     }
   }
 
--- a/src/test/java/org/astershift/MainTest.java
+++ b/src/test/java/org/astershift/MainTest.java
@@ -56,6 +56,24 @@
     expect(2, "external.cloud is not host:port: nowhere", "--check", "--config", path);
   }
 
+  /** What no deployment should say of its teams and aims, and may: served, or one clear line. */
+  @Test
+  void oddTeamsAndAims() throws Exception {
+    String good = Files.readString(GOOD);
+    String odd =
+        good.replace("cpus = 0.0", "cpus = 90000.0")
+                .replace("cpus_max = 0.0", "cpus_max = 4.0")
+                .replace("name = \"demo\"", "name = \"demo\"\nlater = true")
+            + "\n[[facts.objectives]]\nkind = \"of-later\"\nclass = \"nobodys\"\n";
+    expect(0, "settings are fine", "--check", "--config", file("odd.toml", odd));
+    String below = good.replace("cpus_max = 0.0", "cpus_max = -1.0");
+    expect(2, "cpus_max is out of range: -1.0", "--check", "--config", file("below.toml", below));
+    String small = good.replaceAll("value_kb = [0-9.]+", "value_kb = 0.0");
+    expect(2, "value_kb is out of range: 0.0", "--check", "--config", file("small.toml", small));
+    String none = good.replaceAll("txn_ops = [0-9]+", "txn_ops = 0");
+    expect(2, "txn_ops is out of range: 0", "--check", "--config", file("none.toml", none));
+  }
+
   @Test
   void operatorsFile() throws Exception {
     String config = GOOD.toString();
