Over real sockets: late copies, a machine that begins anew, one that hears nothing

The stand-in worker keeps what it reported, may lose answers and execute held orders late, and may begin anew from tick 1 without a token.

--- a/src/test/java/org/astershift/EndToEndTest.java
+++ b/src/test/java/org/astershift/EndToEndTest.java
@@ -271,6 +271,47 @@
     assertEquals(new HashSet<>(started).size(), started.size(), "started twice: " + started);
   }
 
+  /**
+   * Copies of what machines said, old and new, come at every node; one machine begins anew; to
+   * another nothing that is said arrives while the leader is killed, and then all at once, late.
+   */
+  @Test
+  void copiesComeLateMachinesBeginAnewAndOneHearsNothing() throws Exception {
+    await(0, "POST", "/v2/runs", job("wk-000030", "sweep", 60), "wk-000030");
+    await(1, "GET", "/v2/runs/wk-000030", null, "\"running\",");
+    List<String> lost = cloud.workers().get(0).beginAnew();
+    replay();
+    StandInWorker deaf = cloud.workers().get(cloud.workers().size() - 1);
+    deaf.deaf(true);
+    for (int i = 0; i < 3; i++) {
+      if (Files.readString(dir.resolve(log(i))).contains(" leads with token ")) {
+        nodes.get(i).destroyForcibly().waitFor();
+        nodes.set(i, node(i));
+        await(i, "GET", "/ready", null, "ready");
+      }
+    }
+    replay();
+    deaf.deaf(false);
+    replay();
+    await(2, "GET", "/v2/runs/wk-000030", null, "\"done\",");
+    List<String> starts = started();
+    lost.forEach(starts::remove);
+    assertEquals(new HashSet<>(starts).size(), starts.size(), "started twice: " + starts);
+  }
+
+  /** Sends a part of all that was reported so far once more, to each node. */
+  private void replay() throws Exception {
+    for (StandInWorker w : cloud.workers()) {
+      List<String> said = w.said();
+      for (int i = 0; i < said.size(); i += 1 + said.size() / 4) {
+        for (int n = 0; n < 3; n++) {
+          int status = call(n, "POST", "/agent/beat", said.get(i)).status();
+          assertTrue(Set.of(200, 421, 503).contains(status), "status " + status);
+        }
+      }
+    }
+  }
+
   /** The log of the process that now stands for this node. */
   private String log(int node) {
     return "n" + node + "-" + logs.get(node) + ".log";
--- a/src/test/java/org/astershift/standin/StandInWorker.java
+++ b/src/test/java/org/astershift/standin/StandInWorker.java
@@ -1,6 +1,7 @@
 package org.astershift.standin;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -27,6 +28,12 @@
   private volatile boolean closed;
   private int at;
 
+  /** What it reported so far, for those who send it once more. */
+  private final List<String> said = new ArrayList<>();
+
+  /** What is said to it arrives once this is over: packets held by a cut. */
+  private boolean deaf;
+
   StandInWorker(String name, String zone, List<Integer> controllers, long taskMs)
       throws IOException {
     this.name = name;
@@ -57,6 +64,28 @@
     return new ArrayList<>(started);
   }
 
+  /** Every report so far, as it was sent. */
+  public synchronized List<String> said() {
+    return new ArrayList<>(said);
+  }
+
+  /** Its reports arrive; answers to them are lost, and orders wait until this is over. */
+  public synchronized void deaf(boolean now) {
+    deaf = now;
+    notifyAll();
+  }
+
+  /** It ends and is there again: no task, no token, and the first tick. Says what it lost. */
+  public synchronized List<String> beginAnew() {
+    List<String> lost = new ArrayList<>();
+    tasks.values().forEach(t -> lost.add(String.valueOf(t.get("shard"))));
+    tasks.clear();
+    startedMs.clear();
+    token = 0;
+    seq = 0;
+    return lost;
+  }
+
   /** Tasks that run now. */
   public synchronized List<String> running() {
     List<String> out = new ArrayList<>();
@@ -72,6 +101,7 @@
   @Override
   public void close() throws IOException {
     closed = true;
+    deaf(false);
     http.close();
   }
 
@@ -101,6 +131,9 @@
   }
 
   private synchronized Response handle(Request r) throws Exception {
+    while (deaf && !closed) {
+      wait();
+    }
     if (!r.path().equals("/orders")) {
       return Response.of(200, report());
     }
@@ -150,15 +183,23 @@
     wait(REPORT_MS);
   }
 
+  private synchronized void answered(String report, HttpClient.Answer a) throws Json.Bad {
+    said.add(report);
+    if (!deaf) {
+      obey(Json.object(a.body()));
+    }
+  }
+
   private void loop() {
     while (!closed) {
       try {
         rest();
         int port = controllers.get(at % controllers.size());
         HttpClient client = new HttpClient("127.0.0.1", port, 1);
-        HttpClient.Answer a = client.call("POST", "/agent/beat", Json.bytes(report()), 2000);
+        byte[] report = Json.bytes(report());
+        HttpClient.Answer a = client.call("POST", "/agent/beat", report, 2000);
         if (a.status() == 200) {
-          obey(Json.object(a.body()));
+          answered(new String(report, StandardCharsets.UTF_8), a);
         } else {
           at++;
         }
