--- a/src/main/java/org/astershift/core/Silence.java
+++ b/src/main/java/org/astershift/core/Silence.java
@@ -319,7 +319,12 @@
     List<Machine> rest = new ArrayList<>();
     for (Machine m : c.all()) {
       boolean due = m.addr != null && suspect(m, nowMs);
-      if (!due || reached(m, nowMs) || unreached(m, nowMs)) {
+      // Asked again before what is known grows old: one of the others may be slow to answer, and
+      // four
+      // healthy machines were given back between the one answer and the next.
+      boolean soonOld =
+          nowMs - m.reachedMs > Constants.REACHED_FRESH_MS - Constants.WITNESS_WAIT_MS;
+      if (!due || (reached(m, nowMs) && !soonOld) || unreached(m, nowMs)) {
         continue;
       }
       Zone zone = zones.get(m.zone);
