--- a/src/test/java/org/astershift/leader/TermTest.java
+++ b/src/test/java/org/astershift/leader/TermTest.java
@@ -26,6 +26,11 @@
   }
 
   private static Records.JobRecord job() {
+    return job(0);
+  }
+
+  /** {@code aheadMs}: by how much the clock of the node that accepted it is ahead of this one's. */
+  private static Records.JobRecord job(long aheadMs) {
     JobSpec spec =
         new JobSpec(
             "wk-1",
@@ -48,7 +53,7 @@
             0,
             0,
             null);
-    return new Records.JobRecord(spec, System.currentTimeMillis());
+    return new Records.JobRecord(spec, System.currentTimeMillis() + aheadMs);
   }
 
   /**
@@ -83,4 +88,22 @@
     assertNull(term.scheduler.view("wk-1"));
     assertFalse(term.keeps("wk-1"));
   }
+
+  /**
+   * The time of day is a second off, or ten, and wanders: it says how old a job is and orders the
+   * queue, and no rule rests on it. A job of the future is one of now.
+   */
+  @Test
+  void clocksOfTheDayMayBeOff() {
+    for (long aheadMs : new long[] {-10_000, -1000, 0, 1000, 10_000}) {
+      Term term = term();
+      Records.JobRecord record = job(aheadMs);
+      term.add(record);
+      assertFalse(term.told("wk-1").running());
+      term.add(job(-aheadMs)); // read again, as another node saw it
+      term.ended("wk-1", false);
+      term.add(record);
+      assertNull(term.told("wk-1"));
+    }
+  }
 }
