A machine that began anew is asked for the rest of the term: of which life a report is nobody can tell

Cause, by reading: messages of an earlier life were told apart by the last position known of it; but that life may have sent a later report to another node, whose copy would have been newer, lacked the tasks of the present life, and let them start elsewhere. Change: after a life that ended in this term reports are signs of life only, and each is followed by a question.

--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -83,10 +83,8 @@
 
   long reportSeq;
 
-  /** Up to here messages may be of an earlier life of the machine in this term. */
-  long pastSession;
-
-  long pastSeq;
+  /** It began anew in this term: of which life a report is nobody can tell any more. */
+  boolean begunAnew;
 
   /** What was known of it when the question under way was decided: its answer is younger. */
   long askedSession;
@@ -208,8 +206,7 @@
    * meanwhile can take it for its own.
    */
   void reborn() {
-    past(session, seq);
-    past(reportSession, reportSeq);
+    begunAnew = true;
     session = 0;
     seq = 0;
     reportSession = 0;
@@ -222,13 +219,6 @@
     images.clear();
   }
 
-  private void past(long ofSession, long ofSeq) {
-    if (ofSession > pastSession || (ofSession == pastSession && ofSeq > pastSeq)) {
-      pastSession = ofSession;
-      pastSeq = ofSeq;
-    }
-  }
-
   boolean usable(long nowMs) {
     return state == State.LIVE
         && enrolled
--- a/src/main/java/org/astershift/core/Reports.java
+++ b/src/main/java/org/astershift/core/Reports.java
@@ -55,7 +55,7 @@
      * No answer to it reaches anybody, so it renews no lease.
      */
     NOTHING,
-    /** Of this life of the machine or of an earlier one: only an answer of its own tells. */
+    /** Of this life of the machine or of an earlier one: only its answer to a question tells. */
     LIFE,
     /**
      * The same, and it says that what is held there is gone. It is not answered: if the machine is
@@ -79,7 +79,7 @@
     if (!r.newerThan(m.reportSession, m.reportSeq) || r.session() < m.session) {
       return Worth.NOTHING;
     }
-    return r.newerThan(m.pastSession, m.pastSeq) ? Worth.ALL : Worth.LIFE;
+    return m.begunAnew ? Worth.LIFE : Worth.ALL;
   }
 
   /**
@@ -261,10 +261,8 @@
       other = null;
     }
     if (other != null && m.claimed && !other.machine.claimed && job.state == Job.State.LIVE) {
-      // What the other machine said may be a copy of an old report, and was this leader's first
-      // word
-      // of it; this one shows the token, so it has the task now, and a task is never on two
-      // machines.
+      // What the other said may be a copy of an old report, this leader's first word of it. This
+      // one shows the token, so it has the task now, and a task is never on two machines.
       LOG.info("task {} is on {} and not on {}", run.name(), m.name, other.machine.name);
       job.release(other);
       other.stopping = true;
--- a/src/main/java/org/astershift/core/Silence.java
+++ b/src/main/java/org/astershift/core/Silence.java
@@ -319,8 +319,7 @@
     List<Machine> rest = new ArrayList<>();
     for (Machine m : c.all()) {
       boolean due = m.addr != null && suspect(m, nowMs);
-      // Asked again before what is known grows old: one of the others may be slow to answer, and
-      // four
+      // Asked again before what is known grows old: where one of the others was slow to answer
       // healthy machines were given back between the one answer and the next.
       boolean soonOld =
           nowMs - m.reachedMs > Constants.REACHED_FRESH_MS - Constants.WITNESS_WAIT_MS;
