A task starts nowhere while any run of it is left on a machine

As old as the code, and rare without copies. Change: a run that another one kept from holding its task holds it once that one is gone, until it is off its machine too.

--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -556,8 +556,18 @@
   void release(Run run) {
     use(run, -1);
     Job job = run.job;
-    if (job.release(run) && job.state == Job.State.LIVE && !job.waiting.isEmpty()) {
-      waiting.add(job);
+    job.extras.remove(run);
+    if (job.release(run)) {
+      for (Run extra : job.extras) {
+        if (extra.index == run.index) {
+          job.extras.remove(extra);
+          recognise(extra);
+          break;
+        }
+      }
+      if (job.state == Job.State.LIVE && !job.waiting.isEmpty()) {
+        waiting.add(job);
+      }
     }
   }
 
--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -58,6 +58,13 @@
   /** Where each task is held; exited attempts are not here. */
   final Map<Integer, Run> runs = new HashMap<>();
 
+  /**
+   * Runs of tasks that another run holds, until they are off their machines. When that one goes,
+   * one of these holds the task: what a copy of an old report showed went, the true run was still
+   * being stopped, and the task was started a second time (seed 20001 of the swarm).
+   */
+  final List<Run> extras = new ArrayList<>(0);
+
   /** Types of machines that its tasks may go to. */
   Set<String> usableTypes = Set.of();
 
--- a/src/main/java/org/astershift/core/Reports.java
+++ b/src/main/java/org/astershift/core/Reports.java
@@ -265,12 +265,16 @@
       // one shows the token, so it has the task now, and a task is never on two machines.
       LOG.info("task {} is on {} and not on {}", run.name(), m.name, other.machine.name);
       job.release(other);
+      job.extras.add(other);
       other.stopping = true;
       other = null;
     }
     if (job.state != Job.State.LIVE || job.done.get(run.index) || other != null) {
       LOG.info("task {} attempt {} on {} is not wanted: stopped", run.name(), run.attempt, m.name);
       run.stopping = true;
+      if (other != null) {
+        job.extras.add(run);
+      }
       return;
     }
     c.recognise(run);
