What is on record is not noted as fresh again by the answer to its rental

The program has it as the model had, as old as the code. Change: such a note is written only where there is none.

--- a/src/main/java/org/astershift/leader/Machines.java
+++ b/src/main/java/org/astershift/leader/Machines.java
@@ -158,7 +158,7 @@
         LOG.info("rental {} of {} {} in {} brings {}", name, r.count(), r.type(), r.zone(), names);
         for (String m : names) {
           Decision.Enrol e = new Decision.Enrol(m, null, r.type(), r.zone(), r.spot(), true);
-          t.notes.put(Notes.Kind.MACHINE, m, Records.machine(e), 0);
+          t.notes.putNew(Notes.Kind.MACHINE, m, Records.machine(e));
         }
         synchronized (t) {
           t.scheduler.rented(name, names, r, Term.nowMs());
--- a/src/main/java/org/astershift/leader/Notes.java
+++ b/src/main/java/org/astershift/leader/Notes.java
@@ -156,6 +156,16 @@
     touch(page, key, delayMs);
   }
 
+  /**
+   * The same where there is no such entry yet. A machine that reported before its rental was
+   * answered may have tasks by then: noted as fresh once more, a successor took it to hold nothing.
+   */
+  synchronized void putNew(Kind kind, String key, Object value) {
+    if (!where.get(kind).containsKey(key)) {
+      put(kind, key, value, 0);
+    }
+  }
+
   private Page roomy(Kind kind, int size) {
     for (Page page : pages.get(kind)) {
       if (page.bytes + size <= pageBytes) {
--- a/src/test/java/org/astershift/world/NodeModel.java
+++ b/src/test/java/org/astershift/world/NodeModel.java
@@ -73,6 +73,9 @@
     /** Jobs whose end may be on record already: nothing is told of them from memory. */
     final Set<String> ending = new HashSet<>();
 
+    /** Machines that this leader has put on record. */
+    final Set<String> noted = new HashSet<>();
+
     int rentals;
     long dueMs = Long.MAX_VALUE;
 
@@ -585,6 +588,7 @@
               new Write("d/" + f.job(), doneOf, 0)),
           () -> t.scheduler.ended(f.job(), false, clock()));
     } else if (d instanceof Decision.Enrol e) {
+      t.noted.add(e.machine());
       write(
           t,
           new Write("m/" + e.machine(), new MachineRow(e), 0),
@@ -700,6 +704,9 @@
           }
           List<Write> writes = new ArrayList<>();
           for (String m : names) {
+            if (!t.noted.add(m) || mirror.containsKey("m/" + m)) {
+              continue; // it may have tasks already, and is no longer fresh
+            }
             writes.add(
                 new Write(
                     "m/" + m,
