From reading the change again: one piece drops all that a machine held

Cause: the loop stood in gone and in a lease's end, and was written once more for a machine that began anew. Change: all three call Cluster.dropAll.

--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -356,9 +356,7 @@
   /** The machine began anew: what it held is gone, and it has to be heard as any other. */
   void reborn(Machine m, long nowMs) {
     LOG.info("machine {} began anew: its {} tasks are gone", m.name, m.heldCount());
-    for (Run run : new ArrayList<>(m.runs.values())) {
-      drop(run);
-    }
+    dropAll(m);
     boolean counted = m.inherited && !m.claimed;
     m.reborn();
     m.heardMs = nowMs;
@@ -391,9 +389,7 @@
     if (m.inherited && !m.claimed) {
       heard(m, nowMs);
     }
-    for (Run run : new ArrayList<>(m.runs.values())) {
-      drop(run);
-    }
+    dropAll(m);
     hidden.look(m, false);
     stale.remove(m);
     unrecorded.remove(m);
@@ -581,6 +577,13 @@
     run.machine.remove(run);
   }
 
+  /** Proof that nothing of what the machine held is left there. */
+  void dropAll(Machine m) {
+    for (Run run : new ArrayList<>(m.runs.values())) {
+      drop(run);
+    }
+  }
+
   /** Stops a task in the way that saves most: a gang as a whole, with time to save. */
   void stop(Run run) {
     if (run.job.spec.kind() == JobKind.GANG) {
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -515,9 +515,7 @@
       LOG.info(
           "machine {} was not heard for {} ms: its lease has run out", m.name, soleMs - m.heardMs);
     }
-    for (Run run : new ArrayList<>(m.runs.values())) {
-      c.drop(run);
-    }
+    c.dropAll(m);
     // A machine that is being returned is no more to be used, also while the cloud is away.
     if (m.state == Machine.State.LIVE) {
       c.enter(m, Machine.State.LOST);
