--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -244,6 +244,7 @@
     job.state = cancelled ? Job.State.CANCELLED : Job.State.DONE;
     for (Run run : new ArrayList<>(job.runs.values())) {
       if (run.ordered) {
+        run.hasten();
         stale.add(run.machine);
       } else {
         drop(run);
--- a/src/main/java/org/astershift/core/Commands.java
+++ b/src/main/java/org/astershift/core/Commands.java
@@ -35,7 +35,7 @@
           // Make the worker remember the attempt, so that the late start has no effect.
           orders.add(Order.start(run));
         }
-        orders.add(Order.stop(run, run.stopGraceS));
+        orders.add(Order.stop(run, run.graceS()));
       } else if (run.phase == null && run.job.opened) {
         run.ordered = true;
         orders.add(Order.start(run));
@@ -47,6 +47,22 @@
     return orders;
   }
 
+  /**
+   * Stops for what a report shows of jobs that are over. Each answer with this token may renew the
+   * machine's lease, also one to a report that proves nothing; so each carries these, or a task
+   * whose user was told that it is cancelled would live on for as long as only such reports come.
+   */
+  List<Order> ends(Report r) {
+    List<Order> orders = new ArrayList<>(0);
+    for (Report.Item item : r.tasks()) {
+      Job job = c.jobs.get(item.job());
+      if (item.phase() != Report.Phase.EXITED && (job == null || job.cancelWanted)) {
+        orders.add(new Order(Order.Op.STOP, item.job(), item.index(), item.attempt(), 0));
+      }
+    }
+    return orders;
+  }
+
   /**
    * What a machine says is done is kept there until it is on record: a successor may ask for it.
    */
@@ -100,7 +116,7 @@
     List<Order> orders = new ArrayList<>();
     for (Run run : m.runs.values()) {
       if (stopDue(run)) {
-        orders.add(Order.stop(run, run.stopGraceS));
+        orders.add(Order.stop(run, run.graceS()));
         run.stopSent = true;
       } else if (run.phase == null && !run.ordered && run.job.opened && !run.unwanted()) {
         orders.add(Order.start(run));
--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -159,6 +159,11 @@
     return probes > 0;
   }
 
+  /** Whether a task of it may be on a machine, as far as known here. */
+  boolean holdsAny() {
+    return !runs.isEmpty() || !extras.isEmpty();
+  }
+
   /** Its probe is out: no further task of it starts. */
   boolean beingProbed() {
     return suspect() && !runs.isEmpty();
--- a/src/main/java/org/astershift/core/Run.java
+++ b/src/main/java/org/astershift/core/Run.java
@@ -60,6 +60,21 @@
     return stopping || job.state != Job.State.LIVE || job.cancelWanted;
   }
 
+  /** Its job is over or about to be: nothing that it could still save is of use to anybody. */
+  private boolean useless() {
+    return job.state != Job.State.LIVE || job.cancelWanted;
+  }
+
+  /** The grace of a stop: none for what is useless, so that one that saves is ended, too. */
+  double graceS() {
+    return useless() ? 0 : stopGraceS;
+  }
+
+  /** A stop that gave time to save has to go out once more where that is of no use now. */
+  void hasten() {
+    stopSent &= stopGraceS == 0;
+  }
+
   String name() {
     return job.spec.id() + "/" + index;
   }
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -159,6 +159,7 @@
     if (job != null && !job.cancelWanted) {
       job.cancelWanted = true;
       for (Run run : job.runs.values()) {
+        run.hasten();
         c.stale.add(run.machine);
       }
       c.stir();
@@ -167,11 +168,17 @@
 
   /**
    * Whether a cancellation could be kept if it were promised now: no machine that might hold one of
-   * the job's tasks can still be renewed by an older leader, cut off together with it.
+   * the job's tasks can still be renewed by an older leader, cut off together with it. Whoever
+   * renews one from then on stops the task in the same answer, so it lives for a lease at most;
+   * where users are promised less than that, none may be left.
    */
   public boolean cancelKeepable(String id) {
     Job job = c.jobs.get(id);
-    return job == null || !((job.inherited && c.unheard()) || heldUnclaimed(job));
+    if (job == null) {
+      return true;
+    }
+    boolean inTime = leaseMs() <= c.facts.cancelS() * 1000;
+    return !(job.inherited && c.unheard()) && !heldUnclaimed(job) && (inTime || !job.holdsAny());
   }
 
   private static boolean heldUnclaimed(Job job) {
@@ -237,7 +244,7 @@
    */
   public List<Order> report(Report r, long nowMs) {
     if (c.goneRecently(r.machine())) {
-      return List.of(); // a late report of a machine that is gone
+      return commands.ends(r); // a late report of a machine that is gone
     }
     Machine m = reports.from(r, nowMs);
     if (reports.deposed()) {
@@ -246,7 +253,7 @@
     switch (reports.worth(m, r)) {
       case NOTHING -> {
         m.older = true;
-        return List.of();
+        return commands.ends(r);
       }
       case DOUBT -> {
         m.older = true;
@@ -255,7 +262,7 @@
       case LIFE -> {
         m.older = true;
         m.heardMs = nowMs;
-        return List.of();
+        return commands.ends(r);
       }
       default -> {}
     }
@@ -267,7 +274,7 @@
     m.heardMs = nowMs;
     int before = m.heldCount();
     if (!reports.absorb(m, r, wasAnswered, nowMs)) {
-      return List.of();
+      return commands.ends(r);
     }
     placement.serve(m, nowMs);
     if (m.heldCount() < before && placement.gangWaits(m)) {
--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -156,11 +156,11 @@
     }
   }
 
-  /** A job was accepted here. */
-  void accepted(Records.JobRecord record) {
+  /** A job was accepted here, and recorded at this revision. */
+  void accepted(Records.JobRecord record, long revision) {
     Term t = term;
     if (t != null && ended.get(record.spec().id()) == null) {
-      t.add(record);
+      t.add(record, revision);
       stir();
     }
   }
@@ -464,7 +464,7 @@
         Records.Ended end = endOf(t, id, false);
         ends.put(id, end);
         write(txn, id, end);
-        t.ending(id);
+        t.ledger().ending(id);
       }
     }
     if (ends.isEmpty()) {
@@ -475,7 +475,7 @@
       ends.forEach((id, end) -> ended(t, id, end));
       stir();
     } else if (o instanceof Outcome.Conflict && !t.lostBy(o)) {
-      ends.keySet().forEach(t::notEnded);
+      ends.keySet().forEach(t.ledger()::notEnded);
       // One of them was cancelled meanwhile, or an earlier try without an answer was applied.
       for (String id : ends.keySet()) {
         if (finish(t, id, false, Constants.STORE_PATIENCE_MS) == null) {
@@ -484,7 +484,7 @@
       }
     } else {
       if (o instanceof Outcome.Refused) {
-        ends.keySet().forEach(t::notEnded);
+        ends.keySet().forEach(t.ledger()::notEnded);
       }
       failed(t, ends.keySet());
     }
@@ -532,10 +532,10 @@
     Records.Ended end = endOf(t, id, cancelled);
     StoreClient.Txn txn = t.txn();
     write(txn, id, end);
-    t.ending(id);
+    t.ledger().ending(id);
     Outcome o = store.commit(txn, RateBudget.Use.URGENT, patienceMs);
     if (o instanceof Outcome.Conflict || o instanceof Outcome.Refused) {
-      t.notEnded(id);
+      t.ledger().notEnded(id);
     }
     if (o instanceof Outcome.Conflict && !t.lostBy(o)) {
       try {
--- a/src/main/java/org/astershift/leader/Term.java
+++ b/src/main/java/org/astershift/leader/Term.java
@@ -2,15 +2,13 @@
 
 import java.util.BitSet;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.astershift.config.Constants;
 import org.astershift.core.Decision;
 import org.astershift.core.Scheduler;
 import org.astershift.http.Json;
+import org.astershift.office.JobLedger;
 import org.astershift.store.Mirror;
 import org.astershift.store.Records;
 import org.astershift.store.StoreClient;
@@ -30,28 +28,15 @@
   final Ends ends = new Ends();
   private final Runnable stepDown;
   private volatile boolean over;
-  private final Set<String> jobs = new HashSet<>();
+  private final JobLedger ledger;
   private long rentals;
 
-  /**
-   * Jobs that ended in this term, the oldest first. What was read of a job before its end may
-   * arrive after it, from another thread: taken in again, the job's tasks would start once more.
-   */
-  private final Set<String> endedHere = new LinkedHashSet<>();
-
-  /**
-   * Jobs whose end may be durable though this leader does not know it yet, by the tries under way
-   * or without an answer. Nothing older may be told of them from memory: another node that reads
-   * the state service tells that they are over, and on a node short of processor time seconds pass
-   * between the write and the news of it (a user was told done, then queued).
-   */
-  private final Map<String, Integer> ending = new HashMap<>();
-
   /** {@code stepDown} is called when it is certain that another leads. */
   Term(long token, Scheduler scheduler, Notes notes, Runnable stepDown) {
     this.token = token;
     this.scheduler = scheduler;
     this.notes = notes;
+    this.ledger = new JobLedger(token);
     this.stepDown = stepDown;
   }
 
@@ -108,6 +93,7 @@
       add(row, opened.containsKey(id), done.getOrDefault(id, new BitSet()));
       scheduler.remembered(id, Records.openedOn(opened.get(id)));
     }
+    ledger.loaded();
     // Left by a leader that ended between a job's end and the striking of its notes.
     for (String id : opened.keySet()) {
       forget(id);
@@ -118,7 +104,7 @@
   }
 
   private void forget(String id) {
-    if (!jobs.contains(id)) {
+    if (!ledger.keeps(id)) {
       strike(id);
     }
   }
@@ -137,39 +123,35 @@
     }
   }
 
-  /** A job accepted in this term. */
+  /** A job whose live record was read. */
   void add(StoreClient.Row row) {
     add(row, false, new BitSet());
   }
 
   private void add(StoreClient.Row row, boolean opened, BitSet done) {
     try {
-      add(Records.job(row.key(), row.data()), opened, done);
+      add(Records.job(row.key(), row.data()), row.revision(), opened, done);
     } catch (Json.Bad | RuntimeException e) {
       LOG.error("record {} cannot be read: {}", row.key(), e.getMessage());
     }
   }
 
-  void add(Records.JobRecord record) {
-    add(record, false, new BitSet());
+  /** A job that this node accepted, recorded at this revision. */
+  void add(Records.JobRecord record, long revision) {
+    add(record, revision, false, new BitSet());
   }
 
-  private synchronized void add(Records.JobRecord record, boolean opened, BitSet done) {
-    String id = record.spec().id();
-    if (!endedHere.contains(id) && jobs.add(id)) {
+  private synchronized void add(
+      Records.JobRecord record, long revision, boolean opened, BitSet done) {
+    if (ledger.take(record.spec().id(), revision)) {
       long ago = Math.max(0, System.currentTimeMillis() - record.submittedMs());
       scheduler.addJob(record.spec(), opened, done, nowMs() - ago);
     }
   }
 
-  /** A write of the job's end is about to go out. */
-  synchronized void ending(String id) {
-    ending.merge(id, 1, Integer::sum);
-  }
-
-  /** Such a write was certainly not applied, nor will be. */
-  synchronized void notEnded(String id) {
-    ending.computeIfPresent(id, (i, tries) -> tries > 1 ? tries - 1 : null);
+  /** Which jobs this term looks after, and what may be told of them. */
+  JobLedger ledger() {
+    return ledger;
   }
 
   /**
@@ -177,22 +159,17 @@
    * may be on record already.
    */
   synchronized Scheduler.JobView told(String id) {
-    return ending.containsKey(id) ? null : scheduler.view(id);
+    return ledger.mayBeOver(id) ? null : scheduler.view(id);
   }
 
   /** Whether this term looks after the job. */
-  synchronized boolean keeps(String id) {
-    return jobs.contains(id);
+  boolean keeps(String id) {
+    return ledger.keeps(id);
   }
 
   synchronized void ended(String id, boolean cancelled) {
-    jobs.remove(id);
-    endedHere.add(id);
-    if (endedHere.size() > Constants.ENDED_IN_TERM) {
-      endedHere.remove(endedHere.iterator().next());
-    }
+    ledger.ended(id);
     scheduler.ended(id, cancelled, nowMs());
-    ending.remove(id);
     strike(id);
   }
 
--- a/src/main/java/org/astershift/leader/UserDesk.java
+++ b/src/main/java/org/astershift/leader/UserDesk.java
@@ -6,6 +6,7 @@
 import org.astershift.core.JobSpec;
 import org.astershift.core.Scheduler;
 import org.astershift.http.Json;
+import org.astershift.office.Cancellation;
 import org.astershift.peer.JobAnswer;
 import org.astershift.store.RateBudget;
 import org.astershift.store.Records;
@@ -66,8 +67,8 @@
             .when(Records.ENDED + spec.id(), 0)
             .put(key, Records.job(record));
     Outcome o = store.commit(txn, RateBudget.Use.URGENT, Constants.ACCEPT_PATIENCE_MS);
-    if (o instanceof Outcome.Applied) {
-      director.accepted(record);
+    if (o instanceof Outcome.Applied a) {
+      director.accepted(record, a.revision());
       return new Submitted(201, new JobAnswer(200, "queued", 0, 0));
     }
     if (o instanceof Outcome.Refused) {
@@ -135,53 +136,76 @@
 
   /** Cancels; answered only when it is durable and can be kept. */
   public JobAnswer cancel(String id, boolean forward) throws InterruptedException {
-    Records.Ended end = ended.get(id);
-    if (end != null) {
-      return answer(end);
-    }
     Term t = director.term();
-    if (t == null || !director.valid(t)) {
-      if (!forward || t != null) {
-        return JobAnswer.UNDECIDED;
+    long deadline = Term.nowMs() + Constants.CANCEL_PATIENCE_MS;
+    boolean wanted = false;
+    JobAnswer read = null;
+    while (true) {
+      Cancellation.Act act =
+          Cancellation.next(view(id, t, forward, read != null, Term.nowMs() >= deadline));
+      if (act.ofKept() && !wanted) {
+        wanted = true; // nothing of it starts from here on, however long the write takes
+        synchronized (t) {
+          t.scheduler.cancelWanted(id);
+        }
+        director.stir();
       }
-      JobAnswer a = askLeader("cancel", id);
-      remember(id, a);
-      return a;
-    }
-    if (!t.keeps(id)) {
-      JobAnswer known = fromStore(id);
-      if (known.status() != 200 || !t.keeps(id)) {
-        return known.status() == 200 && "queued".equals(known.phase())
-            ? JobAnswer.UNDECIDED
-            : known;
+      Records.Ended end = null;
+      switch (act) {
+        case TELL -> end = ended.get(id);
+        case FORWARD -> {
+          JobAnswer a = askLeader("cancel", id);
+          remember(id, a);
+          return a;
+        }
+        case READ -> {
+          read = fromStore(id);
+          if (read.status() != 200) {
+            return read;
+          }
+        }
+        case WRITE_CANCELLED -> end = director.finish(t, id, true, leftMs(deadline));
+        case WRITE_DONE -> end = director.finish(t, id, false, leftMs(deadline));
+        case WAIT -> {}
+        default -> {
+          return JobAnswer.UNDECIDED;
+        }
+      }
+      if (end != null) {
+        return answer(end);
+      }
+      if (act.ofKept()) {
+        Thread.sleep(Constants.CANCEL_LOOK_MS);
       }
     }
-    synchronized (t) {
-      t.scheduler.cancelWanted(id);
-    }
-    director.stir();
-    long deadline = Term.nowMs() + Constants.CANCEL_PATIENCE_MS;
-    while (!t.over() && Term.nowMs() < deadline) {
-      boolean keepable;
-      Scheduler.JobView view;
+  }
+
+  private static long leftMs(long deadline) {
+    return Math.max(1, deadline - Term.nowMs());
+  }
+
+  private Cancellation.View view(String id, Term t, boolean forward, boolean read, boolean late) {
+    boolean over = ended.get(id) != null;
+    boolean kept = t != null && t.keeps(id);
+    boolean keepable = false;
+    boolean complete = false;
+    if (!over && kept) {
       synchronized (t) {
+        Scheduler.JobView view = t.scheduler.view(id);
         keepable = t.scheduler.cancelKeepable(id);
-        view = t.scheduler.view(id);
-      }
-      if (view == null) {
-        Records.Ended now = ended.get(id);
-        return now == null ? JobAnswer.UNDECIDED : answer(now);
-      }
-      if (keepable || view.complete()) {
-        Records.Ended now =
-            director.finish(t, id, !view.complete(), Math.max(1, deadline - Term.nowMs()));
-        if (now != null) {
-          return answer(now);
-        }
+        complete = view != null && view.complete();
       }
-      Thread.sleep(Constants.CANCEL_LOOK_MS);
     }
-    return JobAnswer.UNDECIDED;
+    return new Cancellation.View(
+        over,
+        forward,
+        t != null,
+        t != null && !t.over() && director.valid(t),
+        kept,
+        read,
+        keepable,
+        complete,
+        late);
   }
 
   /** Answers another node. */
--- /dev/null
+++ b/src/main/java/org/astershift/office/Cancellation.java
@@ -0,0 +1,74 @@
+package org.astershift.office;
+
+/**
+ * What a controller does next about a user's wish to cancel a job. Nothing is confirmed that could
+ * be outlived by a task: the end is written by the leader, under its key, and only when each
+ * machine that may hold a task of the job answers to its token or is gone. From then on whoever
+ * renews the lease of such a machine stops the task in the same answer, and if nobody does the
+ * lease runs out. What cannot be confirmed now is refused at once or within the patience, to be
+ * asked again.
+ */
+public final class Cancellation {
+  private Cancellation() {}
+
+  /** What to do next. */
+  public enum Act {
+    /** Tell the end that is known: it is on record and does not change any more. */
+    TELL,
+    /** Ask the leader. */
+    FORWARD,
+    /** Not now: 503. */
+    REFUSE,
+    /** Read the state service: the job is over, unknown, or not known here yet. */
+    READ,
+    /** Look again shortly: machines are being claimed, tasks stopped. */
+    WAIT,
+    /** Write that it is cancelled, and tell that once it is certain. */
+    WRITE_CANCELLED,
+    /** Write that it is done: all of its tasks were before they could be stopped. */
+    WRITE_DONE;
+
+    /** Whether the term keeps the job and works on its end: nothing of it may start any more. */
+    public boolean ofKept() {
+      return this == WAIT || this == WRITE_CANCELLED || this == WRITE_DONE;
+    }
+  }
+
+  /**
+   * What is known here. {@code over}: the job's end is known; {@code forward}: the leader may be
+   * asked; {@code leads}: this controller has a term, which is {@code sole} as long as no other can
+   * have begun; {@code kept}: the term looks after the job; {@code read}: the state service was
+   * asked about it; {@code keepable}: no machine that may hold a task of it can be renewed by an
+   * older leader; {@code complete}: all of its tasks are done; {@code late}: the patience is used
+   * up.
+   */
+  public record View(
+      boolean over,
+      boolean forward,
+      boolean leads,
+      boolean sole,
+      boolean kept,
+      boolean read,
+      boolean keepable,
+      boolean complete,
+      boolean late) {}
+
+  public static Act next(View v) {
+    if (v.over()) {
+      return Act.TELL;
+    }
+    if (!v.leads()) {
+      return v.forward() ? Act.FORWARD : Act.REFUSE;
+    }
+    if (!v.sole() || v.late()) {
+      return Act.REFUSE;
+    }
+    if (!v.kept()) {
+      return v.read() ? Act.REFUSE : Act.READ;
+    }
+    if (v.complete()) {
+      return Act.WRITE_DONE;
+    }
+    return v.keepable() ? Act.WRITE_CANCELLED : Act.WAIT;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/astershift/office/JobLedger.java
@@ -0,0 +1,89 @@
+package org.astershift.office;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import org.astershift.config.Constants;
+
+/**
+ * Which jobs one term looks after, and of which the end may be on record though the leader does not
+ * know it yet. A job's live record is written once and removed by its end, and from this term's
+ * token on only this term can end jobs; so what is live is what was live at the token, and what was
+ * recorded after it, less what ended here.
+ */
+public final class JobLedger {
+  private final long token;
+  private final Set<String> kept = new HashSet<>();
+
+  /**
+   * Jobs that ended in this term, the oldest first. What was read of a job before its end may
+   * arrive after it, from another thread: taken in again, the job's tasks would start once more.
+   */
+  private final Set<String> endedHere = new LinkedHashSet<>();
+
+  /**
+   * Jobs whose end may be durable though this leader does not know it yet, by the tries under way
+   * or without an answer. Nothing older may be told of them from memory: another node that reads
+   * the state service tells that they are over, and on a node short of processor time seconds pass
+   * between the write and the news of it (a user was told done, then queued).
+   */
+  private final Map<String, Integer> ending = new HashMap<>();
+
+  private boolean loaded;
+
+  /** {@code token}: the revision at which the term's leadership was recorded. */
+  public JobLedger(long token) {
+    this.token = token;
+  }
+
+  /** All jobs that were live on record at the token have been taken in. */
+  public synchronized void loaded() {
+    loaded = true;
+  }
+
+  /**
+   * A job whose live record, of this revision, was read some time; whether the term looks after it
+   * from now on. A record from before the token that was not there at the token is that of a job
+   * that is over: read or accepted by this node as a follower, and told late by a thread that stood
+   * still while the node became leader. Its tasks would start though its user was told that it is
+   * cancelled.
+   */
+  public synchronized boolean take(String id, long revision) {
+    if (loaded && revision < token) {
+      return false;
+    }
+    return !endedHere.contains(id) && kept.add(id);
+  }
+
+  /** Whether this term looks after the job. */
+  public synchronized boolean keeps(String id) {
+    return kept.contains(id);
+  }
+
+  /** A write of the job's end is about to go out. */
+  public synchronized void ending(String id) {
+    ending.merge(id, 1, Integer::sum);
+  }
+
+  /** Such a write was certainly not applied, nor will be. */
+  public synchronized void notEnded(String id) {
+    ending.computeIfPresent(id, (i, tries) -> tries > 1 ? tries - 1 : null);
+  }
+
+  /** Whether nothing may be told of the job from memory. */
+  public synchronized boolean mayBeOver(String id) {
+    return ending.containsKey(id);
+  }
+
+  /** The job's end is on record. */
+  public synchronized void ended(String id) {
+    kept.remove(id);
+    ending.remove(id);
+    endedHere.add(id);
+    if (endedHere.size() > Constants.ENDED_IN_TERM) {
+      endedHere.remove(endedHere.iterator().next());
+    }
+  }
+}
--- a/src/test/java/org/astershift/world/Mutant.java
+++ b/src/test/java/org/astershift/world/Mutant.java
@@ -18,6 +18,20 @@
   COPIES_ARE_NEWS,
   /** One node answers no question about one job. */
   ONE_JOB_IS_FORGOTTEN,
+  /** A cancellation is confirmed whatever machines may still answer to an older leader. */
+  CANCELS_UNHEARD,
+  /** A leader in doubt keeps its workers and stops nothing. */
+  IN_DOUBT_STOPS_NOTHING,
+  /** A cancellation is confirmed before it is on record. */
+  CANCELS_UNWRITTEN,
+  /** A term takes in whatever job it is told of. */
+  LATE_NEWS_OF_JOBS,
+  /** Done and cancelled do not exclude each other on record. */
+  ENDS_REPLACE_ENDS,
+  /** What is told of a job from memory does not mind that its end may be on record. */
+  TOLD_WHILE_ENDING,
+  /** A note is written whatever its key holds by then. */
+  NOTES_WITHOUT_REVISIONS,
   /** A leader that hears few never hands over, and all stand at once. */
   NO_HANDING_OVER
 }
