--- a/src/test/java/org/astershift/core/TracePlayer.java
+++ b/src/test/java/org/astershift/core/TracePlayer.java
@@ -28,6 +28,8 @@
   /** The question to the other controllers that was decided last. */
   private Decision.Witness asked;
 
+  private double cancelS = 40;
+
   List<String> event(String line) {
     String[] words = line.trim().split("\\s+");
     Map<String, String> named = new HashMap<>();
@@ -55,6 +57,7 @@
                   w.num("gpus", 0),
                   w.num("gpus_max", 0)));
       case "aim" -> objectives.add(new Objective("wait", plain.get(1), w.num("within", 1), 0.9, 1));
+      case "promise" -> cancelS = w.num("cancel", cancelS);
       case "policy" ->
           policy =
               new Policy(
@@ -103,7 +106,7 @@
   private Scheduler core() {
     if (scheduler == null) {
       teams.putIfAbsent("team", new Team("team", 0, 0, 0, 0));
-      scheduler = new Scheduler(new Facts(teams, objectives, 2, 14, 30, 4, 40, 3), policy, TOKEN);
+      scheduler = new Scheduler(new Facts(teams, objectives, 2, 14, 30, 4, cancelS, 3), policy, TOKEN);
       scheduler.types(types);
     }
     return scheduler;
