Over real sockets: cancelled through another controller just before an outage, and gone in time

A test only: the leader alone is refused, workers still report to it, another confirms, then the state service is down for all; the tasks are gone before it is back, and a cancellation that cannot be confirmed is 503 at once.

--- a/src/test/java/org/astershift/EndToEndTest.java
+++ b/src/test/java/org/astershift/EndToEndTest.java
@@ -1,6 +1,7 @@
 package org.astershift;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.ServerSocket;
@@ -13,6 +14,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.astershift.http.HttpClient;
 import org.astershift.http.Json;
 import org.astershift.standin.StandInCloud;
@@ -31,6 +34,11 @@
 @Timeout(240)
 class EndToEndTest {
   private static final int FIRST_PORT = 21_000;
+
+  /** What the settings of these tests promise to users. */
+  private static final int CANCEL_S = 40;
+
+  private static final Pattern LEADS = Pattern.compile(" leads with token ([0-9]+)");
   @TempDir Path dir;
   private final List<Integer> ports = new ArrayList<>();
   private final List<Process> nodes = new ArrayList<>();
@@ -350,4 +358,71 @@
     List<String> starts = started();
     assertEquals(new HashSet<>(starts).size(), starts.size(), "started twice: " + starts);
   }
+
+  /**
+   * The state service refuses the leader alone; another one confirms a cancellation; then it is
+   * down for all, and the tasks are gone in time all the same. A cancellation that cannot be
+   * confirmed is refused at once, with when to come again.
+   */
+  @Test
+  void confirmedByAnotherJustBeforeAnOutage() throws Exception {
+    for (int i = 0; i < 3; i++) {
+      await(i, "POST", "/v2/runs", endless("wk-90000" + i), "wk-90000" + i);
+      await(i, "GET", "/v2/runs/wk-90000" + i, null, "\"running\",");
+    }
+    int old = leader();
+    cloud.workers().forEach(StandInWorker::answeredBy);
+    doors.get(old).refuse(true);
+    int other = (old + 1) % 3;
+    long askedNs = System.nanoTime();
+    await(other, "POST", "/v2/runs/wk-900000/withdraw", null, "withdrawn");
+    long confirmedNs = System.nanoTime();
+    store.down(true);
+    assertNotEquals(old, leader(), "another one leads");
+    assertTrue(
+        cloud.workers().stream().anyMatch(w -> w.answeredBy().contains(ports.get(old))),
+        "workers went on reporting to the old leader");
+    HttpClient.Answer refused = call(old, "POST", "/v2/runs/wk-900001/withdraw", null);
+    assertEquals(503, refused.status());
+    while (cloud.workers().stream().anyMatch(w -> runs(w, "wk-900000"))) {
+      long s = (System.nanoTime() - confirmedNs) / 1_000_000_000;
+      assertTrue(s < CANCEL_S, "left " + s + " s after " + (confirmedNs - askedNs) / 1_000_000);
+      synchronized (this) {
+        wait(50);
+      }
+    }
+    store.down(false);
+    doors.get(old).refuse(false);
+    for (int i = 0; i < 3; i++) {
+      await(i, "POST", "/v2/runs/wk-900001/withdraw", null, "withdrawn");
+      await(i, "GET", "/v2/runs/wk-900000", null, "withdrawn");
+      await(i, "POST", "/v2/runs", endless("wk-900000"), "withdrawn");
+      assertEquals(404, call(i, "POST", "/v2/runs/wk-999999/withdraw", null).status());
+    }
+  }
+
+  /** Its tasks run until they are stopped, and their owner says so. */
+  private static String endless(String id) {
+    return job(id, "sweep", 2).replace("\"expect_s\":1", "\"expect_s\":600");
+  }
+
+  private static boolean runs(StandInWorker w, String job) {
+    return w.running().stream().anyMatch(t -> t.startsWith(job + "/"));
+  }
+
+  /** The node that was the last to begin to lead. */
+  private int leader() throws Exception {
+    int found = 0;
+    long most = 0;
+    for (int i = 0; i < 3; i++) {
+      Matcher m = LEADS.matcher(Files.readString(dir.resolve(log(i))));
+      while (m.find()) {
+        if (Long.parseLong(m.group(1)) > most) {
+          most = Long.parseLong(m.group(1));
+          found = i;
+        }
+      }
+    }
+    return found;
+  }
 }
--- a/src/test/java/org/astershift/core/TracePlayer.java
+++ b/src/test/java/org/astershift/core/TracePlayer.java
@@ -106,7 +106,8 @@
   private Scheduler core() {
     if (scheduler == null) {
       teams.putIfAbsent("team", new Team("team", 0, 0, 0, 0));
-      scheduler = new Scheduler(new Facts(teams, objectives, 2, 14, 30, 4, cancelS, 3), policy, TOKEN);
+      scheduler =
+          new Scheduler(new Facts(teams, objectives, 2, 14, 30, 4, cancelS, 3), policy, TOKEN);
       scheduler.types(types);
     }
     return scheduler;
--- a/src/test/java/org/astershift/standin/StandInWorker.java
+++ b/src/test/java/org/astershift/standin/StandInWorker.java
@@ -28,6 +28,8 @@
   private volatile boolean closed;
   private int at;
 
+  private final List<Integer> answeredBy = new ArrayList<>();
+
   /** What it reported so far, for those who send it once more. */
   private final List<String> said = new ArrayList<>();
 
@@ -86,6 +88,13 @@
     return lost;
   }
 
+  /** Which controllers' answers it took, by port, since this was last asked. */
+  public synchronized List<Integer> answeredBy() {
+    List<Integer> out = new ArrayList<>(answeredBy);
+    answeredBy.clear();
+    return out;
+  }
+
   /** Tasks that run now. */
   public synchronized List<String> running() {
     List<String> out = new ArrayList<>();
@@ -109,7 +118,8 @@
     long now = System.nanoTime() / 1_000_000;
     tasks.forEach(
         (k, t) -> {
-          boolean service = taskMs <= 0;
+          // A job whose number begins with 9 runs until it is stopped.
+          boolean service = taskMs <= 0 || String.valueOf(t.get("shard")).startsWith("wk-9");
           if (t.get("phase").equals("running") && !service && now - startedMs.get(k) >= taskMs) {
             t.put("phase", "exited");
             t.put("cause", "done");
@@ -186,6 +196,7 @@
   private synchronized void answered(String report, HttpClient.Answer a) throws Json.Bad {
     said.add(report);
     if (!deaf) {
+      answeredBy.add(controllers.get(at % controllers.size()));
       obey(Json.object(a.body()));
     }
   }
