--- a/src/test/java/org/astershift/world/Checker.java
+++ b/src/test/java/org/astershift/world/Checker.java
@@ -172,6 +172,11 @@
     return onMachines.stream().filter(t -> t.startsWith(job + "/")).toList();
   }
 
+  /** Tasks of the job that are on machines. */
+  int on(String job) {
+    return left(job).size();
+  }
+
   boolean anyConfirmed() {
     return !confirmedMs.isEmpty();
   }
--- a/src/test/java/org/astershift/world/MeetingsTest.java
+++ b/src/test/java/org/astershift/world/MeetingsTest.java
@@ -392,4 +392,79 @@
       }
     }
   }
+
+  /**
+   * A leader ends while machines with long tasks cannot be reached, or hear nothing of what the
+   * next one says; users cancel meanwhile. Nothing is confirmed too early, and it is not put off
+   * for ever: such machines are given up. What nobody cancelled runs in the end.
+   */
+  @Test
+  void aLeaderEndsWhileMachinesCannotBeReached() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      World w = unreached(seed);
+      assertSound(w);
+      for (int i = 10; i < 13; i++) {
+        Long confirmed = w.checker.confirmedMs("wk-" + i);
+        assertTrue(confirmed != null && confirmed < 60_000, w.wholeStory());
+      }
+      for (int i = 13; i < 16; i++) {
+        assertEquals(3, w.checker.on("wk-" + i), w.wholeStory());
+      }
+    }
+    assertMissed(Mutant.NO_ROSTER, seed -> unreached(seed, Mutant.NO_ROSTER));
+  }
+
+  private static World unreached(long seed, Mutant... mutants) {
+    World w = busy(seed, 12, mutants);
+    NodeModel old = leaders(w).get(0);
+    old.crash();
+    for (NodeModel n : w.nodes) {
+      w.cut(n.name, "zone b");
+      if (seed % 2 == 0) {
+        w.cut("zone b", n.name);
+      }
+      w.after(20_000 + seed * 1000, () -> w.healBoth(n.name, "zone b"));
+    }
+    w.after(3000, old::start);
+    w.runTo(22);
+    for (int i = 10; i < 13; i++) {
+      w.userCancels("wk-" + i);
+    }
+    w.runTo(110);
+    return w;
+  }
+
+  /**
+   * Orders are held on their way to a few machines for seconds, starts and stops in all orders, and
+   * then arrive; in the middle of it the leader changes, or not.
+   */
+  @Test
+  void ordersAreHeldAndTheMachinesGoOn() {
+    int held = 0;
+    for (long seed = 1; seed <= 2 * SEEDS; seed++) {
+      World w = busy(seed, 12);
+      NodeModel old = leaders(w).get(0);
+      for (int i = 0; i < 4; i++) {
+        String machine = "vm-" + (seed + 3 * i) % 12;
+        w.cut(old.name, machine);
+        w.after(1000 + w.random.nextLong(8000), () -> w.heal(old.name, machine));
+      }
+      for (int i = 0; i < 8; i++) {
+        String job = "wk-5" + i;
+        Runnable then = () -> w.after(w.random.nextLong(6000), () -> w.userCancels(job));
+        w.userSubmits(WorldTest.job(job, JobKind.ARRAY, 2), 3_000L, i % 2 == 0 ? then : () -> {});
+      }
+      if (seed % 2 == 0) {
+        w.after(w.random.nextLong(6000), old::handOver);
+      }
+      w.runTo(22);
+      held += w.held();
+      w.runTo(70);
+      assertSound(w);
+      for (int i = 0; i < 8; i++) {
+        assertEquals(0, w.checker.on("wk-5" + i), w.wholeStory());
+      }
+    }
+    assertTrue(held > 50, held + " messages were held");
+  }
 }
--- a/src/test/java/org/astershift/world/World.java
+++ b/src/test/java/org/astershift/world/World.java
@@ -171,6 +171,11 @@
     heal(b, a);
   }
 
+  /** Messages that wait for a cut to be over. */
+  int held() {
+    return held.values().stream().mapToInt(List::size).sum();
+  }
+
   /** A path is back, or a controller that stood still. */
   void changed() {
     changedMs = nowMs;
