--- a/src/test/java/org/astershift/world/NodeModel.java
+++ b/src/test/java/org/astershift/world/NodeModel.java
@@ -159,6 +159,12 @@
     world.after(forMs, world::changed);
   }
 
+  /** There are places for all again. */
+  void hasPlaces() {
+    mutedUntilMs = 0;
+    fullUntilMs = 0;
+  }
+
   private boolean has(Mutant m) {
     return world.mutants.contains(m);
   }
--- a/src/test/java/org/astershift/world/Swarm.java
+++ b/src/test/java/org/astershift/world/Swarm.java
@@ -73,6 +73,7 @@
     w.store.lateShare = 0;
     w.store.slowMs = 0;
     w.stuckMs = 0;
+    w.nodes.forEach(NodeModel::hasPlaces);
     w.nodes.stream()
         .filter(n -> w.store.refuses(n.name))
         .forEach(n -> w.store.refuse(n.name, false));
