--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -583,14 +583,18 @@
 
   /**
    * Proof that nothing of what the machine held is left there, though what is on its way may still
-   * start: that stays held until the machine is heard in a later session, or is gone.
+   * start: that stays held until the machine is heard in a later session, or is gone. Says how many
+   * were dropped.
    */
-  void dropShown(Machine m) {
+  int dropShown(Machine m) {
+    int dropped = 0;
     for (Run run : new ArrayList<>(m.runs.values())) {
       if (!run.pending()) {
         drop(run);
+        dropped++;
       }
     }
+    return dropped;
   }
 
   /** Proof that nothing of what the machine held is left there, nor on its way. */
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -520,14 +520,14 @@
    */
   private void expire(Machine m, long soleMs) {
     boolean counts = m.state == Machine.State.LIVE || m.state == Machine.State.RETURNING;
-    if (!counts || !m.claimed || soleMs - m.heardMs <= leaseMs(c.facts)) {
+    long silentMs = soleMs - m.heardMs;
+    if (!counts || !m.claimed || silentMs <= leaseMs(c.facts)) {
       return;
     }
-    if (m.state == Machine.State.LIVE || !m.runs.isEmpty()) {
-      LOG.info(
-          "machine {} was not heard for {} ms: its lease has run out", m.name, soleMs - m.heardMs);
+    int dropped = c.dropShown(m);
+    if (m.state == Machine.State.LIVE || dropped > 0) {
+      LOG.info("machine {} was not heard for {} ms: its lease has run out", m.name, silentMs);
     }
-    c.dropShown(m);
     // A machine that is being returned is no more to be used, also while the cloud is away.
     if (m.state == Machine.State.LIVE) {
       c.enter(m, Machine.State.LOST);
