--- a/src/main/java/org/astershift/core/Reports.java
+++ b/src/main/java/org/astershift/core/Reports.java
@@ -259,7 +259,7 @@
       m.touchImage(job.spec.image(), job.spec.imageGb());
     }
     Run other = job.runs.get(run.index);
-    if (other != null && !other.ordered) {
+    if (other != null && !other.ordered && !other.pending()) {
       c.drop(other);
       other = null;
     }
