--- a/src/main/java/org/astershift/core/Commands.java
+++ b/src/main/java/org/astershift/core/Commands.java
@@ -116,8 +116,13 @@
     return !run.exited() && run.unwanted() && run.ordered && !run.stopSent && run.phase != null;
   }
 
-  /** Commands that should not wait for the machine's next report; null if there are none. */
-  Decision.Direct urgent(Machine m, long nowMs) {
+  /**
+   * Commands that should not wait for the machine's next report; null if there are none. Starts
+   * only while this leader is {@code sole}: a machine that has shown a later leader's token and
+   * begins anew has none, and executes a direct start of an earlier leader that stood still
+   * meanwhile (seed 6651 of the swarm). In an answer it goes to who has just shown this token.
+   */
+  Decision.Direct urgent(Machine m, boolean sole, long nowMs) {
     if (m.orderInFlight || m.addr == null || m.session == 0 || m.state != Machine.State.LIVE) {
       return null;
     }
@@ -126,7 +131,7 @@
       if (stopDue(run)) {
         orders.add(Order.stop(run, run.graceS()));
         run.stopSent = true;
-      } else if (startDue(run)) {
+      } else if (sole && startDue(run)) {
         orders.add(Order.start(run));
         run.ordered = true;
         run.inFlight = true;
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -441,7 +441,7 @@
         c.stale.add(m);
         continue;
       }
-      Decision.Direct direct = commands.urgent(m, nowMs);
+      Decision.Direct direct = commands.urgent(m, nowMs < soleUntilMs, nowMs);
       if (direct != null) {
         out.add(direct);
       } else if (m.orderInFlight) {
