Submissions: a missing flag is malformed, what can never run as a whole is refused, and what is known never is

Cause: one_zone, apart and ebbtide were read as false where they were missing or null, though only what may be null may be omitted; whether a job can run was looked at task by task, so a gang or service that had to be in two zones and could be in one only was taken in and waited for ever; a job that is known got 503 where no machine types were. A refusal of what any version accepted (flags missing, trash after the object, types, team) asks first whether the job is known.

--- a/src/main/java/org/astershift/api/JobCodec.java
+++ b/src/main/java/org/astershift/api/JobCodec.java
@@ -1,6 +1,7 @@
 package org.astershift.api;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -59,15 +60,34 @@
         amount(m, "image_gb"),
         types,
         Json.textOrNull(m, "harbor"),
-        Json.flagOr(m, "one_zone", false),
-        Json.flagOr(m, "apart", false),
-        Json.flagOr(m, "ebbtide", false),
+        Json.flag(m, "one_zone"),
+        Json.flag(m, "apart"),
+        Json.flag(m, "ebbtide"),
         amount(m, "expect_s"),
         amount(m, "anchor_s"),
         amount(m, "stow_s"),
         deadline);
   }
 
+  /**
+   * The id of a malformed submission that earlier versions accepted: they took a flag that is
+   * missing or null as false, and overlooked what came after the object. Null if none did. Its user
+   * may repeat it at any time.
+   */
+  public static String acceptedBefore(byte[] text) {
+    try {
+      Map<String, Object> m = new HashMap<>(Json.leadingObject(text));
+      for (String flag : List.of("one_zone", "apart", "ebbtide")) {
+        if (m.get(flag) == null) {
+          m.put(flag, false);
+        }
+      }
+      return spec(m).id();
+    } catch (Json.Bad e) {
+      return null;
+    }
+  }
+
   private static String named(Map<String, Object> m, String name) throws Json.Bad {
     String s = Json.text(m, name);
     if (s.isEmpty() || s.length() > 200) {
--- a/src/main/java/org/astershift/api/PublicApi.java
+++ b/src/main/java/org/astershift/api/PublicApi.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import org.astershift.config.Constants;
-import org.astershift.core.JobKind;
+import org.astershift.core.Eligibility;
 import org.astershift.core.JobSpec;
 import org.astershift.core.MachineType;
 import org.astershift.core.Order;
@@ -102,38 +102,33 @@
     try {
       spec = JobCodec.spec(Json.object(r.body()));
     } catch (Json.Bad e) {
-      return Response.error(400, e.getMessage());
+      Response malformed = Response.error(400, e.getMessage());
+      String id = JobCodec.acceptedBefore(r.body());
+      return id == null ? malformed : unlessKnown(id, malformed);
     }
     Map<String, MachineType> types = director.types();
     if (types.isEmpty()) {
-      return Response.error(503, "machine types are not known yet");
+      return unlessKnown(spec.id(), Response.error(503, "machine types are not known yet"));
+    }
+    String never = Eligibility.neverRuns(spec, types.values(), teams.get(spec.team()));
+    if (never != null) {
+      return unlessKnown(spec.id(), Response.error(422, never));
     }
-    String never = neverRuns(spec, types);
-    UserDesk.Submitted s = desk.submit(spec, never != null);
+    UserDesk.Submitted s = desk.submit(spec);
     return switch (s.status()) {
       case 200, 201 -> Response.of(s.status(), JobCodec.state(spec.id(), s.known()));
-      case 422 -> Response.error(422, never);
       default -> Response.error(503, "cannot be accepted now");
     };
   }
 
-  /** Why the job can never run, or null. */
-  private String neverRuns(JobSpec spec, Map<String, MachineType> types) {
-    Team team = teams.get(spec.team());
-    if (team == null) {
-      return "unknown team";
-    }
-    boolean fits = false;
-    for (MachineType t : types.values()) {
-      fits |= spec.fits(t);
-    }
-    if (!fits) {
-      return "a task fits no allowed machine type";
-    }
-    int together = spec.kind() == JobKind.ARRAY ? 1 : spec.tasks();
-    return team.allows(together * spec.cpus(), together * spec.gpus())
-        ? null
-        : "more than the team's limit";
+  /**
+   * What was accepted once is not refused later, whatever the machine types or the rules for
+   * submissions are now. Costs what a question costs, so a body that was refused at all times is
+   * refused without it.
+   */
+  private Response unlessKnown(String id, Response refusal) throws InterruptedException {
+    JobAnswer known = desk.poll(id, true);
+    return known.status() == 404 ? refusal : answer(id, known);
   }
 
   /**
--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -601,6 +601,13 @@
   /** Connections to workers that are kept for the next order. */
   public static final int KEPT_WORKERS = 100;
 
+  /**
+   * How deep a body may be nested. All that the protocols name is a few levels deep; a thousand, the
+   * parser's own limit, overflow a stack of {@link #STACK_BYTES}: a body of brackets ended its
+   * connection without an answer.
+   */
+  public static final int JSON_DEPTH = 100;
+
   /** Stack of a connection's thread, bytes. */
   public static final long STACK_BYTES = 192 * 1024;
 
--- a/src/main/java/org/astershift/http/Json.java
+++ b/src/main/java/org/astershift/http/Json.java
@@ -1,14 +1,26 @@
 package org.astershift.http;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.Map;
+import org.astershift.config.Constants;
 
 /** JSON as maps and lists, and checked access to their fields. */
 public final class Json {
-  private static final JSON JR = JSON.std;
+  private static final JSON JR =
+      JSON.builder(
+              JsonFactory.builder()
+                  .streamReadConstraints(
+                      StreamReadConstraints.builder()
+                          .maxNestingDepth(Constants.JSON_DEPTH)
+                          .build())
+                  .build())
+          .build();
 
   private Json() {}
 
@@ -30,17 +42,31 @@
   }
 
   /** Parses an object; anything else, and anything after it, is bad. */
-  @SuppressWarnings("unchecked")
   public static Map<String, Object> object(byte[] text) throws Bad {
-    Object o;
-    try {
-      o = JR.anyFrom(text);
+    return object(text, false);
+  }
+
+  /** The object that a text begins with, whatever comes after it. */
+  public static Map<String, Object> leadingObject(byte[] text) throws Bad {
+    return object(text, true);
+  }
+
+  @SuppressWarnings("unchecked")
+  private static Map<String, Object> object(byte[] text, boolean more) throws Bad {
+    try (JsonParser p = JR.getStreamingFactory().createParser(text)) {
+      if (p.nextToken() == null) {
+        throw new Bad("not JSON");
+      }
+      Object o = JR.anyFrom(p);
+      if (!more && p.nextToken() != null) {
+        throw new Bad("not JSON");
+      }
+      if (o instanceof Map<?, ?> m) {
+        return (Map<String, Object>) m;
+      }
     } catch (IOException | RuntimeException e) {
       throw new Bad("not JSON");
     }
-    if (o instanceof Map<?, ?> m) {
-      return (Map<String, Object>) m;
-    }
     throw new Bad("not an object");
   }
 
--- a/src/main/java/org/astershift/leader/UserDesk.java
+++ b/src/main/java/org/astershift/leader/UserDesk.java
@@ -43,8 +43,8 @@
   /** What became of a submission. */
   public record Submitted(int status, JobAnswer known) {}
 
-  /** Accepts a job durably, on whatever node, unless it can never run ({@code refuse}). */
-  public Submitted submit(JobSpec spec, boolean refuse) throws InterruptedException {
+  /** Accepts a job durably, on whatever node. */
+  public Submitted submit(JobSpec spec) throws InterruptedException {
     Records.Ended end = ended.get(spec.id());
     if (end != null) {
       return new Submitted(200, answer(end));
@@ -53,13 +53,6 @@
       return new Submitted(503, null);
     }
     String key = Records.JOB + spec.id();
-    if (refuse) {
-      // What was accepted once is not refused later, whatever the types are now.
-      JobAnswer known = fromStore(spec.id());
-      return known.status() == 404
-          ? new Submitted(422, null)
-          : new Submitted(known.status(), known);
-    }
     Records.JobRecord record = new Records.JobRecord(spec, System.currentTimeMillis());
     StoreClient.Txn txn =
         new StoreClient.Txn()
--- a/src/test/java/org/astershift/EndToEndTest.java
+++ b/src/test/java/org/astershift/EndToEndTest.java
@@ -147,7 +147,8 @@
         + "\",\"rank\":\"standard\",\"shards\":"
         + tasks
         + ",\"vcpus\":1,\"gpus\":0,\"mem_gb\":1,"
-        + "\"payload\":\"i\",\"image_gb\":1,\"expect_s\":1,\"anchor_s\":0,\"stow_s\":0}";
+        + "\"payload\":\"i\",\"image_gb\":1,\"one_zone\":false,\"apart\":false,\"ebbtide\":false,"
+        + "\"expect_s\":1,\"anchor_s\":0,\"stow_s\":0}";
   }
 
   private List<String> started() {
--- a/src/test/java/org/astershift/standin/StandInStore.java
+++ b/src/test/java/org/astershift/standin/StandInStore.java
@@ -7,7 +7,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.astershift.http.HttpServer;
 import org.astershift.http.HttpServer.Request;
 import org.astershift.http.HttpServer.Response;
@@ -90,6 +92,11 @@
     return rows.containsKey(key);
   }
 
+  /** All keys below a prefix. */
+  public synchronized Set<String> below(String prefix) {
+    return new TreeSet<>(rows.subMap(prefix, prefix + Character.MAX_VALUE).keySet());
+  }
+
   /** While down every request gets 503; afterwards each lease has its full time again. */
   public synchronized void down(boolean is) {
     down = is;
