--- a/src/test/java/org/astershift/Controllers.java
+++ b/src/test/java/org/astershift/Controllers.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.UnaryOperator;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.astershift.http.HttpClient;
@@ -45,6 +46,7 @@
   final List<StandInStore.Door> doors = new ArrayList<>();
   final StandInStore store;
   final StandInCloud cloud;
+  private final UnaryOperator<String> settings;
   private int starts;
 
   /** Which start of all the one of each node was that now runs. */
@@ -52,7 +54,13 @@
 
   /** {@code dir}: for settings and logs. They are asked to start, and may not be ready yet. */
   Controllers(Path dir, long taskMs) throws Exception {
+    this(dir, taskMs, s -> s);
+  }
+
+  /** {@code settings}: what is changed of the settings of the first job. */
+  Controllers(Path dir, long taskMs, UnaryOperator<String> settings) throws Exception {
     this.dir = dir;
+    this.settings = settings;
     block = PortBlock.take();
     ports = block.ports(2 * NODES);
     store = new StandInStore(0);
@@ -89,7 +97,8 @@
       }
     }
     String text =
-        Files.readString(Path.of("src/test/resources/first-job.toml"))
+        settings
+            .apply(Files.readString(Path.of("src/test/resources/first-job.toml")))
             .replace("member = \"one\"", "member = \"n" + i + "\"")
             .replace("127.0.0.1:18080", "127.0.0.1:" + ports.get(i))
             .replace("127.0.0.1:18081", "127.0.0.1:" + ports.get(NODES + i))
--- a/src/test/java/org/astershift/standin/StandInCloud.java
+++ b/src/test/java/org/astershift/standin/StandInCloud.java
@@ -17,6 +17,7 @@
   private final List<Integer> controllers;
   private final Map<String, List<String>> rentals = new HashMap<>();
   private final TreeMap<String, StandInWorker> machines = new TreeMap<>();
+  private final List<StandInWorker> ever = new ArrayList<>();
   private final long taskMs;
   private int made;
   private final HttpServer http;
@@ -37,6 +38,11 @@
     return new ArrayList<>(machines.values());
   }
 
+  /** The same with those of machines that were given back. */
+  public synchronized List<StandInWorker> everRented() {
+    return new ArrayList<>(ever);
+  }
+
   @Override
   public synchronized void close() throws IOException {
     http.close();
@@ -86,7 +92,9 @@
       names = new ArrayList<>();
       for (long i = Json.whole(m, "number"); i > 0; i--) {
         String name = String.format("vm-%06d", ++made);
-        machines.put(name, new StandInWorker(name, Json.text(m, "harbor"), controllers, taskMs));
+        StandInWorker w = new StandInWorker(name, Json.text(m, "harbor"), controllers, taskMs);
+        machines.put(name, w);
+        ever.add(w);
         names.add(name);
       }
       rentals.put(rental, names);
--- a/src/test/java/org/astershift/standin/StandInStore.java
+++ b/src/test/java/org/astershift/standin/StandInStore.java
@@ -4,16 +4,23 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
+import org.astershift.config.Constants;
 import org.astershift.http.HttpServer;
 import org.astershift.http.HttpServer.Request;
 import org.astershift.http.HttpServer.Response;
 import org.astershift.http.Json;
 
-/** A state service in memory, by its published protocol; it can be down. */
+/**
+ * A state service in memory, by its published protocol; it can be down, and it can carry
+ * transactions out and lose the answers.
+ */
 public final class StandInStore implements AutoCloseable {
   private record Value(Object data, long revision, long lease) {}
 
@@ -27,6 +34,17 @@
   private boolean down;
   private final HttpServer http;
 
+  /** Of the transactions carried out, so many get no answer. */
+  private double lostShare;
+
+  private final SplittableRandom random = new SplittableRandom(7);
+  private final Map<String, Integer> lost = new HashMap<>();
+
+  /** Keys written by transactions whose senders wait for an answer that does not come. */
+  private final Set<String> unanswered = new HashSet<>();
+
+  private int readMeanwhile;
+
   public StandInStore(int port) throws IOException {
     http = new HttpServer("127.0.0.1", port, 200, this::handle);
     http.start();
@@ -90,6 +108,26 @@
     return rows.containsKey(key);
   }
 
+  /**
+   * From now on this share of transactions is carried out at once, and only the answer is lost: of
+   * every eight such one is never answered, and the others break off, so that their sender knows at
+   * once that it knows nothing.
+   */
+  public synchronized void loseAnswers(double share) {
+    lostShare = share;
+    notifyAll();
+  }
+
+  /** So many transactions that set a key with this prefix have lost their answers. */
+  public synchronized int lost(String prefix) {
+    return lost.getOrDefault(prefix, 0);
+  }
+
+  /** So often somebody read a key while the one who wrote it waited for an answer in vain. */
+  public synchronized int readMeanwhile() {
+    return readMeanwhile;
+  }
+
   /** While down every request gets 503; afterwards each lease has its full time again. */
   public synchronized void down(boolean is) {
     down = is;
@@ -126,6 +164,7 @@
     } else if (path.startsWith("/store/")) {
       String key = path.substring("/store/".length());
       Value v = rows.get(key);
+      readMeanwhile += unanswered.contains(key) ? 1 : 0;
       return v == null
           ? Response.of(404, Map.of("epoch", revision))
           : Response.of(200, row(key, v));
@@ -205,7 +244,7 @@
     return Response.of(200, Map.of("rows", out, "more", more, "epoch", revision));
   }
 
-  private Response multi(Map<String, Object> body) throws Json.Bad {
+  private Response multi(Map<String, Object> body) throws Exception {
     List<Object> failed = new ArrayList<>();
     for (Object o : Json.list(body, "if")) {
       Map<String, Object> c = Json.object(o, "condition");
@@ -241,7 +280,30 @@
       events.add(new Event(revision, news, key));
     }
     notifyAll();
-    return Response.of(200, Map.of("epoch", revision));
+    Response answer = Response.of(200, Map.of("epoch", revision));
+    return random.nextDouble() < lostShare ? lost(changes, answer) : answer;
+  }
+
+  /** The transaction is carried out, and its sender is not to learn of it. */
+  private Response lost(List<?> changes, Response answer) throws Exception {
+    List<String> keys = new ArrayList<>();
+    for (Object o : changes) {
+      String key = Json.textOrNull(Json.object(o, "change"), "set");
+      if (key != null) {
+        keys.add(key);
+        lost.merge(key.substring(0, key.lastIndexOf('/') + 1), 1, Integer::sum);
+      }
+    }
+    if (random.nextInt(8) > 0) {
+      return new Response(200, new byte[0], 0);
+    }
+    unanswered.addAll(keys);
+    long until = now() + 2 * Constants.STORE_TIMEOUT_MS;
+    while (now() < until && lostShare > 0) {
+      wait(Math.max(1, until - now()));
+    }
+    unanswered.removeAll(keys);
+    return answer; // nobody hears it any more
   }
 
   private Response watch(Map<String, String> q) throws InterruptedException {
--- a/src/test/java/org/astershift/standin/StandInWorker.java
+++ b/src/test/java/org/astershift/standin/StandInWorker.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 import org.astershift.http.HttpClient;
 import org.astershift.http.HttpServer;
 import org.astershift.http.HttpServer.Request;
@@ -22,7 +23,7 @@
   private final HttpServer http;
   private final Map<String, Map<String, Object>> tasks = new LinkedHashMap<>();
   private final Map<String, Long> startedMs = new LinkedHashMap<>();
-  private final List<String> started = new ArrayList<>();
+  private final List<Start> starts = new ArrayList<>();
   private long seq;
   private long token;
   private volatile boolean closed;
@@ -30,6 +31,9 @@
 
   private final List<Integer> answeredBy = new ArrayList<>();
 
+  /** A task that was started, and when, by {@link System#nanoTime}. */
+  public record Start(String task, long atNs) {}
+
   /** What it reported so far, for those who send it once more. */
   private final List<String> said = new ArrayList<>();
 
@@ -62,8 +66,13 @@
   }
 
   /** Every start so far, as task names. */
-  public synchronized List<String> started() {
-    return new ArrayList<>(started);
+  public List<String> started() {
+    return starts().stream().map(Start::task).collect(Collectors.toCollection(ArrayList::new));
+  }
+
+  /** Every start so far. */
+  public synchronized List<Start> starts() {
+    return new ArrayList<>(starts);
   }
 
   /** Every report so far, as it was sent. */
@@ -173,7 +182,7 @@
             t.put("phase", "running");
             tasks.put(key, t);
             startedMs.put(key, System.nanoTime() / 1_000_000);
-            started.add(task);
+            starts.add(new Start(task, System.nanoTime()));
           }
         }
         case "stop" -> {
