--- a/src/test/java/org/astershift/api/SubmissionTest.java
+++ b/src/test/java/org/astershift/api/SubmissionTest.java
@@ -19,7 +19,7 @@
 import org.astershift.http.HttpServer;
 import org.astershift.http.HttpServer.Response;
 import org.astershift.http.Json;
-import org.astershift.standin.Controllers;
+import org.astershift.standin.InProcessControllers;
 import org.astershift.standin.StandInCloud;
 import org.astershift.standin.StandInStore;
 import org.astershift.store.Records;
@@ -76,7 +76,7 @@
   private final List<Integer> ports = new ArrayList<>();
   private StandInStore store;
   private StandInCloud cloud;
-  private Controllers nodes;
+  private InProcessControllers nodes;
   private int ids;
 
   @BeforeEach
@@ -93,7 +93,7 @@
   }
 
   private void nodes(int count, int cloudPort) throws Exception {
-    nodes = new Controllers(count, store.port(), cloudPort, ports, LIMITED, dir);
+    nodes = new InProcessControllers(count, store.port(), cloudPort, ports, LIMITED, dir);
   }
 
   /** Waits until a node knows the machine types: until then nothing new is taken or refused. */
--- a/src/test/java/org/astershift/standin/Controllers.java
+++ b/src/test/java/org/astershift/standin/InProcessControllers.java
@@ -25,7 +25,7 @@
  * Real controllers in this process, at ports that the system chooses. Users, workers, the state
  * service and the cloud are behind sockets; what controllers ask each other is a plain call.
  */
-public final class Controllers implements AutoCloseable {
+public final class InProcessControllers implements AutoCloseable {
   private static final long PATIENCE_MS = 60_000;
 
   /** Whatever the controllers start is in here, so that it can be ended. */
@@ -35,7 +35,7 @@
   private final Map<String, UserDesk> desks = new HashMap<>();
 
   /** {@code ports} gets theirs; {@code more}: tables that the settings have besides. */
-  public Controllers(
+  public InProcessControllers(
       int count, int storePort, int cloudPort, List<Integer> ports, String more, Path dir)
       throws Exception {
     Exception[] failure = new Exception[1];
