Nothing starts after a confirmation: a start on its way is seen to its end first

The operators count starts after a confirmed cancellation. A cancellation was confirmed while a direct start of the job was under way or in doubt, while one went with an answer, and while an image was being fetched; the start and stop in one answer that settles a start in doubt was sent after the confirmation, too. What can't be confirmed within the patience is 503, as before.

--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -360,6 +360,7 @@
     dropShown(m);
     for (Run run : m.runs.values()) {
       run.ordered = false; // it is repeated, once the machine may have tasks again
+      run.lapsed = false; // and fits the new life
     }
     boolean counted = m.inherited && !m.claimed;
     m.reborn();
--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -164,6 +164,21 @@
     return !runs.isEmpty() || !extras.isEmpty();
   }
 
+  /** Whether a task of it may still start, though no further command is sent for it. */
+  boolean mayStart(long nowMs) {
+    for (Run run : runs.values()) {
+      if (run.mayStart(nowMs)) {
+        return true;
+      }
+    }
+    for (Run run : extras) {
+      if (run.mayStart(nowMs)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Its probe is out: no further task of it starts. */
   boolean beingProbed() {
     return suspect() && !runs.isEmpty();
--- a/src/main/java/org/astershift/core/Run.java
+++ b/src/main/java/org/astershift/core/Run.java
@@ -1,5 +1,7 @@
 package org.astershift.core;
 
+import org.astershift.config.Constants;
+
 /** One attempt of one task on one machine, from the decision to place it until its proof of end. */
 final class Run {
   /** Names an attempt on its machine. */
@@ -31,9 +33,18 @@
   /** Direct orders with this start that are under way now. */
   boolean inFlight;
 
+  /**
+   * The lease of the machine's life for which a start in doubt was meant has run out: only a
+   * machine that begins anew could execute it now.
+   */
+  boolean lapsed;
+
   /** The session for which the last of them was meant: in a later one it has no effect. */
   long orderedIn;
 
+  /** When a start last went out with the answer to a report; its worker gives up late answers. */
+  long answeredMs = Long.MIN_VALUE / 2;
+
   boolean stopping;
   boolean stopSent;
   double stopGraceS;
@@ -62,6 +73,17 @@
     return phase == null && (doubtful || inFlight);
   }
 
+  /**
+   * Whether the task may still start, though no further command is sent: a start is on its way or
+   * in doubt, with a direct order or with an answer that its worker has not given up yet, or its
+   * image is being fetched.
+   */
+  boolean mayStart(long nowMs) {
+    return phase == Report.Phase.FETCHING
+        || (pending() && !lapsed)
+        || (phase == null && nowMs - answeredMs <= Constants.ANSWER_GIVEN_UP_MS);
+  }
+
   /** Whether its user sees it as running. */
   boolean works() {
     return phase == Report.Phase.RUNNING || phase == Report.Phase.SAVING;
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -181,6 +181,16 @@
     return !(job.inherited && c.unheard()) && !heldUnclaimed(job) && !left;
   }
 
+  /**
+   * Whether a task of the job may still start though no further command goes out: a start is on its
+   * way or in doubt, or an image is being fetched. So until the machine shows what became of it, is
+   * gone, or its lease has run out.
+   */
+  public boolean mayStart(String id, long nowMs) {
+    Job job = c.jobs.get(id);
+    return job != null && job.mayStart(nowMs);
+  }
+
   /** Whether a lease that nobody renews is over within the time promised for a cancellation. */
   public static boolean leaseWithin(Facts facts) {
     return leaseMs(facts) <= facts.cancelS() * 1000;
@@ -285,7 +295,7 @@
     if (m.heldCount() < before && placement.gangWaits(m)) {
       c.stir();
     }
-    return commands.answer(m);
+    return commands.answer(m, nowMs);
   }
 
   /** Whether a direct order whose turn has come should still go out; if not it is settled. */
@@ -525,6 +535,9 @@
       return;
     }
     int dropped = c.dropShown(m);
+    for (Run run : m.runs.values()) {
+      run.lapsed = true;
+    }
     if (m.state == Machine.State.LIVE || dropped > 0) {
       LOG.info("machine {} was not heard for {} ms: its lease has run out", m.name, silentMs);
     }
--- a/src/main/java/org/astershift/leader/UserDesk.java
+++ b/src/main/java/org/astershift/leader/UserDesk.java
@@ -188,11 +188,13 @@
     boolean over = ended.get(id) != null;
     boolean kept = t != null && t.keeps(id);
     boolean keepable = false;
+    boolean starting = false;
     boolean complete = false;
     if (!over && kept) {
       synchronized (t) {
         Scheduler.JobView view = t.scheduler.view(id);
         keepable = t.scheduler.cancelKeepable(id);
+        starting = t.scheduler.mayStart(id, Term.nowMs());
         complete = view != null && view.complete();
       }
     }
@@ -204,6 +206,7 @@
         kept,
         read,
         keepable,
+        starting,
         complete,
         late);
   }
--- a/src/test/java/org/astershift/world/Mutant.java
+++ b/src/test/java/org/astershift/world/Mutant.java
@@ -22,6 +22,8 @@
   CANCELS_UNHEARD,
   /** A leader in doubt keeps its workers and stops nothing. */
   IN_DOUBT_STOPS_NOTHING,
+  /** A cancellation is confirmed though a start of the job is on its way. */
+  CONFIRMS_WHILE_STARTING,
   /** A cancellation is confirmed before it is on record. */
   CANCELS_UNWRITTEN,
   /** A term takes in whatever job it is told of. */
--- a/src/test/java/org/astershift/world/NodeModel.java
+++ b/src/test/java/org/astershift/world/NodeModel.java
@@ -984,6 +984,9 @@
                 kept,
                 read,
                 kept && (unheard || t.scheduler.cancelKeepable(w.job())),
+                kept
+                    && !has(Mutant.CONFIRMS_WHILE_STARTING)
+                    && t.scheduler.mayStart(w.job(), clock()),
                 view != null && view.complete(),
                 clock() >= w.untilMs()));
     if (act.ofKept()) {
