World: machines that hang or are mute, boots of any length, slow rentals

WorkerModel.mute: reports find no way, refused or waiting in vain, the last one may arrive at the end. CloudModel.boots and slowMs: a machine may be up before the rental's answer is there. A machine that was given back while it booted came up all the same: no longer.

--- a/src/test/java/org/astershift/world/CloudModel.java
+++ b/src/test/java/org/astershift/world/CloudModel.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.astershift.core.Decision;
 import org.astershift.core.Scheduler;
 
@@ -20,6 +22,13 @@
   private static final long LAG_MS = 3000;
   private static final long FAILED_AFTER_MS = 30_000;
   private static final long BOOT_MS = 10_000;
+
+  /** How long the next machines take until they report; null: never. */
+  Supplier<Long> boots = () -> BOOT_MS;
+
+  /** Rentals are carried out at once, and their answers take up to so long. */
+  long slowMs;
+
   private final World world;
   private final Map<String, List<String>> answered = new HashMap<>();
   private final Map<String, Long> diedMs = new HashMap<>();
@@ -41,7 +50,25 @@
     zones.put(name, zone);
     WorkerModel w = new WorkerModel(world, name, zone);
     world.workers.put(name, w);
-    world.after(up ? world.random.nextLong(world.setup.reportMs()) : BOOT_MS, w::start);
+    Long ms = up ? Long.valueOf(world.random.nextLong(world.setup.reportMs())) : boots.get();
+    if (ms != null) {
+      world.after(ms, () -> up(w));
+    }
+  }
+
+  private void up(WorkerModel w) {
+    if (!gone.contains(w.name) && !diedMs.containsKey(w.name)) {
+      w.start();
+    }
+  }
+
+  void rent(String request, Decision.Rent r, Consumer<List<String>> answer) {
+    List<String> names = rent(request, r);
+    if (slowMs == 0) {
+      answer.accept(names);
+    } else {
+      world.after(world.random.nextLong(slowMs), () -> answer.accept(names));
+    }
   }
 
   void die(String name) {
@@ -49,7 +76,7 @@
     world.workers.get(name).die();
   }
 
-  List<String> rent(String request, Decision.Rent r) {
+  private List<String> rent(String request, Decision.Rent r) {
     return answered.computeIfAbsent(
         request,
         n -> {
--- a/src/test/java/org/astershift/world/NodeModel.java
+++ b/src/test/java/org/astershift/world/NodeModel.java
@@ -413,8 +413,8 @@
         timeoutMs,
         answer -> {
           WorkerModel w = world.workers.get(machine);
-          if (w != null && w.alive()) {
-            answer.accept(true);
+          if (w != null) {
+            w.serve(() -> answer.accept(true));
           }
         },
         (Boolean yes) -> done.accept(yes != null));
@@ -690,8 +690,8 @@
         d.timeoutMs(),
         answer -> {
           WorkerModel w = world.workers.get(d.machine());
-          if (w != null && w.alive()) {
-            answer.accept(w.orders(t.token, d.session(), orders));
+          if (w != null) {
+            w.serve(() -> answer.accept(w.orders(t.token, d.session(), orders)));
           }
         },
         (WorkerModel.Executed e) -> {
@@ -750,7 +750,7 @@
     call(
         "cloud",
         CLOUD_MS,
-        answer -> answer.accept(world.cloud.rent(request, r)),
+        (Consumer<List<String>> answer) -> world.cloud.rent(request, r, answer),
         (List<String> names) -> {
           if (t != term) {
             return;
--- a/src/test/java/org/astershift/world/WorkerModel.java
+++ b/src/test/java/org/astershift/world/WorkerModel.java
@@ -7,7 +7,16 @@
 import org.astershift.core.Order;
 import org.astershift.core.Report;
 
-/** A worker: tokens, sessions, lease, commands; it reports to one controller at a time. */
+/**
+ * A worker: tokens, sessions, lease, commands; it reports to one controller at a time. It may hang,
+ * or be mute.
+ *
+ * <p>While it hangs its host keeps its connections: what is sent to it waits, and is dealt with when
+ * it goes on, each in an order drawn from the seed. Its tasks' run time stands still, its steady
+ * clock runs on. So the first thing that it does is to end what its lease no longer covers, and the
+ * answer to a report is dropped where 4 s have passed since that was sent. A task counts as on the
+ * machine until the lease is over: up to then it may go on, later it cannot.
+ */
 final class WorkerModel {
   private static final long ANSWER_MS = 4000;
   private static final long NEXT_MS = 1000;
@@ -25,6 +34,22 @@
   private long seq;
   private long answeredSentMs;
   private int node;
+
+  /** Since when it hangs, or -1; until when; and for how long it did before, in this life. */
+  private long hungSinceMs = -1;
+
+  private long hungUntilMs;
+  private long hungBeforeMs;
+
+  /** What waits for it to go on. */
+  private final List<Runnable> waiting = new ArrayList<>();
+
+  /** Until then it reaches no controller, while orders to it and their answers work. */
+  private long muteUntilMs;
+
+  /** The connection that it had as it became mute keeps what is sent last, and delivers it then. */
+  private boolean keptLast;
+
   private final Map<String, Task> tasks = new LinkedHashMap<>();
 
   /** A task on the machine, exited ones until they are forgotten. */
@@ -91,8 +116,64 @@
         });
   }
 
+  /** It does nothing for a while, and then goes on as if no time had passed for it. */
+  void hang(long forMs) {
+    if (!alive) {
+      return;
+    }
+    world.note(name, "hangs for " + forMs + " ms");
+    hungSinceMs = hung() ? hungSinceMs : world.now();
+    hungUntilMs = Math.max(hungUntilMs, world.now() + forMs);
+    int of = life;
+    world.after(forMs, () -> goOn(of));
+  }
+
+  boolean hung() {
+    return hungSinceMs >= 0;
+  }
+
+  private void goOn(int of) {
+    if (!alive || life != of || !hung() || world.now() < hungUntilMs) {
+      return;
+    }
+    world.note(name, "goes on");
+    hungBeforeMs += world.now() - hungSinceMs;
+    hungSinceMs = -1;
+    world.changed(); // nobody can know yet
+    expire();
+    List<Runnable> all = new ArrayList<>(waiting);
+    waiting.clear();
+    all.forEach(r -> world.after(0, () -> here(of, r)));
+  }
+
+  /** It reaches no controller; its last report may arrive when it does again. */
+  void mute(long forMs) {
+    world.note(name, "is mute for " + forMs + " ms");
+    muteUntilMs = Math.max(muteUntilMs, world.now() + forMs);
+    keptLast = world.random.nextBoolean();
+    world.after(forMs, world::changed);
+  }
+
+  boolean mute() {
+    return world.now() < muteUntilMs;
+  }
+
+  /** It reaches the controllers again. */
+  void unmute() {
+    muteUntilMs = 0;
+  }
+
+  /** A request to it, maybe held up on its way: served at once, when it goes on, or never. */
+  void serve(Runnable request) {
+    here(life, request);
+  }
+
   void die() {
     alive = false;
+    hungSinceMs = -1;
+    hungUntilMs = 0;
+    hungBeforeMs = 0;
+    waiting.clear();
     life++;
     tasks.values().forEach(t -> world.checker.over(t.task(), name));
     tasks.clear();
@@ -108,10 +189,38 @@
 
   private void here(int of, Runnable body) {
     if (alive && life == of) {
-      body.run();
+      if (hung()) {
+        waiting.add(body);
+      } else {
+        body.run();
+      }
     }
   }
 
+  /** How long it has been at work in this life: what its tasks' run time is counted by. */
+  private long workedMs() {
+    return world.now() - hungBeforeMs - (hung() ? world.now() - hungSinceMs : 0);
+  }
+
+  private void afterWork(long ms, Runnable body) {
+    whenWorked(life, workedMs() + ms, body);
+  }
+
+  private void whenWorked(int of, long atMs, Runnable body) {
+    world.after(
+        atMs - workedMs(),
+        () ->
+            here(
+                of,
+                () -> {
+                  if (workedMs() < atMs) {
+                    whenWorked(of, atMs, body); // it hung meanwhile
+                  } else {
+                    body.run();
+                  }
+                }));
+  }
+
   private void reportAfter(long ms) {
     int of = life;
     world.after(ms, () -> here(of, this::report));
@@ -150,6 +259,10 @@
     copy(r);
     int of = life;
     NodeModel to = world.nodes.get(node);
+    if (mute()) {
+      noWay(r, to);
+      return;
+    }
     world.call(
         name,
         to.name,
@@ -158,8 +271,22 @@
         (Answer a) -> here(of, () -> answered(a, sentMs, sentIn)));
   }
 
+  /** It is refused at once, or waits in vain for a connection. */
+  private void noWay(Report r, NodeModel to) {
+    if (keptLast) {
+      keptLast = false;
+      world.after(muteUntilMs - world.now() + 1, () -> to.report(r, a -> {}));
+    }
+    int of = life;
+    long sentMs = world.now();
+    long sentIn = session;
+    long ms = world.random.nextBoolean() ? 1 : ANSWER_MS;
+    world.after(ms, () -> here(of, () -> answered(null, sentMs, sentIn)));
+  }
+
   private void answered(Answer a, long sentMs, long sentIn) {
-    if (a == null || (!a.ok() && a.leader() == null)) {
+    boolean late = world.now() - sentMs > ANSWER_MS; // it hung, and no longer waits for that
+    if (a == null || late || (!a.ok() && a.leader() == null)) {
       node = (node + 1) % world.nodes.size();
       reportAfter(NEXT_MS);
     } else if (!a.ok()) {
@@ -191,6 +318,9 @@
         world.checker.over(t.task(), name);
       }
     }
+    if (hung()) {
+      return; // nothing of it can go on any more; it will do this itself, first of all
+    }
     tasks.clear();
     session++;
     answeredSentMs = world.now();
@@ -200,7 +330,12 @@
   private void watchLease() {
     int of = life;
     world.after(
-        answeredSentMs + world.setup.leaseMs() + 1 - world.now(), () -> here(of, this::expire));
+        answeredSentMs + world.setup.leaseMs() + 1 - world.now(),
+        () -> {
+          if (alive && life == of) {
+            expire();
+          }
+        });
   }
 
   /** Commands sent straight to it, maybe minutes ago. */
@@ -223,10 +358,10 @@
           Task fresh = new Task(o.job(), o.index(), o.attempt());
           tasks.put(key, fresh);
           world.checker.started(fresh.task(), name, o.attempt());
-          world.after(FETCH_MS, () -> phase(fresh, Report.Phase.RUNNING, null));
+          afterWork(FETCH_MS, () -> phase(fresh, Report.Phase.RUNNING, null));
           Long runMs = world.runMsOf(o.job(), o.index());
           if (runMs != null) {
-            world.after(FETCH_MS + runMs, () -> phase(fresh, Report.Phase.EXITED, "done"));
+            afterWork(FETCH_MS + runMs, () -> phase(fresh, Report.Phase.EXITED, "done"));
           }
         }
       }
