A mute machine gets nothing new, and is asked on when its lease ran out

Cause: a machine whose reports reach no controller answers orders and questions, and each answer made it look sound: it got direct starts that died with each of its leases. Where the lease ran out by the leader's clock between two answers it was neither asked nor given back any more. Change: work goes only where an answered report renewed the lease in the last half of one (Cluster.mute); a start placed there and not sent waits for the next report. A machine whose lease ran out and that left no question unanswered is asked on.

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -240,6 +240,12 @@
    */
   public static final int DEAF_TRIES = 2;
 
+  /**
+   * Leases without an answered report after which nothing new goes to a machine, though it answers
+   * orders. Less would take the seconds in which workers look for a new leader for such a spell.
+   */
+  public static final double MUTE_LEASES = 0.5;
+
   /** Milliseconds between questions to such a machine: the first answer makes it whole again. */
   public static final long DEAF_ASK_MS = 3000;
 
--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -312,6 +312,7 @@
     }
     m.claimed = true;
     m.heardMs = nowMs;
+    m.renewedMs = nowMs;
     m.unanswered = 0;
     m.hearsay = false;
     hidden.look(m, true);
@@ -415,7 +416,16 @@
 
   /** Whether new tasks may go there: not to a machine whose report is overdue. */
   boolean usable(Machine m, long nowMs) {
-    return m.usable(nowMs) && !overdue(m, nowMs);
+    return m.usable(nowMs) && !overdue(m, nowMs) && !mute(m, nowMs);
+  }
+
+  /**
+   * Its reports find no way here, though it may answer orders. These renew no lease, so what starts
+   * there now ends with the lease that is half over.
+   */
+  boolean mute(Machine m, long nowMs) {
+    long sinceMs = nowMs - Math.max(resumedMs, m.renewedMs);
+    return sinceMs > facts.leaseS() * 1000 * Constants.MUTE_LEASES;
   }
 
   /** Silence after which a machine is asked directly: its report is overdue. */
--- a/src/main/java/org/astershift/core/Commands.java
+++ b/src/main/java/org/astershift/core/Commands.java
@@ -131,7 +131,7 @@
       if (stopDue(run)) {
         orders.add(Order.stop(run, run.graceS()));
         run.stopSent = true;
-      } else if (sole && startDue(run)) {
+      } else if (sole && startDue(run) && !c.mute(m, nowMs)) {
         orders.add(Order.start(run));
         run.ordered = true;
         run.inFlight = true;
@@ -153,7 +153,7 @@
     if (m.orderInFlight
         || m.addr == null
         || m.state == Machine.State.BOOTING
-        || (m.state == Machine.State.LOST && !m.older)
+        || (m.state == Machine.State.LOST && !m.older && m.directFailures > 0)
         || m.state == Machine.State.RETURNING
         || nowMs - m.lastDirectMs < Constants.CLAIM_RETRY_MS) {
       return null;
--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -61,6 +61,9 @@
   /** When it last said anything, be it in answer to an order. */
   long seenMs;
 
+  /** When a report of it was last answered, or since when this leader may do that. */
+  long renewedMs;
+
   int directFailures;
 
   /**
@@ -175,6 +178,7 @@
     this.listedMs = nowMs;
     this.heardMs = nowMs;
     this.seenMs = nowMs;
+    this.renewedMs = nowMs;
     this.idleSinceMs = nowMs;
   }
 
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -267,6 +267,7 @@
       case LIFE -> {
         m.older = true;
         m.heardMs = nowMs;
+        m.renewedMs = nowMs;
         return commands.ends(r);
       }
       default -> {}
@@ -277,6 +278,7 @@
     reports.heard(m, r, nowMs);
     boolean wasAnswered = nowMs - m.heardMs < c.facts.leaseS() * 500;
     m.heardMs = nowMs;
+    m.renewedMs = nowMs;
     int before = m.heldCount();
     if (!reports.absorb(m, r, wasAnswered, nowMs)) {
       return commands.ends(r);
