--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -277,6 +277,7 @@
       case LIFE -> {
         m.older = true;
         m.heardMs = nowMs;
+        m.renewedMs = nowMs;
         return commands.ends(r);
       }
       default -> {}
@@ -287,6 +288,7 @@
     reports.heard(m, r, nowMs);
     boolean wasAnswered = nowMs - m.heardMs < c.facts.leaseS() * 500;
     m.heardMs = nowMs;
+    m.renewedMs = nowMs;
     int before = m.heldCount();
     if (!reports.absorb(m, r, wasAnswered, nowMs)) {
       return commands.ends(r);
