World: teams, machine types, spot, slow links; quota in all resources

Cause: the simulation had one team of one-processor tasks on one type of machine, so the meetings at limits could not be brought about. Change: teams with limits in processors and accelerators, types offered by the cloud with a capacity, machines that the cloud takes, tasks that save when stopped, delays by link; the checker sums what each team has on machines, and wrong_place knows types and spot.

--- a/src/test/java/org/astershift/world/Checker.java
+++ b/src/test/java/org/astershift/world/Checker.java
@@ -8,10 +8,12 @@
 import java.util.Set;
 import org.astershift.config.Constants;
 import org.astershift.core.JobSpec;
+import org.astershift.core.Team;
 
 /** What must never happen, and what users would call a failure, over the whole history. */
 final class Checker {
   private static final long JUST_NOW_MS = 1500;
+  private static final double TOLERANCE = 1e-6;
 
   /** The operators' letter: so long after all troubles a job without an answer is forgotten. */
   private static final long FORGOTTEN_MS = 75_000;
@@ -38,6 +40,12 @@
   /** The same where a task is on two machines at once, for what a team uses. */
   private final Set<String> onMachines = new HashSet<>();
 
+  /** Tasks that have completed, by name. */
+  private final Set<String> completed = new HashSet<>();
+
+  /** By job, when a task of it was started last. */
+  private final Map<String, Long> lastStartMs = new HashMap<>();
+
   private final Set<String> decided = new HashSet<>();
   private final Set<String> called = new HashSet<>();
   final List<String> broken = new ArrayList<>();
@@ -58,7 +66,7 @@
     this.world = world;
   }
 
-  /** Rules ran_twice and quota; each task takes one processor. */
+  /** Rules ran_twice, wrong_place and quota. */
   void started(String task, String machine, long attempt) {
     started++;
     String job = task.substring(0, task.indexOf('/'));
@@ -73,12 +81,44 @@
       broken.add(
           "ran_twice: " + task + " starts on " + machine + " while on " + at + " @" + attempt);
     }
-    if (world.teamLimit > 0 && onMachines.size() > world.teamLimit) {
-      broken.add("quota: " + onMachines.size() + " of " + world.teamLimit + " with " + task);
+    lastStartMs.put(job, world.now());
+    quota(world.spec(job).team(), task);
+  }
+
+  /** Rule quota: all that is on machines counts, whether it saves, hangs or cannot be reached. */
+  private void quota(String name, String task) {
+    Team team = world.teams().get(name);
+    if (!team.limited()) {
+      return;
+    }
+    double[] use = use(name);
+    boolean over =
+        (team.cpusMax() > 0 && use[0] > team.cpusMax() + TOLERANCE)
+            || (team.gpusMax() > 0 && use[1] > team.gpusMax() + TOLERANCE);
+    if (over) {
+      broken.add("quota: " + use[0] + ", " + use[1] + " of " + team + " with " + task);
     }
   }
 
-  /** Rule wrong_place, as far as zones go: the job's own, one for all, at most half in one. */
+  /** Processors and accelerators that the team's tasks take on machines. */
+  double[] use(String team) {
+    double[] use = new double[2];
+    for (String other : onMachines) {
+      JobSpec s = world.spec(other.substring(0, other.indexOf('/')));
+      if (s.team().equals(team)) {
+        use[0] += s.cpus();
+        use[1] += s.gpus();
+      }
+    }
+    return use;
+  }
+
+  /** The task has completed somewhere. */
+  void completed(String task) {
+    completed.add(task);
+  }
+
+  /** Rule wrong_place: type and kind, and the zone: the job's own, one for all, half in one. */
   private void rightPlace(String job, String task, String machine) {
     JobSpec spec = world.spec(job);
     String zone = world.workers.get(machine).zone;
@@ -91,10 +131,13 @@
         elsewhere |= !at.equals(zone);
       }
     }
-    if ((spec.zone() != null && !spec.zone().equals(zone))
+    CloudModel.Kind kind = world.workers.get(machine).kind;
+    if ((spec.types() != null && !spec.types().contains(kind.type()))
+        || (kind.spot() && !spec.spot())
+        || (spec.zone() != null && !spec.zone().equals(zone))
         || (spec.oneZone() && elsewhere)
         || (spec.spread() && here > spec.spreadLimit())) {
-      broken.add("wrong_place: " + task + " starts on " + machine + " in " + zone);
+      broken.add("wrong_place: " + task + " starts on " + machine + ", " + kind);
     }
   }
 
--- a/src/test/java/org/astershift/world/CloudModel.java
+++ b/src/test/java/org/astershift/world/CloudModel.java
@@ -5,10 +5,12 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.astershift.core.Decision;
+import org.astershift.core.MachineType;
 import org.astershift.core.Scheduler;
 
 /**
@@ -26,20 +28,46 @@
   private final Set<String> gone = new HashSet<>();
   private final Deque<Snapshot> snapshots = new ArrayDeque<>();
   private final List<String> names = new ArrayList<>();
-  private final Map<String, String> zones = new HashMap<>();
+  private final Map<String, Kind> kinds = new HashMap<>();
+  private final Map<String, MachineType> types = new LinkedHashMap<>();
+
+  /** Machines that there may be at once of a type, in all zones; none named: as many as asked. */
+  final Map<String, Integer> capacity = new HashMap<>();
+
   private int next = 100_000;
 
+  /** What a machine is: type, zone, and whether the cloud may take it any time. */
+  record Kind(String type, String zone, boolean spot) {}
+
   private record Snapshot(long atMs, List<Scheduler.Listed> listed) {}
 
   CloudModel(World world) {
     this.world = world;
+    offer(new MachineType(TYPE, 4, 0, 16, 50, 0.5, 1, 0.3, 10, world.setup.zones()));
     snap();
   }
 
+  /** One more type of machines. */
+  void offer(MachineType type) {
+    types.put(type.name(), type);
+  }
+
+  Map<String, MachineType> types() {
+    return types;
+  }
+
+  Kind kind(String name) {
+    return kinds.get(name);
+  }
+
   void add(String name, String zone, boolean up) {
+    add(name, new Kind(TYPE, zone, false), up);
+  }
+
+  void add(String name, Kind kind, boolean up) {
     names.add(name);
-    zones.put(name, zone);
-    WorkerModel w = new WorkerModel(world, name, zone);
+    kinds.put(name, kind);
+    WorkerModel w = new WorkerModel(world, name, kind);
     world.workers.put(name, w);
     world.after(up ? world.random.nextLong(world.setup.reportMs()) : BOOT_MS, w::start);
   }
@@ -54,18 +82,32 @@
         request,
         n -> {
           List<String> out = new ArrayList<>();
-          for (int i = 0; i < r.count(); i++) {
+          for (int i = 0; i < r.count() && hasMore(r.type()); i++) {
             String name = "vm-" + next++;
-            add(name, r.zone(), false);
+            add(name, new Kind(r.type(), r.zone(), r.spot()), false);
             out.add(name);
           }
           return out;
         });
   }
 
+  private boolean hasMore(String type) {
+    long there =
+        names.stream().filter(n -> !gone.contains(n) && kinds.get(n).type().equals(type)).count();
+    return there < capacity.getOrDefault(type, Integer.MAX_VALUE);
+  }
+
+  /** The cloud takes a spot machine back, without a notice. */
+  void take(String name) {
+    if (gone.add(name)) {
+      world.note(name, "is taken back by the cloud");
+      world.workers.get(name).die();
+    }
+  }
+
   void giveBack(List<String> machines, boolean silent) {
     for (String name : machines) {
-      if (zones.containsKey(name) && gone.add(name)) {
+      if (kinds.containsKey(name) && gone.add(name)) {
         WorkerModel w = world.workers.get(name);
         if (silent) {
           world.checker.returned.add(name);
@@ -83,7 +125,13 @@
         boolean failed = died != null && world.now() - died > FAILED_AFTER_MS;
         listed.add(
             new Scheduler.Listed(
-                name, name, TYPE, zones.get(name), false, failed ? "failed" : "running", 60));
+                name,
+                name,
+                kinds.get(name).type(),
+                kinds.get(name).zone(),
+                kinds.get(name).spot(),
+                failed ? "failed" : "running",
+                60));
       }
     }
     snapshots.addLast(new Snapshot(world.now(), listed));
--- a/src/test/java/org/astershift/world/NodeModel.java
+++ b/src/test/java/org/astershift/world/NodeModel.java
@@ -14,12 +14,10 @@
 import org.astershift.core.Decision;
 import org.astershift.core.Facts;
 import org.astershift.core.JobSpec;
-import org.astershift.core.MachineType;
 import org.astershift.core.Order;
 import org.astershift.core.Policy;
 import org.astershift.core.Report;
 import org.astershift.core.Scheduler;
-import org.astershift.core.Team;
 import org.astershift.office.Cancellation;
 import org.astershift.office.Candidacy;
 import org.astershift.office.Election;
@@ -533,8 +531,8 @@
     }
     Facts facts =
         new Facts(
-            Map.of("team", new Team("team", 0, world.teamLimit, 0, 0)),
-            List.of(),
+            world.teams(),
+            world.objectives,
             world.setup.reportMs() / 1000.0,
             world.setup.leaseMs() / 1000.0,
             30,
@@ -544,9 +542,7 @@
     // Machines are never given back as idle here, so that each return is for silence.
     Policy policy = new Policy(2500, 0.9, 64, 5, 1e6);
     Term t = new Term(token, clock(), new Scheduler(facts, policy, token));
-    MachineType type =
-        new MachineType(CloudModel.TYPE, 4, 0, 16, 50, 0.5, 1, 0.3, 10, world.setup.zones());
-    t.scheduler.types(Map.of(type.name(), type));
+    t.scheduler.types(world.cloud.types());
     StoreModel.below(mirror, "m/")
         .forEach(
             (machine, row) -> {
@@ -556,9 +552,9 @@
               }
               if (e.fresh()) {
                 t.scheduler.rented(
-                    "", List.of(machine), new Decision.Rent(e.type(), e.zone(), false, 1), clock());
+                    "", List.of(machine), new Decision.Rent(e.type(), e.zone(), e.spot(), 1), clock());
               } else {
-                t.scheduler.inherit(machine, e.addr(), e.type(), e.zone(), false, clock());
+                t.scheduler.inherit(machine, e.addr(), e.type(), e.zone(), e.spot(), clock());
               }
             });
     term = t;
@@ -772,7 +768,7 @@
               continue; // it may have tasks already, and is no longer fresh
             }
             left[0]++;
-            Decision.Enrol e = new Decision.Enrol(m, null, r.type(), r.zone(), false, true);
+            Decision.Enrol e = new Decision.Enrol(m, null, r.type(), r.zone(), r.spot(), true);
             note(t, "m/" + m, new MachineRow(e), noted);
           }
           t.scheduler.rented(request, names, r, clock());
--- a/src/test/java/org/astershift/world/WorkerModel.java
+++ b/src/test/java/org/astershift/world/WorkerModel.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.astershift.core.JobSpec;
 import org.astershift.core.Order;
 import org.astershift.core.Report;
 
@@ -14,6 +15,7 @@
   private static final long FETCH_MS = 800;
   final String name;
   final String zone;
+  final CloudModel.Kind kind;
   private final World world;
   private boolean alive;
 
@@ -52,10 +54,11 @@
   /** The answer to direct commands. */
   record Executed(boolean ok, Report report) {}
 
-  WorkerModel(World world, String name, String zone) {
+  WorkerModel(World world, String name, CloudModel.Kind kind) {
     this.world = world;
     this.name = name;
-    this.zone = zone;
+    this.zone = kind.zone();
+    this.kind = kind;
   }
 
   boolean alive() {
@@ -103,7 +106,7 @@
     for (Task t : tasks.values()) {
       items.add(new Report.Item(t.job, t.index, t.attempt, t.phase, t.cause));
     }
-    return new Report(name, name, CloudModel.TYPE, zone, false, session, ++seq, token, null, items);
+    return new Report(name, name, kind.type(), zone, kind.spot(), session, ++seq, token, null, items);
   }
 
   private void here(int of, Runnable body) {
@@ -232,7 +235,7 @@
       }
       case STOP -> {
         if (t != null) {
-          phase(t, Report.Phase.EXITED, "halted");
+          stop(t, o.graceS());
         }
       }
       case FORGET -> {
@@ -244,6 +247,19 @@
     }
   }
 
+  /** One that may save does so first, if it is given the time for it. */
+  private void stop(Task t, double graceS) {
+    JobSpec spec = world.spec(t.job);
+    boolean saves = spec != null && spec.checkpointS() > 0 && graceS >= spec.saveS();
+    if (saves && t.phase == Report.Phase.RUNNING) {
+      t.phase = Report.Phase.SAVING;
+      long ms = Math.round(spec.saveS() * 1000);
+      world.after(ms, () -> phase(t, Report.Phase.EXITED, "halted"));
+    } else if (!saves || t.phase != Report.Phase.SAVING) {
+      phase(t, Report.Phase.EXITED, "halted");
+    }
+  }
+
   private void phase(Task t, Report.Phase phase, String cause) {
     boolean here = alive && tasks.containsValue(t) && t.phase != Report.Phase.EXITED;
     if (here && world.now() - answeredSentMs > world.setup.leaseMs()) {
@@ -255,6 +271,9 @@
       t.cause = cause;
       if (phase == Report.Phase.EXITED) {
         world.checker.over(t.task(), name);
+        if ("done".equals(cause)) {
+          world.checker.completed(t.task());
+        }
       }
     }
   }
--- a/src/test/java/org/astershift/world/World.java
+++ b/src/test/java/org/astershift/world/World.java
@@ -15,6 +15,8 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
+import org.astershift.core.Objective;
+import org.astershift.core.Team;
 
 /**
  * Controllers, state service, cloud and workers in one process, in virtual time, under one seed.
@@ -39,6 +41,12 @@
   /** Processors that the tasks of the only team may take at once; 0: no limit. */
   double teamLimit;
 
+  /** Teams with their guarantees and limits; none: the only one, with {@link #teamLimit}. */
+  final Map<String, Team> teams = new LinkedHashMap<>();
+
+  /** What the operators aim at. */
+  final List<Objective> objectives = new ArrayList<>();
+
   /** Share of the reports of which a copy comes later. */
   double copied;
 
@@ -48,6 +56,7 @@
   private final PriorityQueue<Event> queue = new PriorityQueue<>();
   private final Set<Link> cut = new HashSet<>();
   private final Map<Link, List<Runnable>> held = new HashMap<>();
+  private final Map<Link, Long> slow = new HashMap<>();
   private final List<String> log = new ArrayList<>();
   private long nowMs;
   private long changedMs;
@@ -62,6 +71,10 @@
 
   private record Link(String from, String to) {}
 
+  Map<String, Team> teams() {
+    return teams.isEmpty() ? Map.of("team", new Team("team", 0, teamLimit, 0, 0)) : teams;
+  }
+
   private record Event(long atMs, long order, Runnable body) implements Comparable<Event> {
     @Override
     public int compareTo(Event o) {
@@ -201,9 +214,25 @@
     return 1 + random.nextLong(4);
   }
 
+  /** From now on what is sent that way takes up to so much longer; 0: no more. */
+  void slow(String from, String to, long ms) {
+    note(from, "needs up to " + ms + " ms more to " + to);
+    slow.put(new Link(from, to), ms);
+  }
+
+  /** What a message takes; one sent later may arrive before it, over another connection. */
+  private long delay(String from, String to) {
+    long most = slow.isEmpty() ? 0 : Math.max(more(from, to), more(group(from), group(to)));
+    return delay() + (most == 0 ? 0 : random.nextLong(most));
+  }
+
+  private long more(String from, String to) {
+    return slow.getOrDefault(new Link(from, to), 0L);
+  }
+
   void send(String from, String to, Runnable delivered) {
     if (up(from, to)) {
-      after(delay(), delivered);
+      after(delay(from, to), delivered);
     } else {
       held.computeIfAbsent(new Link(from, to), l -> new ArrayList<>()).add(delivered);
     }
