--- a/src/test/java/org/astershift/world/Checker.java
+++ b/src/test/java/org/astershift/world/Checker.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import org.astershift.config.Constants;
 import org.astershift.core.JobSpec;
 import org.astershift.core.Team;
@@ -113,6 +114,37 @@
     return use;
   }
 
+  /** Calls this with each task that is on a machine, and that. */
+  void eachOnMachine(BiConsumer<String, String> body) {
+    for (String on : onMachines) {
+      int at = on.indexOf(" on ");
+      body.accept(on.substring(0, at), on.substring(at + 4));
+    }
+  }
+
+  /**
+   * Tasks of a job that is neither over nor called off which are on no machine and have not
+   * completed.
+   */
+  List<Integer> waiting(JobSpec spec) {
+    List<Integer> out = new ArrayList<>();
+    if (called.contains("d/" + spec.id()) || cancelAsked.contains(spec.id())) {
+      return out;
+    }
+    for (int i = 0; i < spec.tasks(); i++) {
+      String task = spec.id() + "/" + i;
+      if (!running.containsKey(task) && !completed.contains(task)) {
+        out.add(i);
+      }
+    }
+    return out;
+  }
+
+  /** When a task of the job was started last; none yet: long ago. */
+  long lastStart(String job) {
+    return lastStartMs.getOrDefault(job, Long.MIN_VALUE);
+  }
+
   /** The task has completed somewhere. */
   void completed(String task) {
     completed.add(task);
--- a/src/test/java/org/astershift/world/WorkerModel.java
+++ b/src/test/java/org/astershift/world/WorkerModel.java
@@ -389,7 +389,7 @@
     if (saves && t.phase == Report.Phase.RUNNING) {
       t.phase = Report.Phase.SAVING;
       long ms = Math.round(spec.saveS() * 1000);
-      world.after(ms, () -> phase(t, Report.Phase.EXITED, "halted"));
+      afterWork(ms, () -> phase(t, Report.Phase.EXITED, "halted"));
     } else if (!saves || t.phase != Report.Phase.SAVING) {
       phase(t, Report.Phase.EXITED, "halted");
     }
--- a/src/test/java/org/astershift/world/World.java
+++ b/src/test/java/org/astershift/world/World.java
@@ -34,6 +34,7 @@
   final StoreModel store;
   final CloudModel cloud;
   final Checker checker;
+  final LeftWaiting leftWaiting;
   final Set<Mutant> mutants = EnumSet.noneOf(Mutant.class);
   final Map<String, WorkerModel> workers = new LinkedHashMap<>();
   final List<NodeModel> nodes = new ArrayList<>();
@@ -87,6 +88,7 @@
     this.setup = setup;
     this.random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
     this.checker = new Checker(this);
+    this.leftWaiting = new LeftWaiting(this);
     this.store = new StoreModel(this);
     this.cloud = new CloudModel(this);
     for (int i = 0; i < setup.nodes(); i++) {
