Core: no job waits for minutes beside room because of a probe, the window or a lost zone

Cause, each seen by a trace on the sources before: - a service that failed on two machines was probed by one replica, which never completes: the others waited for ever beside room; - probes of a sound job went to the faulty machines again, and their pauses rose to 256 s; - the window, full of tasks that fit nowhere (a zone without machines), kept all that came later from room elsewhere (paper, section 2.2: the window is what is scanned for a free machine); - where nothing was left in a zone that had been cut off nothing was rented there for 60 s. Change: a probe that runs for 10 s ends the suspicion; a probe goes where the job has not failed, if there is such a machine; pauses end at 64 s; of each kind of place and need 64 tasks are looked at beyond the window; for what may go nowhere else one machine at a time is rented in a zone that is cut off, which shows when it is back.

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -46,6 +46,13 @@
   /** Tasks of the queue looked at for a machine, as in the paper (section 4). */
   public static final int WINDOW = 2500;
 
+  /**
+   * Tasks of each kind of place and need that are looked at beyond the window: as many as one
+   * machine is given in a pass. The window may be full of what fits nowhere for now, and what could
+   * start elsewhere waited behind it beside room.
+   */
+  public static final int WINDOW_BEYOND = 64;
+
   /** Utilization from which a machine without a cached image stays free; paper, section 2.2. */
   public static final double UTILIZATION = 0.9;
 
@@ -181,8 +188,11 @@
   /** Milliseconds between the first probes of a job that is probably broken; doubled each time. */
   public static final long PROBE_PAUSE_MS = 4000;
 
-  /** So often at the most: about four minutes, since a sound one should not wait for ever. */
-  public static final int PROBE_DOUBLINGS = 6;
+  /**
+   * So often at the most, up to 64 s: a sound job whose faulty machines are replaced may wait for
+   * less than 90 s beside room, its probe's first seconds included.
+   */
+  public static final int PROBE_DOUBLINGS = 4;
 
   /** Milliseconds without starts of a job that a machine does not know: its upload may be late. */
   public static final long UNKNOWN_PAUSE_MS = 1000;
--- a/src/main/java/org/astershift/core/Blame.java
+++ b/src/main/java/org/astershift/core/Blame.java
@@ -117,6 +117,17 @@
     }
   }
 
+  /**
+   * Whether its probe shows the job to be sound: it runs for longer than what fails at once does. A
+   * replica never completes, and one that ran for good kept all others of its service waiting.
+   */
+  static void lookAt(Job job, long nowMs) {
+    if (job.suspect() && proven(job, nowMs)) {
+      LOG.info("job {} is sound after all: its probe runs", job.spec.id());
+      clear(job);
+    }
+  }
+
   private static void clear(Job job) {
     job.probes = 0;
     job.pausedUntilMs = 0;
--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -145,7 +145,11 @@
 
   /** Finds the types for the job, and what it leaves over on those with accelerators. */
   private void fit(Job job) {
-    job.usableTypes = usableTypes(job.spec);
+    JobSpec spec = job.spec;
+    job.usableTypes = usableTypes(spec);
+    job.place =
+        new Job.Place(
+            job.usableTypes, spec.zone(), spec.spot(), spec.cpus(), spec.gpus(), spec.memoryGb());
     job.spareTypes = new LinkedHashSet<>();
     for (MachineType t : types.values()) {
       if (t.gpus() > 0 && job.spec.fits(t)) {
--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -68,6 +68,13 @@
   /** Types of machines that its tasks may go to. */
   Set<String> usableTypes = Set.of();
 
+  /** What a machine has to be and to have for its tasks; set together with the types. */
+  Place place;
+
+  /** Jobs with the same find room on the same machines. */
+  record Place(
+      Set<String> types, String zone, boolean spot, double cpus, double gpus, double memoryGb) {}
+
   /**
    * Types with accelerators that its tasks need not: they may have what others leave over there.
    */
--- a/src/main/java/org/astershift/core/Placement.java
+++ b/src/main/java/org/astershift/core/Placement.java
@@ -218,7 +218,8 @@
     if (job.waiting.isEmpty()
         || !fits(m, job)
         || !allowed(m, job, nowMs)
-        || (starved == null && job.spare && queue.aimedWaits(m))) {
+        || (starved == null && job.spare && queue.aimedWaits(m))
+        || (job.suspect() && probedElsewhere(m, job, nowMs))) {
       return;
     }
     double score = m.score(job.spec.image());
@@ -251,6 +252,25 @@
     }
   }
 
+  /**
+   * Whether a probe should rather go to another machine: it failed here and not there. Faulty
+   * machines have its image by then, so each probe of a sound job went to one of them again.
+   */
+  private boolean probedElsewhere(Machine m, Job job, long nowMs) {
+    if (!job.failedOn.containsKey(m.name)) {
+      return false;
+    }
+    for (Machine other : c.all()) {
+      if (!job.failedOn.containsKey(other.name)
+          && c.usable(other, nowMs)
+          && fits(other, job)
+          && allowed(other, job, nowMs)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Whether there is room for one more task of the job on a machine that it may use. */
   private boolean fits(Machine m, Job job) {
     return m.hasRoom(job.spec) && (job.usableTypes.contains(m.type) || c.spareHolds(m, job));
--- a/src/main/java/org/astershift/core/Queue.java
+++ b/src/main/java/org/astershift/core/Queue.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.astershift.config.Constants;
 
 /**
  * The wait queue's window: the first tasks that may start now, as jobs, since all tasks of a job
@@ -65,6 +67,7 @@
     List<Job> queue = new ArrayList<>();
     Map<Priority, List<Job>> timed = new EnumMap<>(Priority.class);
     for (Job job : c.waiting) {
+      Blame.lookAt(job, nowMs);
       if (startable(job, nowMs)) {
         boolean byAim = job.startAimS != null && !job.timed();
         job.urgencyMs = byAim ? job.submittedMs + job.startAimS * 1000 : job.startMs();
@@ -90,6 +93,7 @@
   private void window(List<Job> queue) {
     int tasks = 0;
     int held = 0;
+    Map<Job.Place, Integer> looked = new HashMap<>();
     Allowance allowance = new Allowance(c);
     List<Job> all = new ArrayList<>();
     aimed.clear();
@@ -102,14 +106,18 @@
       if (startable == 0 && held >= c.policy.window()) {
         continue;
       }
+      // Nor does what fits nowhere keep from it what may start elsewhere: of each kind of place and
+      // need some are looked at beyond its end.
+      int same = looked.merge(job.place, startable, Integer::sum) - startable;
+      if (tasks - startable >= c.policy.window()
+          && (startable == 0 || same >= Constants.WINDOW_BEYOND)) {
+        continue;
+      }
       if (job.aimed && job.spec.kind() != JobKind.GANG && !job.suspect()) {
         aimed.add(job);
       }
       window.computeIfAbsent(job.spec.priority(), p -> new ArrayList<>()).add(job);
       all.add(job);
-      if (tasks >= c.policy.window()) {
-        break;
-      }
     }
     // What is starved goes before the window, and most of it stands beyond its end.
     c.floor.starved().forEach(g -> all.addAll(g.old()));
--- a/src/main/java/org/astershift/core/Renting.java
+++ b/src/main/java/org/astershift/core/Renting.java
@@ -4,9 +4,11 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.astershift.config.Constants;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -21,6 +23,10 @@
   private final Map<String, Decision.Rent> underWay = new LinkedHashMap<>();
   private final Map<Pool, Long> paused = new HashMap<>();
   private final Map<String, Integer> inZone = new HashMap<>();
+
+  /** Within a plan: zones in which a machine boots or is asked for. */
+  private final Set<String> awaited = new HashSet<>();
+
   private boolean ready;
 
   /** Machines that the cloud gives or refuses together. */
@@ -77,8 +83,12 @@
     List<Bin> soon = new ArrayList<>();
     long soonMs = nowMs + soonMs();
     inZone.clear();
+    awaited.clear();
     for (Machine m : c.all()) {
       inZone.merge(m.zone, 1, Integer::sum);
+      if (m.state == Machine.State.BOOTING) {
+        awaited.add(m.zone);
+      }
       if (m.kind != null && m.state == Machine.State.BOOTING && !c.isCutOff(m.zone, nowMs)) {
         coming.add(new Bin(m.kind, m.zone, m.spot));
       } else if (c.usable(m, nowMs)) {
@@ -104,7 +114,8 @@
       }
       need.fill(coming);
       for (int i = 0; need.left() > 0 && i < Constants.POOLS_A_JOB; i++) {
-        Decision.Rent r = cheapest(need, nowMs);
+        Decision.Rent r = cheapest(need, false, nowMs);
+        r = r == null ? cheapest(need, true, nowMs) : r;
         if (r == null) {
           break;
         }
@@ -123,12 +134,14 @@
   /** The zone that lacks least of what the job needs, among those where the rest can be had. */
   private String zone(Need need, List<Bin> free, List<Bin> coming, long nowMs) {
     String best = "";
+    String fallback = "";
     double bestCost = Double.MAX_VALUE;
     for (String zone : c.zones()) {
       int most = need.allowed(zone);
       if (most < need.left()) {
         continue;
       }
+      fallback = zone;
       int lacking = Math.max(0, most - need.fits(free, zone) - need.fits(coming, zone));
       double price = lacking == 0 ? 0 : lowestPrice(need.job, zone, nowMs);
       double cost = lacking * price;
@@ -137,7 +150,7 @@
         bestCost = cost;
       }
     }
-    return best;
+    return best.isEmpty() ? fallback : best;
   }
 
   private double lowestPrice(Job job, String zone, long nowMs) {
@@ -155,7 +168,11 @@
 
   private boolean paused(Pool pool, long nowMs) {
     // What is rented in a zone that is cut off does not come up.
-    return paused.getOrDefault(pool, Long.MIN_VALUE) > nowMs || c.isCutOff(pool.zone(), nowMs);
+    return refusedLately(pool, nowMs) || c.isCutOff(pool.zone(), nowMs);
+  }
+
+  private boolean refusedLately(Pool pool, long nowMs) {
+    return paused.getOrDefault(pool, Long.MIN_VALUE) > nowMs;
   }
 
   private void add(Decision.Rent r, List<Bin> coming) {
@@ -164,6 +181,7 @@
       coming.add(new Bin(t, r.zone(), r.spot()));
     }
     inZone.merge(r.zone(), r.count(), Integer::sum);
+    awaited.add(r.zone());
   }
 
   private List<Job> queue(long nowMs) {
@@ -216,8 +234,12 @@
     return least == Double.MAX_VALUE ? 0 : least;
   }
 
-  /** The cheapest machines for what is left of the need; null if none can be had now. */
-  private Decision.Rent cheapest(Need need, long nowMs) {
+  /**
+   * The cheapest machines for what is left of the need; null if none can be had now. {@code lost}:
+   * one machine in a zone that is cut off, for what may go nowhere else. It shows when the zone is
+   * back: where nothing was left in it to do that, such jobs waited for a minute more.
+   */
+  private Decision.Rent cheapest(Need need, boolean lost, long nowMs) {
     JobSpec spec = need.job.spec;
     Decision.Rent best = null;
     double bestCost = Double.MAX_VALUE;
@@ -228,11 +250,19 @@
       for (boolean spot : spec.spotOrNot()) {
         for (String zone : t.zones()) {
           int allowed = need.allowed(zone);
-          if (allowed <= 0 || paused(new Pool(name, zone, spot), nowMs)) {
+          Pool pool = new Pool(name, zone, spot);
+          boolean not =
+              lost
+                  ? refusedLately(pool, nowMs)
+                      || !c.isCutOff(zone, nowMs)
+                      || awaited.contains(zone)
+                  : paused(pool, nowMs);
+          if (allowed <= 0 || not) {
             continue;
           }
           int n = Math.min(count, (allowed + per - 1) / per);
           n = spec.oneZone() ? n : Math.min(n, zoneShare(count, t));
+          n = lost ? 1 : n;
           // A tie goes to the zone with the fewest machines, which spreads the fleet.
           // Its boot is paid for, too.
           double price = t.price(spot) * (1 + t.bootS() / Constants.RENTED_S);
