A term begins only on a mirror that has reached its own key

In the program one thread runs the rounds, so it told in order; the simulation ran several rounds at once.

The simulation runs one round at a time, as the program's loop does.

--- a/src/main/java/org/astershift/leader/Leadership.java
+++ b/src/main/java/org/astershift/leader/Leadership.java
@@ -176,7 +176,7 @@
       if (!done) {
         LOG.info("won token {} but could not read up to it: given up", c.revision());
       }
-      election.caughtUp(done);
+      election.caughtUp(c.revision(), done);
       return false;
     } else if (act instanceof Act.Begin b) {
       begin(b.token());
--- a/src/main/java/org/astershift/office/Election.java
+++ b/src/main/java/org/astershift/office/Election.java
@@ -204,9 +204,13 @@
     }
   }
 
-  /** Whether the mirror now holds all that was there when the key was created. */
-  public synchronized void caughtUp(boolean done) {
-    if (step != Step.WON) {
+  /**
+   * Whether the mirror now holds all that was there at this revision. Only that of the key which
+   * was won last counts: told late of an earlier one, a term began without what had been recorded
+   * between the two, and refused the news of it as older than itself (seed 6643 of the swarm).
+   */
+  public synchronized void caughtUp(long revision, boolean done) {
+    if (step != Step.WON || revision != wonRevision) {
       return;
     }
     if (!done) {
--- a/src/test/java/org/astershift/world/NodeModel.java
+++ b/src/test/java/org/astershift/world/NodeModel.java
@@ -66,6 +66,9 @@
   private Term term;
   private long restMark;
 
+  /** The last round of the election is over, and the next waits for its time or for the key. */
+  private boolean resting;
+
   /** Reports that it answered while another may have led. */
   private int answeredInDoubt;
 
@@ -271,8 +274,8 @@
               }
             }
             mirrored = Math.max(mirrored, upTo);
-            if (key) {
-              rest(0);
+            if (key && resting) {
+              rest(0); // one round at a time, as in the program
             }
           }
           later(got == null ? Constants.RETRY_MS : POLL_MS, this::poll);
@@ -290,6 +293,7 @@
   }
 
   private void rest(long ms) {
+    resting = true;
     long mark = ++restMark;
     later(
         ms,
@@ -301,7 +305,8 @@
   }
 
   private void elect() {
-    restMark++; // one round at a time
+    resting = false;
+    restMark++;
     Act act = election.next(view());
     long restMs = election.token() == 0 ? Constants.ELECTION_POLL_MS : Constants.LEADER_RENEW_MS;
     if (act instanceof Act.Look) {
@@ -353,7 +358,7 @@
   private void catchUp(long revision, long untilMs) {
     boolean done = mirrored >= revision || has(Mutant.NO_CATCHING_UP);
     if (done || clock() > untilMs) {
-      election.caughtUp(done);
+      election.caughtUp(revision, done);
       rest(0);
     } else {
       later(POLL_MS / 2, () -> catchUp(revision, untilMs));
