--- a/src/test/java/org/astershift/CloseUsers.java
+++ b/src/test/java/org/astershift/CloseUsers.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.astershift.http.HttpClient;
 import org.astershift.http.Json;
+import org.astershift.standin.Await;
 
 /**
  * Users who ask all nodes at once as soon as one has told them something, repeat their submissions,
@@ -142,8 +143,7 @@
   }
 
   private void live(Job job, int node) throws Exception {
-    String what = job.id + " to be accepted";
-    until(what, () -> ask(job, node, Request.SUBMIT) != Known.NOTHING);
+    Await.until(job.id + " to be accepted", () -> ask(job, node, Request.SUBMIT) != Known.NOTHING);
     List<Callable<Known>> atOnce = everywhere(job, Request.ASK);
     atOnce.addAll(everywhere(job, Request.SUBMIT));
     if (job.cancels) {
@@ -151,7 +151,7 @@
       atOnce.add(() -> ask(job, other, Request.CANCEL));
     }
     together(atOnce);
-    until(
+    Await.until(
         job.id + " to be over",
         () -> {
           List<Callable<Known>> next = everywhere(job, Request.ASK);
@@ -167,7 +167,7 @@
     together(after);
     for (int i = 0; i < Controllers.NODES; i++) {
       int each = i;
-      until("node " + i + " to say how " + job.id + " ended", () -> tells(job, each));
+      Await.until("node " + i + " to say how " + job.id + " ended", () -> tells(job, each));
     }
   }
 
@@ -175,10 +175,6 @@
     return ask(job, node, Request.ASK).over();
   }
 
-  private static void until(String what, Controllers.Condition condition) throws Exception {
-    Controllers.await(what, condition);
-  }
-
   private List<Callable<Known>> everywhere(Job job, Request request) {
     List<Callable<Known>> out = new ArrayList<>();
     for (int i = 0; i < Controllers.NODES; i++) {
--- a/src/test/java/org/astershift/Controllers.java
+++ b/src/test/java/org/astershift/Controllers.java
@@ -1,7 +1,6 @@
 package org.astershift;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static org.junit.jupiter.api.Assertions.fail;
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -15,6 +14,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.astershift.http.HttpClient;
+import org.astershift.standin.Await;
 import org.astershift.standin.PortBlock;
 import org.astershift.standin.StandInCloud;
 import org.astershift.standin.StandInStore;
@@ -26,19 +26,8 @@
 final class Controllers implements AutoCloseable {
   static final int NODES = 3;
 
-  /**
-   * Far longer than anything takes on a machine that several test runs share, and short enough that
-   * a run ends with a verdict.
-   */
-  private static final long PATIENCE_S = 100;
-
   private static final Pattern LEADS = Pattern.compile(" leads with token ([0-9]+)");
 
-  /** A condition that is looked at until it holds. */
-  interface Condition {
-    boolean holds() throws Exception;
-  }
-
   private final Path dir;
   private final PortBlock block;
   private final List<Integer> ports;
@@ -140,26 +129,12 @@
     }
   }
 
-  /** Looks until the condition holds; {@code what} is said of one that does not. */
-  static void await(String what, Condition condition) throws Exception {
-    long began = System.nanoTime();
-    Object pause = new Object();
-    while (!condition.holds()) {
-      if (System.nanoTime() - began > PATIENCE_S * 1_000_000_000) {
-        fail("waited " + PATIENCE_S + " s for: " + what);
-      }
-      synchronized (pause) {
-        pause.wait(20);
-      }
-    }
-  }
-
   /** Repeats a request, as users do, until the answer holds the word. */
   void await(int node, String method, String path, String body, String word) throws Exception {
     String[] last = {"no answer"};
     String what = method + " " + path + " at node " + node + " to be answered with " + word;
     try {
-      await(
+      Await.until(
           what,
           () -> {
             try {
@@ -180,7 +155,7 @@
   }
 
   void awaitStatus(int node, String path, int status) throws Exception {
-    await(
+    Await.until(
         "GET " + path + " at node " + node + " to be answered with " + status,
         () -> call(node, "GET", path, null).status() == status);
   }
--- a/src/test/java/org/astershift/EndToEndTest.java
+++ b/src/test/java/org/astershift/EndToEndTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Set;
 import org.astershift.http.HttpClient;
+import org.astershift.standin.Await;
 import org.astershift.standin.StandInWorker;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -136,7 +137,7 @@
   void whatIsOverOnRecordIsToldByNobodyAsLive() throws Exception {
     await(0, "POST", "/v2/runs", Controllers.job("wk-000008", "sweep", 3), "wk-000008");
     nodes.doors.forEach(d -> d.holdEnds(true));
-    Controllers.await("the end on record", () -> nodes.store.has("d/wk-000008"));
+    Await.until("the end on record", () -> nodes.store.has("d/wk-000008"));
     for (int i = 0; i < 3; i++) {
       HttpClient.Answer a = call(i, "GET", "/v2/runs/wk-000008", null);
       String said = new String(a.body(), StandardCharsets.UTF_8);
@@ -165,7 +166,7 @@
     nodes.awaitReady();
     Process old = nodes.process(2);
     nodes.start(2);
-    Controllers.await(
+    Await.until(
         "a process that waits for its address",
         () -> {
           assertTrue(nodes.process(2).isAlive(), "a process whose address is taken has ended");
--- a/src/test/java/org/astershift/standin/StandInStore.java
+++ b/src/test/java/org/astershift/standin/StandInStore.java
@@ -54,10 +54,16 @@
     return http.port();
   }
 
+  /** Sees a request before it is carried out, and again before it is answered. */
+  public interface Watcher {
+    void sees(Request r, boolean carriedOut) throws Exception;
+  }
+
   /** A way in for one node, which can be refused there while all others are served. */
   public final class Door implements AutoCloseable {
     private final HttpServer server;
     private volatile boolean refused;
+    private volatile Watcher watcher = (r, carriedOut) -> {};
     private boolean held;
 
     private Door() throws IOException {
@@ -66,7 +72,9 @@
     }
 
     private Response answer(Request r) throws Exception {
+      watcher.sees(r, false);
       Response answer = handle(r);
+      watcher.sees(r, true);
       boolean end = new String(r.body(), StandardCharsets.UTF_8).contains("\"set\":\"d/");
       synchronized (this) {
         while (held && end) {
@@ -76,6 +84,11 @@
       return answer;
     }
 
+    /** Whatever comes through here is shown to this one. */
+    public void watched(Watcher by) {
+      watcher = by;
+    }
+
     /** From now on ends of jobs are written and their writer gets no answer, until let go. */
     public synchronized void holdEnds(boolean is) {
       held = is;
