Fences of a term's beginning, of the mirror, of transactions and of direct orders

TakeoverFencesTest: what a term takes in, a job that comes while it begins, a term that is over before it began, the key of the predecessor, claims without an answer, reading up to the token, rentals noted first. StoreShellTest: what is unknown is not taken for refused, pages of different moments, a watch that cannot go on. OrderSenderTest: what an order without a proper answer may have done. JobLedgerTest: ENDED_IN_TERM covers news ten times as old as a request lives, at four ends a second and at the most that a state service with 180 changes a second takes.

--- a/src/main/java/org/astershift/store/Mirror.java
+++ b/src/main/java/org/astershift/store/Mirror.java
@@ -15,7 +15,7 @@
  * Every node's copy of what is live in the state service, kept up by a watch: a node that becomes
  * leader has to read nothing. It may lag; what must not be old is read from the service itself.
  */
-public final class Mirror {
+public class Mirror {
   private static final Logger LOG = LoggerFactory.getLogger(Mirror.class);
   private final StoreClient store;
   private final TreeMap<String, StoreClient.Row> rows = new TreeMap<>();
--- /dev/null
+++ b/src/test/java/org/astershift/leader/FenceCase.java
@@ -0,0 +1,112 @@
+package org.astershift.leader;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.astershift.core.JobKind;
+import org.astershift.core.JobSpec;
+import org.astershift.core.Priority;
+import org.astershift.http.HttpServer;
+import org.astershift.standin.StandInCloud;
+import org.astershift.standin.StandInStore;
+import org.astershift.standin.StandIns;
+import org.astershift.store.RateBudget;
+import org.astershift.store.Records;
+import org.astershift.store.StoreClient;
+import org.astershift.store.StoreClient.Outcome;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * One node in this process, and another client of the state service that acts in its place between
+ * two of its steps.
+ */
+abstract class FenceCase {
+  static final String ID = "wk-000001";
+  static final String LIVE = Records.JOB + ID;
+  static final String OVER = Records.ENDED + ID;
+  @TempDir Path dir;
+  StandInStore service;
+  StandInStore.Door door;
+  StandInStore.Door otherDoor;
+  StandInCloud cloud;
+  OneNode node;
+  StoreClient other;
+
+  @BeforeEach
+  void start() throws Exception {
+    service = new StandInStore(0);
+    door = service.door();
+    otherDoor = service.door();
+    cloud = new StandInCloud(0, List.of(1), 0); // no worker reaches anybody
+    node = new OneNode(dir, door, cloud);
+    other = new StoreClient(StandIns.settings(dir, otherDoor.port(), cloud.port()));
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    node.close();
+    cloud.close();
+    door.close();
+    otherDoor.close();
+    service.close();
+  }
+
+  static JobSpec job() {
+    return new JobSpec(
+        ID,
+        "c",
+        "demo",
+        JobKind.ARRAY,
+        Priority.LOW,
+        1,
+        1,
+        0,
+        1,
+        "i",
+        1,
+        null,
+        null,
+        false,
+        false,
+        false,
+        1,
+        0,
+        0,
+        null);
+  }
+
+  static Map<String, Object> record() {
+    return Records.job(new Records.JobRecord(job(), System.currentTimeMillis()));
+  }
+
+  Outcome write(StoreClient.Txn txn) throws InterruptedException {
+    return other.commit(txn, RateBudget.Use.URGENT, 10_000);
+  }
+
+  void accept() throws Exception {
+    assertEquals(201, node.desk.submit(job(), false).status());
+  }
+
+  void endElsewhere(boolean cancelled) throws InterruptedException {
+    Records.Ended end = new Records.Ended(cancelled, 1);
+    StoreClient.Txn txn = new StoreClient.Txn().delete(LIVE).put(OVER, Records.ended(end));
+    assertTrue(write(txn) instanceof Outcome.Applied);
+  }
+
+  /** Another node is recorded as leader, as it may be as soon as the lease is over. */
+  void anotherLeads() throws InterruptedException {
+    StoreClient.Txn txn = new StoreClient.Txn();
+    txn.delete(Records.LEADER).put(Records.LEADER, Records.leader("another"));
+    assertTrue(write(txn) instanceof Outcome.Applied);
+  }
+
+  static boolean says(HttpServer.Request r, String part) {
+    return (r.path() + new String(r.body(), StandardCharsets.UTF_8)).contains(part);
+  }
+}
--- a/src/test/java/org/astershift/leader/FencesTest.java
+++ b/src/test/java/org/astershift/leader/FencesTest.java
@@ -8,118 +8,23 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.astershift.core.JobKind;
-import org.astershift.core.JobSpec;
-import org.astershift.core.Priority;
 import org.astershift.core.Report;
-import org.astershift.http.HttpServer;
 import org.astershift.standin.Await;
-import org.astershift.standin.StandInCloud;
-import org.astershift.standin.StandInStore;
-import org.astershift.store.RateBudget;
 import org.astershift.store.Records;
 import org.astershift.store.StoreClient;
 import org.astershift.store.StoreClient.Outcome;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 
 /**
  * Each fence that stands in a thread of a leader and not in a decision: what happens between two of
  * its steps is done here by the state service's other client, at that very moment.
  */
 @Timeout(200)
-class FencesTest {
-  private static final String ID = "wk-000001";
-  private static final String LIVE = Records.JOB + ID;
-  private static final String OVER = Records.ENDED + ID;
-  @TempDir Path dir;
-  private StandInStore service;
-  private StandInStore.Door door;
-  private StandInStore.Door otherDoor;
-  private StandInCloud cloud;
-  private OneNode node;
-  private StoreClient other;
-
-  @BeforeEach
-  void start() throws Exception {
-    service = new StandInStore(0);
-    door = service.door();
-    otherDoor = service.door();
-    cloud = new StandInCloud(0, List.of(1), 0); // no worker reaches anybody
-    node = new OneNode(dir, door, cloud);
-    other = new StoreClient(OneNode.settings(dir, otherDoor.port(), cloud.port()));
-  }
-
-  @AfterEach
-  void stop() throws Exception {
-    node.close();
-    cloud.close();
-    door.close();
-    otherDoor.close();
-    service.close();
-  }
-
-  private static JobSpec job() {
-    return new JobSpec(
-        ID,
-        "c",
-        "demo",
-        JobKind.ARRAY,
-        Priority.LOW,
-        1,
-        1,
-        0,
-        1,
-        "i",
-        1,
-        null,
-        null,
-        false,
-        false,
-        false,
-        1,
-        0,
-        0,
-        null);
-  }
-
-  private static Map<String, Object> record() {
-    return Records.job(new Records.JobRecord(job(), System.currentTimeMillis()));
-  }
-
-  private Outcome write(StoreClient.Txn txn) throws InterruptedException {
-    return other.commit(txn, RateBudget.Use.URGENT, 10_000);
-  }
-
-  private void accept() throws Exception {
-    assertEquals(201, node.desk.submit(job(), false).status());
-  }
-
-  private void endElsewhere(boolean cancelled) throws InterruptedException {
-    Records.Ended end = new Records.Ended(cancelled, 1);
-    StoreClient.Txn txn = new StoreClient.Txn().delete(LIVE).put(OVER, Records.ended(end));
-    assertTrue(write(txn) instanceof Outcome.Applied);
-  }
-
-  /** Another node is recorded as leader, as it may be as soon as the lease is over. */
-  private void anotherLeads() throws InterruptedException {
-    StoreClient.Txn txn = new StoreClient.Txn();
-    txn.delete(Records.LEADER).put(Records.LEADER, Records.leader("another"));
-    assertTrue(write(txn) instanceof Outcome.Applied);
-  }
-
-  private static boolean says(HttpServer.Request r, String part) {
-    return (r.path() + new String(r.body(), StandardCharsets.UTF_8)).contains(part);
-  }
-
+class FencesTest extends FenceCase {
   /**
    * A leader cut off from the state service alone leads on in doubt. Another one may have ended the
    * job and said so, so it tells nothing from memory: neither what is live nor a cancellation.
@@ -139,7 +44,10 @@
     assertSame(term, node.director.term(), "it still leads, as far as it knows");
     assertNotNull(term.told(ID), "and has the job in memory");
     assertEquals(503, node.desk.poll(ID, true).status());
+    AtomicInteger promises = new AtomicInteger();
+    door.watched((r, done) -> promises.addAndGet(says(r, OVER) ? 1 : 0));
     assertEquals(503, node.desk.cancel(ID, true).status());
+    assertEquals(0, promises.get(), "it does not try to write what it may not promise");
     door.refuse(false);
     Await.until("an answer", () -> node.desk.poll(ID, true).status() == 200);
     assertEquals("withdrawn", node.desk.poll(ID, true).phase());
@@ -165,6 +73,7 @@
   void aRepeatedSubmissionWritesNothing() throws Exception {
     Outcome.Applied accepted = (Outcome.Applied) write(new StoreClient.Txn().put(LIVE, record()));
     assertEquals(200, node.desk.submit(job(), false).status());
+    assertEquals(200, node.desk.submit(job(), true).status(), "it is accepted, whatever fits now");
     assertEquals(accepted.revision(), other.get(LIVE).revision());
     endElsewhere(true);
     UserDesk.Submitted again = node.desk.submit(job(), false);
--- a/src/test/java/org/astershift/leader/OneNode.java
+++ b/src/test/java/org/astershift/leader/OneNode.java
@@ -1,13 +1,15 @@
 package org.astershift.leader;
 
-import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.astershift.config.Operator;
 import org.astershift.config.Settings;
 import org.astershift.standin.Await;
 import org.astershift.standin.StandInCloud;
 import org.astershift.standin.StandInStore;
+import org.astershift.standin.StandIns;
 import org.astershift.store.Mirror;
 import org.astershift.store.StoreClient;
 
@@ -22,22 +24,25 @@
   final Director director;
   final UserDesk desk;
 
+  /** What happens after its term has read the rows below a prefix; the prefix is told. */
+  volatile Consumer<String> loaded = prefix -> {};
+
   OneNode(Path dir, StandInStore.Door door, StandInCloud cloud) throws Exception {
-    Settings settings = settings(dir, door.port(), cloud.port());
+    Settings settings = StandIns.settings(dir, door.port(), cloud.port());
     store = new StoreClient(settings);
-    mirror = new Mirror(store);
+    mirror =
+        new Mirror(store) {
+          @Override
+          public List<StoreClient.Row> below(String prefix) {
+            List<StoreClient.Row> rows = super.below(prefix);
+            loaded.accept(prefix);
+            return rows;
+          }
+        };
     director = new Director(settings, Operator.defaults(), store, mirror, Map.of());
     desk = new UserDesk(director, store, Map.of());
   }
 
-  static Settings settings(Path dir, int store, int cloud) throws Exception {
-    String text =
-        Files.readString(Path.of("src/test/resources/first-job.toml"))
-            .replace("127.0.0.1:18443", "127.0.0.1:" + cloud)
-            .replace("127.0.0.1:18379", "127.0.0.1:" + store);
-    return Settings.load(Files.writeString(dir.resolve("node.toml"), text));
-  }
-
   /** Starts it. */
   OneNode start() throws Exception {
     Thread t = new Thread(threads, director::start);
--- /dev/null
+++ b/src/test/java/org/astershift/leader/TakeoverFencesTest.java
@@ -0,0 +1,197 @@
+package org.astershift.leader;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.BitSet;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.astershift.core.Decision;
+import org.astershift.standin.Await;
+import org.astershift.store.Records;
+import org.astershift.store.StoreClient;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Fences of a term's beginning, and of what it has to note before it acts. */
+@Timeout(200)
+class TakeoverFencesTest extends FenceCase {
+  private static final String VM = "vm-000007";
+
+  private static Object machine(String name, boolean fresh) {
+    return Records.machine(new Decision.Enrol(name, "127.0.0.1:1", "small", "a", false, fresh));
+  }
+
+  /** Opened jobs, machines that may hold their tasks, and done tasks come from the notes. */
+  @Test
+  void aTermTakesInWhatAnEarlierOneNoted() throws Exception {
+    BitSet done = new BitSet();
+    done.set(0);
+    StoreClient.Txn notes = new StoreClient.Txn().put(LIVE, record());
+    notes.put(Records.NOTES + "o0", Map.of(ID, Records.opened(List.of())));
+    notes.put(Records.NOTES + "m0", Map.of(VM, machine(VM, false)));
+    notes.put(Records.NOTES + "p0", Map.of(Records.progress(ID, 0), Records.segment(done, 0)));
+    write(notes);
+    node.start();
+    Term term = node.leads();
+    assertEquals(1, term.told(ID).done());
+    synchronized (term) {
+      assertFalse(term.scheduler.cancelKeepable(ID), "a machine that may hold it is unheard");
+    }
+  }
+
+  /** A job comes after the jobs were read, and before news is told to the new term. */
+  @Test
+  void aJobThatComesWhileATermBeginsIsTakenIn() throws Exception {
+    AtomicBoolean once = new AtomicBoolean();
+    node.loaded =
+        prefix -> {
+          if (prefix.equals(Records.JOB) && once.compareAndSet(false, true)) {
+            try {
+              write(new StoreClient.Txn().put(LIVE, record()));
+              Await.until("the job", () -> node.mirror.row(LIVE) != null);
+              // The next news is applied after the listeners were told of this.
+              write(new StoreClient.Txn().put(Records.LIVE + "x", Map.of()));
+              Await.until("the next news", () -> node.mirror.row(Records.LIVE + "x") != null);
+            } catch (Exception e) {
+              throw new IllegalStateException(e);
+            }
+          }
+        };
+    node.start();
+    Term term = node.leads();
+    assertTrue(once.get());
+    Await.until("the job to be kept", () -> term.keeps(ID));
+  }
+
+  /** It is told of a later leader while it still takes in what there is. */
+  @Test
+  void aTermThatIsOverBeforeItBeganDoesNotBegin() throws Exception {
+    AtomicLong overToken = new AtomicLong();
+    node.loaded =
+        prefix -> {
+          if (prefix.equals(Records.JOB) && overToken.get() == 0) {
+            overToken.set(node.mirror.row(Records.LEADER).revision());
+            node.director.leaderTold(Long.MAX_VALUE);
+          }
+        };
+    node.start();
+    Await.until("a term", () -> node.director.term() != null);
+    assertNotEquals(0, overToken.get());
+    assertTrue(node.director.term().token > overToken.get(), "the one that was over leads");
+  }
+
+  /** Its own key, left by the process before it, is removed; one that is not the same stays. */
+  @Test
+  void onlyThePredecessorsKeyIsRemoved() throws Exception {
+    write(new StoreClient.Txn().put(Records.LEADER, Records.leader("one")));
+    AtomicBoolean once = new AtomicBoolean();
+    door.watched(
+        (r, done) -> {
+          if (!done
+              && says(r, "\"remove\":\"" + Records.LEADER)
+              && once.compareAndSet(false, true)) {
+            anotherLeads();
+          }
+        });
+    node.start();
+    Await.until("the removal", once::get);
+    Await.until("the leader to be known", () -> "another".equals(node.director.otherLeader()));
+    assertEquals("another", other.get(Records.LEADER).data().get("node"));
+    assertEquals(0, node.director.token());
+  }
+
+  /** A claim without an answer is applied: the key must not stand for nobody. */
+  @Test
+  void aClaimWithoutAnAnswerIsTakenBack() throws Exception {
+    AtomicInteger revoked = new AtomicInteger();
+    door.watched(
+        (r, done) -> {
+          if (!done && says(r, "\"set\":\"" + Records.LEADER)) {
+            service.loseAnswers(revoked.get() == 0 ? 1 : 0);
+          }
+          revoked.addAndGet(!done && r.method().equals("DELETE") ? 1 : 0);
+        });
+    node.start();
+    Await.until("the lease of the lost claim to be ended", () -> revoked.get() > 0);
+    node.leads();
+  }
+
+  /** The key is recorded while this node's mirror hangs: it does not lead before it has read it. */
+  @Test
+  void whoWinsReadsUpToItsTokenFirst() throws Exception {
+    AtomicBoolean hangs = new AtomicBoolean();
+    AtomicLong won = new AtomicLong();
+    door.watched(
+        (r, done) -> {
+          if (!done && won.get() == 0 && says(r, "\"set\":\"" + Records.LEADER)) {
+            hangs.set(true);
+            write(new StoreClient.Txn().put(LIVE, record()));
+          } else if (done && won.get() == 0 && says(r, "\"set\":\"" + Records.LEADER)) {
+            won.set(other.get(Records.LEADER).revision());
+          }
+          if (done && r.path().equals("/watch")) {
+            Await.until("the mirror to go on", () -> !hangs.get());
+          }
+        });
+    node.start();
+    Await.until("the key", () -> won.get() > 0);
+    Term[] early = new Term[1];
+    Await.until(
+        "it to give up or to lead",
+        () -> {
+          early[0] = node.director.term();
+          return early[0] != null || other.get(Records.LEADER).data() == null;
+        });
+    assertEquals(null, early[0], "it leads and has not read the jobs");
+    hangs.set(false);
+    assertTrue(node.leads().token > won.get());
+    assertTrue(node.director.term().keeps(ID));
+  }
+
+  /** Only what is on record is rented, so that a successor asks for it under the same name. */
+  @Test
+  void nothingIsRentedBeforeItIsNoted() throws Exception {
+    AtomicInteger tries = new AtomicInteger();
+    AtomicBoolean refuses = new AtomicBoolean(true);
+    door.watched(
+        (r, done) -> {
+          if (!done && says(r, "\"" + Records.NOTES + "i") && refuses.get()) {
+            tries.incrementAndGet();
+            throw new IllegalStateException("refused");
+          }
+        });
+    node.start();
+    node.leads();
+    accept();
+    Await.until("the note of a rental to be refused", () -> tries.get() >= 5);
+    assertEquals(List.of(), cloud.everRented());
+    refuses.set(false);
+    Await.until("a machine", () -> !cloud.everRented().isEmpty());
+  }
+
+  /** A machine is on record with tasks before the answer to its rental comes. */
+  @Test
+  void aMachineThatWasNotedBeforeItsRentalWasAnsweredIsNotFresh() throws Exception {
+    node.start();
+    Term term = node.leads();
+    cloud.rented(m -> term.notes.put(Notes.Kind.MACHINE, m, machine(m, false), 0));
+    accept();
+    Await.until(
+        "the rental to be settled",
+        () -> {
+          boolean rented = !cloud.everRented().isEmpty();
+          return rented && term.notes.entries(Notes.Kind.RENTAL).isEmpty();
+        });
+    Map<String, Object> machines = term.notes.entries(Notes.Kind.MACHINE);
+    assertFalse(machines.isEmpty());
+    for (Map.Entry<String, Object> m : machines.entrySet()) {
+      assertFalse(Records.machine(m.getKey(), m.getValue()).fresh(), m.getKey());
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/astershift/office/JobLedgerTest.java
@@ -0,0 +1,36 @@
+package org.astershift.office;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.astershift.config.Constants;
+import org.junit.jupiter.api.Test;
+
+/** How old the news of a job may be that a thread brings after the job's end. */
+class JobLedgerTest {
+  private static final int CHANGES_AN_END = 2;
+
+  /**
+   * Ended jobs are remembered up to a number. At four ends a second it lasts for 40 minutes, and at
+   * as many as a state service with 180 changes a second takes from the leader for three: no
+   * request lives a tenth of that, nor did any thread in the cluster simulation (8 s).
+   */
+  @Test
+  void newsOfEndedJobsIsRefusedForLongerThanARequestLives() {
+    for (double endsPerS : new double[] {4, 180 * Constants.LEADER_BUDGET / CHANGES_AN_END}) {
+      JobLedger ledger = new JobLedger(5);
+      ledger.loaded();
+      double oldestS = Constants.ENDED_IN_TERM / endsPerS;
+      long requestMs = Constants.WATCH_BLOCK_MS + Constants.STORE_TIMEOUT_MS;
+      assertTrue(oldestS * 1000 > 10 * requestMs, oldestS + " s");
+      int ends = (int) (endsPerS * 10 * requestMs / 1000);
+      for (int i = 0; i < ends; i++) {
+        assertTrue(ledger.take("wk-" + i, 6 + i));
+        ledger.ending("wk-" + i);
+        ledger.ended("wk-" + i);
+      }
+      assertFalse(ledger.take("wk-0", 6), "the oldest of " + ends);
+      assertFalse(ledger.take("wk-" + (ends - 1), 6));
+    }
+  }
+}
--- a/src/test/java/org/astershift/standin/StandInCloud.java
+++ b/src/test/java/org/astershift/standin/StandInCloud.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import org.astershift.http.HttpServer;
 import org.astershift.http.HttpServer.Request;
 import org.astershift.http.HttpServer.Response;
@@ -20,6 +21,7 @@
   private final List<StandInWorker> ever = new ArrayList<>();
   private final long taskMs;
   private int made;
+  private Consumer<String> beforeAnswer = name -> {};
   private final HttpServer http;
 
   public StandInCloud(int port, List<Integer> controllers, long taskMs) throws IOException {
@@ -38,6 +40,11 @@
     return new ArrayList<>(machines.values());
   }
 
+  /** Called with each machine that is rented, before its renter knows of it. */
+  public synchronized void rented(Consumer<String> by) {
+    beforeAnswer = by;
+  }
+
   /** The same with those of machines that were given back. */
   public synchronized List<StandInWorker> everRented() {
     return new ArrayList<>(ever);
@@ -95,6 +102,7 @@
         StandInWorker w = new StandInWorker(name, Json.text(m, "harbor"), controllers, taskMs);
         machines.put(name, w);
         ever.add(w);
+        beforeAnswer.accept(name);
         names.add(name);
       }
       rentals.put(rental, names);
--- a/src/test/java/org/astershift/standin/StandInStore.java
+++ b/src/test/java/org/astershift/standin/StandInStore.java
@@ -26,6 +26,9 @@
 
   private record Event(long revision, Map<String, Object> news, String key) {}
 
+  /** Changes up to this revision are not kept any more. */
+  private long forgotten = -1;
+
   private final TreeMap<String, Value> rows = new TreeMap<>();
   private final List<Event> events = new ArrayList<>();
   private final Map<Long, long[]> leases = new HashMap<>();
@@ -54,7 +57,10 @@
     return http.port();
   }
 
-  /** Sees a request before it is carried out, and again before it is answered. */
+  /**
+   * Sees a request before it is carried out or refused, and again before it is answered; if it
+   * throws, the request is refused.
+   */
   public interface Watcher {
     void sees(Request r, boolean carriedOut) throws Exception;
   }
@@ -67,12 +73,15 @@
     private boolean held;
 
     private Door() throws IOException {
-      server = new HttpServer("127.0.0.1", 0, 200, r -> refused ? no() : answer(r));
+      server = new HttpServer("127.0.0.1", 0, 200, this::answer);
       server.start();
     }
 
     private Response answer(Request r) throws Exception {
       watcher.sees(r, false);
+      if (refused) {
+        return Response.error(503, "trouble");
+      }
       Response answer = handle(r);
       watcher.sees(r, true);
       boolean end = new String(r.body(), StandardCharsets.UTF_8).contains("\"set\":\"d/");
@@ -95,10 +104,6 @@
       notifyAll();
     }
 
-    private Response no() {
-      return Response.error(503, "trouble");
-    }
-
     public int port() {
       return server.port();
     }
@@ -117,6 +122,12 @@
     return new Door();
   }
 
+  /** No watch can go on from what happened so far. */
+  public synchronized void forgetChanges() {
+    forgotten = revision;
+    notifyAll();
+  }
+
   public synchronized boolean has(String key) {
     return rows.containsKey(key);
   }
@@ -324,6 +335,9 @@
     long deadline = now() + Long.parseLong(q.getOrDefault("block_ms", "0"));
     while (true) {
       expire();
+      if (from < forgotten) {
+        return Response.error(410, "too old");
+      }
       List<Object> news = new ArrayList<>();
       for (Event e : events) {
         if (e.revision() > from && e.key().startsWith(q.get("starts"))) {
--- a/src/test/java/org/astershift/standin/StandIns.java
+++ b/src/test/java/org/astershift/standin/StandIns.java
@@ -1,11 +1,28 @@
 package org.astershift.standin;
 
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
+import org.astershift.config.Settings;
 
 /** The stand-ins on fixed ports, for the first job in the README. */
 public final class StandIns {
   private StandIns() {}
 
+  /**
+   * Settings of a single node against stand-ins on these ports, written to this directory. Its
+   * limits are far above what a test asks of the state service.
+   */
+  public static Settings settings(Path dir, int store, int cloud) throws Exception {
+    String text =
+        Files.readString(Path.of("src/test/resources/first-job.toml"))
+            .replace("127.0.0.1:18443", "127.0.0.1:" + cloud)
+            .replace("127.0.0.1:18379", "127.0.0.1:" + store)
+            .replace("rps = 250.0", "rps = 20000.0")
+            .replace("rps = 100.0", "rps = 20000.0");
+    return Settings.load(Files.writeString(dir.resolve("node.toml"), text));
+  }
+
   /** Runs until it is killed. */
   public static void main(String[] args) throws Exception {
     StandInStore store = new StandInStore(18_379);
--- /dev/null
+++ b/src/test/java/org/astershift/store/StoreShellTest.java
@@ -0,0 +1,146 @@
+package org.astershift.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.astershift.config.Constants;
+import org.astershift.standin.Await;
+import org.astershift.standin.StandInStore;
+import org.astershift.standin.StandIns;
+import org.astershift.store.StoreClient.Outcome;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What a node takes the state service's answers, and their absence, for. */
+@Timeout(200)
+class StoreShellTest {
+  private final ThreadGroup threads = new ThreadGroup("mirror");
+  private final ConcurrentLinkedQueue<String> told = new ConcurrentLinkedQueue<>();
+  @TempDir Path dir;
+  private StandInStore service;
+  private StandInStore.Door door;
+  private StandInStore.Door otherDoor;
+  private StoreClient store;
+  private StoreClient other;
+  private Mirror mirror;
+
+  @BeforeEach
+  void start() throws Exception {
+    service = new StandInStore(0);
+    door = service.door();
+    otherDoor = service.door();
+    store = new StoreClient(StandIns.settings(dir, door.port(), 1));
+    other = new StoreClient(StandIns.settings(dir, otherDoor.port(), 1));
+    mirror = new Mirror(store);
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    threads.interrupt();
+    door.close();
+    otherDoor.close();
+    service.close();
+  }
+
+  private static String key(int i) {
+    return String.format("%sj/wk-%06d", Records.LIVE, i);
+  }
+
+  private static long write(StoreClient by, StoreClient.Txn txn) throws InterruptedException {
+    Outcome o = by.commit(txn, RateBudget.Use.URGENT, 10_000);
+    return assertInstanceOf(Outcome.Applied.class, o).revision();
+  }
+
+  private void startMirror() throws InterruptedException {
+    Thread t =
+        new Thread(
+            threads,
+            () ->
+                mirror.start(
+                    rows -> rows.forEach(r -> told.add(r.key() + (r.data() == null ? "-" : "+")))));
+    t.start();
+    t.join();
+  }
+
+  /** Only what certainly is not applied may be taken for that. */
+  @Test
+  void whatIsUnknownIsNotTakenForRefused() throws Exception {
+    StoreClient.Txn txn = new StoreClient.Txn().put(key(1), Map.of());
+    service.loseAnswers(1);
+    Outcome lost = store.commit(txn, RateBudget.Use.URGENT, 1000);
+    service.loseAnswers(0);
+    assertInstanceOf(Outcome.Unknown.class, lost);
+    assertTrue(service.has(key(1)), "and it is applied");
+    door.refuse(true);
+    assertInstanceOf(Outcome.Refused.class, store.commit(txn, RateBudget.Use.URGENT, 1000));
+    long before = store.silenceMs();
+    assertThrows(IOException.class, () -> store.get(key(1)));
+    assertTrue(store.silenceMs() >= before, "a refusal is no service");
+    Await.until("the service to count as lost", store::lost);
+    door.refuse(false);
+    assertNotNull(store.get(key(1)).data());
+    assertTrue(!store.lost());
+  }
+
+  /** Records come and go between the first page that is read and the last. */
+  @Test
+  void pagesOfDifferentMomentsBecomeOne() throws Exception {
+    int rows = Constants.LIST_ROWS * 3 / 2;
+    for (int i = 0; i < rows; i += 100) {
+      StoreClient.Txn some = new StoreClient.Txn();
+      for (int j = i; j < i + 100; j++) {
+        some.put(key(j), Map.of());
+      }
+      write(other, some);
+    }
+    AtomicBoolean once = new AtomicBoolean();
+    door.watched(
+        (r, done) -> {
+          if (done && r.path().equals("/store") && once.compareAndSet(false, true)) {
+            write(other, new StoreClient.Txn().delete(key(3)).put(key(rows - 1), Map.of("n", 2)));
+            write(other, new StoreClient.Txn().put(key(4), Map.of("n", 2)));
+          }
+        });
+    startMirror();
+    Await.until("the pages", mirror::loaded);
+    long last = write(other, new StoreClient.Txn().put(key(rows), Map.of()));
+    assertTrue(mirror.reach(last, 60_000));
+    assertTrue(once.get());
+    assertNull(mirror.row(key(3)), "gone after its page was read");
+    assertEquals("2", String.valueOf(mirror.row(key(rows - 1)).data().get("n")));
+    assertEquals("2", String.valueOf(mirror.row(key(4)).data().get("n")));
+    assertEquals(rows, mirror.below(Records.LIVE).size());
+  }
+
+  /** A node that was cut off for so long that its watch cannot go on. */
+  @Test
+  void whatChangedBeyondTheWatchIsToldAllTheSame() throws Exception {
+    write(other, new StoreClient.Txn().put(key(1), Map.of()).put(key(2), Map.of()));
+    startMirror();
+    Await.until("the first reading", mirror::loaded);
+    door.refuse(true);
+    write(other, new StoreClient.Txn().put(key(9), Map.of())); // ends the watch that waits
+    Await.until("the watch to be refused", store::lost);
+    write(other, new StoreClient.Txn().delete(key(1)).put(key(3), Map.of()));
+    service.forgetChanges();
+    told.clear();
+    door.refuse(false);
+    Await.until("the second reading", () -> told.contains(key(3) + "+"));
+    assertTrue(told.contains(key(1) + "-"), "what is gone is told: " + List.copyOf(told));
+    assertNull(mirror.row(key(1)));
+    assertTrue(!told.contains(key(2) + "+"), "what did not change is no news");
+  }
+}
--- /dev/null
+++ b/src/test/java/org/astershift/worker/OrderSenderTest.java
@@ -0,0 +1,46 @@
+package org.astershift.worker;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.astershift.http.HttpServer;
+import org.astershift.http.HttpServer.Response;
+import org.junit.jupiter.api.Test;
+
+/** What a start may have done of which no proper answer came: it holds its task's place. */
+class OrderSenderTest {
+  private static final String REPORT =
+      "{\"vessel\":\"vm-1\",\"addr\":\"127.0.0.1:1\",\"hull\":\"small\",\"harbor\":\"a\","
+          + "\"ebbtide\":false,\"watch\":1,\"tick\":7,\"helm\":5,\"shards\":[]}";
+
+  private static String sent(String addr) {
+    OrderSender.Result r = new OrderSender().send(addr, 5, 1, List.of(), 2000);
+    return (r.unknown() ? "unknown" : "known") + (r.report() == null ? "" : " with a report");
+  }
+
+  private static String answered(int status, String body) throws Exception {
+    byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+    try (HttpServer worker =
+        new HttpServer("127.0.0.1", 0, 5, r -> new Response(status, bytes, 0))) {
+      worker.start();
+      return sent("127.0.0.1:" + worker.port());
+    }
+  }
+
+  @Test
+  void onlyWhatCertainlyDidNothingIsKnown() throws Exception {
+    assertEquals("known with a report", answered(200, REPORT));
+    assertEquals("known with a report", answered(409, REPORT));
+    assertEquals("known", answered(400, "{}"), "refused as it is: nothing is executed");
+    for (int status : new int[] {404, 500, 503}) {
+      assertEquals("unknown", answered(status, "{}"));
+    }
+    assertEquals("unknown", answered(200, REPORT.substring(0, 60)), "it may have been executed");
+    HttpServer gone = new HttpServer("127.0.0.1", 0, 5, r -> Response.of(200, null));
+    String addr = "127.0.0.1:" + gone.port();
+    gone.close();
+    assertEquals("known", sent(addr), "no connection: nothing was sent");
+    assertEquals("known", sent("nowhere"));
+  }
+}
