--- a/src/test/java/org/astershift/standin/StandInStore.java
+++ b/src/test/java/org/astershift/standin/StandInStore.java
@@ -27,6 +27,9 @@
 
   private record Event(long revision, Map<String, Object> news, String key) {}
 
+  /** Changes up to this revision are not kept any more. */
+  private long forgotten = -1;
+
   private final TreeMap<String, Value> rows = new TreeMap<>();
   private final List<Event> events = new ArrayList<>();
   private final Map<Long, long[]> leases = new HashMap<>();
@@ -55,19 +58,33 @@
     return http.port();
   }
 
+  /**
+   * Sees a request before it is carried out or refused, and again before it is answered; if it
+   * throws, the request is refused.
+   */
+  public interface Watcher {
+    void sees(Request r, boolean carriedOut) throws Exception;
+  }
+
   /** A way in for one node, which can be refused there while all others are served. */
   public final class Door implements AutoCloseable {
     private final HttpServer server;
     private volatile boolean refused;
+    private volatile Watcher watcher = (r, carriedOut) -> {};
     private boolean held;
 
     private Door() throws IOException {
-      server = new HttpServer("127.0.0.1", 0, 200, r -> refused ? no() : answer(r));
+      server = new HttpServer("127.0.0.1", 0, 200, this::answer);
       server.start();
     }
 
     private Response answer(Request r) throws Exception {
+      watcher.sees(r, false);
+      if (refused) {
+        return Response.error(503, "trouble");
+      }
       Response answer = handle(r);
+      watcher.sees(r, true);
       boolean end = new String(r.body(), StandardCharsets.UTF_8).contains("\"set\":\"d/");
       synchronized (this) {
         while (held && end) {
@@ -77,16 +94,17 @@
       return answer;
     }
 
+    /** Whatever comes through here is shown to this one. */
+    public void watched(Watcher by) {
+      watcher = by;
+    }
+
     /** From now on ends of jobs are written and their writer gets no answer, until let go. */
     public synchronized void holdEnds(boolean is) {
       held = is;
       notifyAll();
     }
 
-    private Response no() {
-      return Response.error(503, "trouble");
-    }
-
     public int port() {
       return server.port();
     }
@@ -105,6 +123,12 @@
     return new Door();
   }
 
+  /** No watch can go on from what happened so far. */
+  public synchronized void forgetChanges() {
+    forgotten = revision;
+    notifyAll();
+  }
+
   public synchronized boolean has(String key) {
     return rows.containsKey(key);
   }
@@ -317,6 +341,9 @@
     long deadline = now() + Long.parseLong(q.getOrDefault("block_ms", "0"));
     while (true) {
       expire();
+      if (from < forgotten) {
+        return Response.error(410, "too old");
+      }
       List<Object> news = new ArrayList<>();
       for (Event e : events) {
         if (e.revision() > from && e.key().startsWith(q.get("starts"))) {
