--- a/src/test/java/org/astershift/world/LeftWaiting.java
+++ b/src/test/java/org/astershift/world/LeftWaiting.java
@@ -94,8 +94,8 @@
 
   private void look() {
     Map<String, Room> rooms = rooms();
-    for (String job : world.accepted()) {
-      JobSpec spec = world.spec(job);
+    for (String job : world.users.accepted()) {
+      JobSpec spec = world.users.spec(job);
       List<Integer> waiting = world.checker.waiting(spec);
       if (waiting.isEmpty() || !mayStart(spec, waiting.size(), rooms)) {
         sinceMs.remove(job);
@@ -126,7 +126,7 @@
     world.checker.eachOnMachine(
         (task, machine) -> {
           if (rooms.containsKey(machine)) {
-            rooms.get(machine).take(world.spec(task.substring(0, task.indexOf('/'))));
+            rooms.get(machine).take(world.users.spec(task.substring(0, task.indexOf('/'))));
           }
         });
     return rooms;
--- a/src/test/java/org/astershift/world/WorkerModel.java
+++ b/src/test/java/org/astershift/world/WorkerModel.java
@@ -362,8 +362,9 @@
           tasks.put(key, fresh);
           world.checker.started(fresh.task(), name, o.attempt());
           afterWork(FETCH_MS, () -> phase(fresh, Report.Phase.RUNNING, null));
-          Long runMs = world.runMsOf(o.job(), o.index());
+          Long runMs = world.users.runMsOf(o.job(), o.index());
           if (runMs != null) {
+            world.users.started(o.job(), o.index(), FETCH_MS + runMs);
             afterWork(FETCH_MS + runMs, () -> phase(fresh, Report.Phase.EXITED, "done"));
           }
         }
@@ -384,7 +385,7 @@
 
   /** One that may save does so first, if it is given the time for it. */
   private void stop(Task t, double graceS) {
-    JobSpec spec = world.spec(t.job);
+    JobSpec spec = world.users.spec(t.job);
     boolean saves = spec != null && spec.checkpointS() > 0 && graceS >= spec.saveS();
     if (saves && t.phase == Report.Phase.RUNNING) {
       t.phase = Report.Phase.SAVING;
@@ -404,6 +405,11 @@
     if (here) {
       t.phase = phase;
       t.cause = cause;
+      if (phase == Report.Phase.RUNNING) {
+        world.checker.begins(t.task(), name);
+      } else if ("done".equals(cause)) {
+        world.users.completed(t.job, t.index);
+      }
       if (phase == Report.Phase.EXITED) {
         world.checker.over(t.task(), name);
         if ("done".equals(cause)) {
