--- a/src/main/java/org/astershift/office/Cancellation.java
+++ b/src/main/java/org/astershift/office/Cancellation.java
@@ -5,8 +5,8 @@
  * be outlived by a task: the end is written by the leader, under its key, and only when each
  * machine that may hold a task of the job answers to its token or is gone. From then on whoever
  * renews the lease of such a machine stops the task in the same answer, and if nobody does the
- * lease runs out. And nothing starts any more: a start that is on its way is seen to its end first. What cannot be confirmed now is refused at once or within the patience, to be
- * asked again.
+ * lease runs out. And nothing starts any more: a start that is on its way is seen to its end first.
+ * What cannot be confirmed now is refused at once or within the patience, to be asked again.
  */
 public final class Cancellation {
   private Cancellation() {}
@@ -39,8 +39,8 @@
    * asked; {@code leads}: this controller has a term, which is {@code sole} as long as no other can
    * have begun; {@code kept}: the term looks after the job; {@code read}: the state service was
    * asked about it; {@code keepable}: no machine that may hold a task of it can be renewed by an
-   * older leader; {@code starting}: a start of it is on its way; {@code complete}: all of its tasks are done; {@code late}: the patience is used
-   * up.
+   * older leader; {@code starting}: a start of it is on its way; {@code complete}: all of its tasks
+   * are done; {@code late}: the patience is used up.
    */
   public record View(
       boolean over,
--- a/src/test/java/org/astershift/world/Checker.java
+++ b/src/test/java/org/astershift/world/Checker.java
@@ -119,7 +119,12 @@
         boolean asked = n == leader || (!holdsUp && world.reaches(leader.name, n.name));
         // Not just after a path came back: nobody can know yet that it reaches them again.
         boolean settled = world.now() - world.changedMs() >= JUST_NOW_MS;
-        if (settled && w.alive() && !w.hung() && n.up() && asked && world.reaches(n.name, machine)) {
+        if (settled
+            && w.alive()
+            && !w.hung()
+            && n.up()
+            && asked
+            && world.reaches(n.name, machine)) {
           healthyReturned.add(machine + " by " + leader.name + ", reached by " + n.name);
           world.note(leader.name, "gives up " + machine + ", which " + n.name + " reaches");
           break;
--- a/src/test/java/org/astershift/world/CloudModel.java
+++ b/src/test/java/org/astershift/world/CloudModel.java
@@ -29,6 +29,11 @@
   /** Rentals are carried out at once, and their answers take up to so long. */
   long slowMs;
 
+  /** Machines that were up, and that had tasks, as the answer to their rental was given. */
+  int upBeforeAnswer;
+
+  int busyBeforeAnswer;
+
   private final World world;
   private final Map<String, List<String>> answered = new HashMap<>();
   private final Map<String, Long> diedMs = new HashMap<>();
@@ -67,7 +72,16 @@
     if (slowMs == 0) {
       answer.accept(names);
     } else {
-      world.after(world.random.nextLong(slowMs), () -> answer.accept(names));
+      world.after(
+          world.random.nextLong(slowMs),
+          () -> {
+            for (String name : names) {
+              WorkerModel w = world.workers.get(name);
+              upBeforeAnswer += w.alive() ? 1 : 0;
+              busyBeforeAnswer += w.holds().isEmpty() ? 0 : 1;
+            }
+            answer.accept(names);
+          });
     }
   }
 
--- a/src/test/java/org/astershift/world/Mutant.java
+++ b/src/test/java/org/astershift/world/Mutant.java
@@ -35,5 +35,11 @@
   /** A note is written whatever its key holds by then. */
   NOTES_WITHOUT_REVISIONS,
   /** A leader that hears few never hands over, and all stand at once. */
-  NO_HANDING_OVER
+  NO_HANDING_OVER,
+  /** An answer to an order counts as a report that was answered. */
+  ANSWERS_RENEW_LEASES,
+  /** Tasks of jobs that are over are stopped by nobody. */
+  WHAT_IS_OVER_GOES_ON,
+  /** A machine gets tasks before it is on record that it may. */
+  TASKS_BEFORE_THE_RECORD
 }
--- a/src/test/java/org/astershift/world/NodeModel.java
+++ b/src/test/java/org/astershift/world/NodeModel.java
@@ -642,6 +642,9 @@
           });
     } else if (d instanceof Decision.Enrol e) {
       t.noted.add(e.machine());
+      if (has(Mutant.TASKS_BEFORE_THE_RECORD)) {
+        t.scheduler.enrolled(e.machine());
+      }
       note(t, "m/" + e.machine(), new MachineRow(e), () -> t.scheduler.enrolled(e.machine()));
     } else if (d instanceof Decision.Strike s) {
       note(t, "m/" + s.machine(), null, () -> {});
@@ -700,13 +703,19 @@
           }
           Report r = e == null ? null : e.report();
           t.scheduler.directResult(d.machine(), e == null, r, clock());
+          if (r != null && has(Mutant.ANSWERS_RENEW_LEASES)) {
+            t.scheduler.report(r, clock());
+          }
           deposed(t, d.machine());
         });
   }
 
   private List<Order> said(Term t, List<Order> orders) {
     boolean silent = has(Mutant.IN_DOUBT_STOPS_NOTHING) && !election.valid(t.token, clock());
-    return silent ? orders.stream().filter(o -> o.op() != Order.Op.STOP).toList() : orders;
+    boolean over = has(Mutant.WHAT_IS_OVER_GOES_ON);
+    return orders.stream()
+        .filter(o -> o.op() != Order.Op.STOP || !(silent || (over && !t.ledger.keeps(o.job()))))
+        .toList();
   }
 
   private void deposed(Term t, String machine) {
--- a/src/test/java/org/astershift/world/Swarm.java
+++ b/src/test/java/org/astershift/world/Swarm.java
@@ -1,6 +1,7 @@
 package org.astershift.world;
 
 import java.util.List;
+import java.util.function.Consumer;
 import org.astershift.core.JobKind;
 import org.astershift.core.JobSpec;
 import org.astershift.world.World.Setup;
@@ -17,7 +18,7 @@
   /** From the middle of the troubles on; earlier would only cost time. */
   private static final int ASKED_FROM_S = 60;
 
-  private static final int KINDS = 20;
+  private static final int KINDS = 23;
   private static final int JOBS = 40;
   final World world;
   private final int kinds;
@@ -74,6 +75,7 @@
     w.store.slowMs = 0;
     w.stuckMs = 0;
     w.nodes.forEach(NodeModel::hasPlaces);
+    w.workers.values().forEach(WorkerModel::unmute);
     w.nodes.stream()
         .filter(n -> w.store.refuses(n.name))
         .forEach(n -> w.store.refuse(n.name, false));
@@ -198,6 +200,13 @@
         cut(node.name, "state", forMs);
         world.nodes.stream().filter(n -> n != node).forEach(n -> cut(node.name, n.name, forMs));
       }
+      case 20 -> some(m -> m.hang(Math.min(2 * world.setup.leaseMs(), forMs)));
+      case 21 -> some(m -> m.mute(forMs));
+      case 22 -> {
+        world.note("cloud", "boots within two seconds, and answers late");
+        world.cloud.boots = () -> 50 + world.random.nextLong(1950);
+        world.cloud.slowMs = 4000;
+      }
       default -> {
         for (int i = 0; i < 1 + world.random.nextInt(5); i++) {
           world.cloud.die(machine());
@@ -215,6 +224,19 @@
     }
   }
 
+  /** To a few machines, or to those of a zone. */
+  private void some(Consumer<WorkerModel> trouble) {
+    int zones = world.setup.zones().size();
+    boolean whole = world.random.nextInt(4) == 0;
+    int first = world.random.nextInt(world.setup.machines());
+    int machines = 1 + world.random.nextInt(8);
+    for (int i = 0; i < (whole ? world.setup.machines() : machines); i++) {
+      if (!whole || i % zones == first % zones) {
+        trouble.accept(world.workers.get(whole ? "vm-" + i : machine()));
+      }
+    }
+  }
+
   private String machine() {
     return "vm-" + world.random.nextInt(world.setup.machines());
   }
--- a/src/test/java/org/astershift/world/WorkerModel.java
+++ b/src/test/java/org/astershift/world/WorkerModel.java
@@ -11,11 +11,11 @@
  * A worker: tokens, sessions, lease, commands; it reports to one controller at a time. It may hang,
  * or be mute.
  *
- * <p>While it hangs its host keeps its connections: what is sent to it waits, and is dealt with when
- * it goes on, each in an order drawn from the seed. Its tasks' run time stands still, its steady
- * clock runs on. So the first thing that it does is to end what its lease no longer covers, and the
- * answer to a report is dropped where 4 s have passed since that was sent. A task counts as on the
- * machine until the lease is over: up to then it may go on, later it cannot.
+ * <p>While it hangs its host keeps its connections: what is sent to it waits, and is dealt with
+ * when it goes on, each in an order drawn from the seed. Its tasks' run time stands still, its
+ * steady clock runs on. So the first thing that it does is to end what its lease no longer covers,
+ * and the answer to a report is dropped where 4 s have passed since that was sent. A task counts as
+ * on the machine until the lease is over: up to then it may go on, later it cannot.
  */
 final class WorkerModel {
   private static final long ANSWER_MS = 4000;
@@ -40,6 +40,8 @@
 
   private long hungUntilMs;
   private long hungBeforeMs;
+  private long wentOnMs = -1;
+  private long hangNextMs;
 
   /** What waits for it to go on. */
   private final List<Runnable> waiting = new ArrayList<>();
@@ -52,6 +54,29 @@
 
   private final Map<String, Task> tasks = new LinkedHashMap<>();
 
+  // What happened here, for tests that have to see that it did.
+
+  /** When the last task was started. */
+  long startedMs = -1;
+
+  /** Tasks started while it was mute. */
+  int startedMute;
+
+  /** Reports that reached no controller. */
+  int unsaid;
+
+  /** Orders that waited for it to go on, and were executed then. */
+  int executedLate;
+
+  /** Answers to reports that waited for it to go on, and were in time. */
+  int answeredLate;
+
+  /** Tasks that went on after it hung. */
+  int wentOn;
+
+  /** The same of tasks whose user had been told meanwhile that they are cancelled. */
+  int wentOnCancelled;
+
   /** A task on the machine, exited ones until they are forgotten. */
   private static final class Task {
     final String job;
@@ -128,6 +153,11 @@
     world.after(forMs, () -> goOn(of));
   }
 
+  /** It hangs as soon as its next report is on its way, so that the answer waits for it. */
+  void hangNext(long forMs) {
+    hangNextMs = forMs;
+  }
+
   boolean hung() {
     return hungSinceMs >= 0;
   }
@@ -139,8 +169,14 @@
     world.note(name, "goes on");
     hungBeforeMs += world.now() - hungSinceMs;
     hungSinceMs = -1;
+    wentOnMs = world.now();
     world.changed(); // nobody can know yet
     expire();
+    for (String task : holds()) {
+      wentOn++;
+      String job = task.substring(0, task.indexOf('/'));
+      wentOnCancelled += world.checker.confirmedMs(job) == null ? 0 : 1;
+    }
     List<Runnable> all = new ArrayList<>(waiting);
     waiting.clear();
     all.forEach(r -> world.after(0, () -> here(of, r)));
@@ -173,6 +209,7 @@
     hungSinceMs = -1;
     hungUntilMs = 0;
     hungBeforeMs = 0;
+    hangNextMs = 0;
     waiting.clear();
     life++;
     tasks.values().forEach(t -> world.checker.over(t.task(), name));
@@ -269,6 +306,10 @@
         ANSWER_MS,
         answer -> to.report(r, answer),
         (Answer a) -> here(of, () -> answered(a, sentMs, sentIn)));
+    if (hangNextMs > 0) {
+      hang(hangNextMs);
+      hangNextMs = 0;
+    }
   }
 
   /** It is refused at once, or waits in vain for a connection. */
@@ -280,6 +321,7 @@
     int of = life;
     long sentMs = world.now();
     long sentIn = session;
+    unsaid++;
     long ms = world.random.nextBoolean() ? 1 : ANSWER_MS;
     world.after(ms, () -> here(of, () -> answered(null, sentMs, sentIn)));
   }
@@ -296,6 +338,7 @@
       reportAfter(same ? NEXT_MS : world.random.nextLong(500));
     } else {
       if (a.token() >= token && sentIn == session) {
+        answeredLate += wentOnMs == world.now() ? 1 : 0;
         token = a.token();
         answeredSentMs = Math.max(answeredSentMs, sentMs);
         watchLease();
@@ -345,6 +388,7 @@
       return new Executed(false, says());
     }
     token = helm;
+    executedLate += wentOnMs == world.now() ? orders.size() : 0;
     orders.forEach(this::execute);
     return new Executed(true, says());
   }
@@ -357,6 +401,8 @@
         if (t == null) {
           Task fresh = new Task(o.job(), o.index(), o.attempt());
           tasks.put(key, fresh);
+          startedMs = world.now();
+          startedMute += mute() ? 1 : 0;
           world.checker.started(fresh.task(), name, o.attempt());
           afterWork(FETCH_MS, () -> phase(fresh, Report.Phase.RUNNING, null));
           Long runMs = world.runMsOf(o.job(), o.index());
@@ -394,6 +440,14 @@
     }
   }
 
+  /** Tasks on it, exited ones not, as "job/index". */
+  List<String> holds() {
+    return tasks.values().stream()
+        .filter(t -> t.phase != Report.Phase.EXITED)
+        .map(Task::task)
+        .toList();
+  }
+
   int running() {
     int n = 0;
     for (Task t : tasks.values()) {
