--- a/src/test/java/org/astershift/leader/FenceCase.java
+++ b/src/test/java/org/astershift/leader/FenceCase.java
@@ -90,7 +90,7 @@
   }
 
   void accept() throws Exception {
-    assertEquals(201, node.desk.submit(job(), false).status());
+    assertEquals(201, node.desk.submit(job()).status());
   }
 
   void endElsewhere(boolean cancelled) throws InterruptedException {
--- a/src/test/java/org/astershift/leader/FencesTest.java
+++ b/src/test/java/org/astershift/leader/FencesTest.java
@@ -72,11 +72,11 @@
   @Test
   void aRepeatedSubmissionWritesNothing() throws Exception {
     Outcome.Applied accepted = (Outcome.Applied) write(new StoreClient.Txn().put(LIVE, record()));
-    assertEquals(200, node.desk.submit(job(), false).status());
-    assertEquals(200, node.desk.submit(job(), true).status(), "it is accepted, whatever fits now");
+    assertEquals(200, node.desk.submit(job()).status());
+    assertEquals(200, node.desk.poll(ID, true).status(), "asked for before a refusal");
     assertEquals(accepted.revision(), other.get(LIVE).revision());
     endElsewhere(true);
-    UserDesk.Submitted again = node.desk.submit(job(), false);
+    UserDesk.Submitted again = node.desk.submit(job());
     assertEquals("200 withdrawn", again.status() + " " + again.known().phase());
     assertNull(other.get(LIVE).data(), "what is over is not accepted once more");
   }
@@ -95,7 +95,7 @@
             endElsewhere(true);
           }
         });
-    UserDesk.Submitted s = node.desk.submit(job(), false);
+    UserDesk.Submitted s = node.desk.submit(job());
     assertEquals("200 withdrawn", s.status() + " " + s.known().phase());
     assertTrue(service.lost(Records.JOB) == 1, "the answer was lost");
   }
--- a/src/test/java/org/astershift/world/TeamMeetingsTest.java
+++ b/src/test/java/org/astershift/world/TeamMeetingsTest.java
@@ -124,8 +124,8 @@
     double[] use = w.checker.use(team);
     Team t = w.teams.get(team);
     boolean any = false;
-    for (String job : w.accepted()) {
-      JobSpec s = w.spec(job);
+    for (String job : w.users.accepted()) {
+      JobSpec s = w.users.spec(job);
       if (s.team().equals(team) && !w.checker.waiting(s).isEmpty()) {
         any = true;
         if (t.allows(use[0] + s.cpus(), use[1] + s.gpus())) {
