Core: a guest's task stands beside room for a minute at the most

Change: after 60 s beside room all such jobs with the same place and need may have what there is, in one pass of all machines, and then it is kept from them anew, so that two processors can still become free together.

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -98,6 +98,12 @@
    */
   public static final double LONG_START_S = 60;
 
+  /**
+   * Milliseconds for which room is kept from jobs at which nobody aims while aimed work waits: the
+   * operators' page lets no job wait for 90 s beside room.
+   */
+  public static final long HELD_BACK_MS = 60_000;
+
   /** Processor seconds of stopped work that a second of image fetch is worth to a tight aim. */
   public static final double FETCH_LOSS = 10;
 
--- a/src/main/java/org/astershift/core/Placement.java
+++ b/src/main/java/org/astershift/core/Placement.java
@@ -2,7 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.astershift.config.Constants;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -24,6 +28,17 @@
   private final Gangs gangs;
   private final Preemption preemption;
 
+  /** Since when jobs at which nobody aims have been kept from room, by what they need. */
+  private final Map<Job.Place, Long> heldBackMs = new HashMap<>();
+
+  /** Those of them that found room since the last pass began, and those that may have it. */
+  private final Set<Job.Place> heldBackNow = new HashSet<>();
+
+  private final Set<Job.Place> letThrough = new HashSet<>();
+
+  /** A pass is under way, which looks at all machines. */
+  private boolean passing;
+
   Placement(Cluster cluster) {
     this.c = cluster;
     this.queue = new Queue(cluster);
@@ -34,6 +49,7 @@
   /** All free machines and the whole window. */
   void pass(long nowMs) {
     c.recount();
+    holdBackAnew();
     queue.refresh(nowMs);
     if (queue.isEmpty()) {
       return;
@@ -46,12 +62,14 @@
         usable.add(m);
       }
     }
+    passing = true;
     for (Priority priority : Priority.values()) {
       pass(queue.tier(priority), usable, nowMs);
       if (priority == Priority.PRODUCTION) {
         c.floor.starved().forEach(g -> starved(g, usable, nowMs));
       }
     }
+    passing = false;
   }
 
   private void pass(List<Job> jobs, List<Machine> usable, long nowMs) {
@@ -218,7 +236,7 @@
     if (job.waiting.isEmpty()
         || !fits(m, job)
         || !allowed(m, job, nowMs)
-        || (starved == null && job.spare && queue.aimedWaits(m))
+        || (starved == null && heldBack(m, job, nowMs))
         || (job.suspect() && probedElsewhere(m, job, nowMs))) {
       return;
     }
@@ -252,6 +270,34 @@
     }
   }
 
+  /**
+   * Whether the room is kept from a job at which nobody aims, since aimed tasks wait that may become
+   * able to use it. After a minute beside room all such jobs with the same place and need may have
+   * what there is, in one pass, and then room is kept from them anew: for as long as larger work
+   * waited they stood beside a processor that was free on each machine.
+   */
+  private boolean heldBack(Machine m, Job job, long nowMs) {
+    if (!job.spare || !queue.aimedWaits(m)) {
+      return false;
+    }
+    heldBackNow.add(job.place);
+    long sinceMs = heldBackMs.computeIfAbsent(job.place, p -> nowMs);
+    // Between passes there is one machine to be had, and with it the turn would be over.
+    if (!passing || nowMs - sinceMs < Constants.HELD_BACK_MS) {
+      return true;
+    }
+    letThrough.add(job.place);
+    return false;
+  }
+
+  /** What found no room in the pass before, or was let through there, waits anew. */
+  private void holdBackAnew() {
+    heldBackMs.keySet().retainAll(heldBackNow);
+    heldBackMs.keySet().removeAll(letThrough);
+    heldBackNow.clear();
+    letThrough.clear();
+  }
+
   /**
    * Whether a probe should rather go to another machine: it failed here and not there. Faulty
    * machines have its image by then, so each probe of a sound job went to one of them again.
--- a/src/test/java/org/astershift/world/Checker.java
+++ b/src/test/java/org/astershift/world/Checker.java
@@ -63,6 +63,9 @@
 
   int started;
 
+  /** Stops of tasks that had not ended. */
+  int halted;
+
   Checker(World world) {
     this.world = world;
   }
--- a/src/test/java/org/astershift/world/TeamMeetingsTest.java
+++ b/src/test/java/org/astershift/world/TeamMeetingsTest.java
@@ -10,6 +10,8 @@
 import org.astershift.core.JobKind;
 import org.astershift.core.JobSpec;
 import org.astershift.core.MachineType;
+import org.astershift.core.Objective;
+import org.astershift.core.Priority;
 import org.astershift.core.Team;
 import org.astershift.world.World.Setup;
 import org.junit.jupiter.api.Test;
@@ -411,4 +413,79 @@
     w.leftWaiting.troublesAreOver();
     return empty;
   }
+
+  /**
+   * More work than there is room, urgent and not, large tasks and small, over links that take up to
+   * a second, and the leader changes in the middle of it. Nothing breaks, all that was called for is
+   * done, and once the links are fast again nothing waits beside room, though there is still more
+   * work than room.
+   */
+  @Test
+  void moreWorkThanRoomOverSlowLinks() {
+    int preempted = 0;
+    int waitedAfter = 0;
+    long longest = 0;
+    for (Fate fate : Fate.values()) {
+      for (long seed = 1; seed <= SEEDS; seed++) {
+        World w = crowded(seed);
+        NodeModel old = leaders(w).get(0);
+        w.after(20_000 + w.random.nextLong(5000), () -> suffer(w, old, fate));
+        w.runTo(60);
+        slow(w, 0);
+        waitedAfter += waiting(w);
+        preempted += w.checker.halted;
+        w.leftWaiting.troublesAreOver();
+        w.runTo(75);
+        urgent(w, 40);
+        w.runTo(160);
+        longest = Math.max(longest, w.leftWaiting.longestMs());
+        assertSound(w);
+      }
+    }
+    int played = Fate.values().length * SEEDS;
+    assertTrue(preempted >= played, preempted + " stopped for urgent work");
+    assertTrue(longest > 30_000, "the longest wait beside room " + longest + " ms");
+    assertTrue(waitedAfter >= 50 * played, waitedAfter + " waited when the troubles were over");
+  }
+
+  private static int waiting(World w) {
+    return w.accepted().stream().mapToInt(job -> w.checker.waiting(w.spec(job)).size()).sum();
+  }
+
+  private static void slow(World w, long ms) {
+    for (NodeModel n : w.nodes) {
+      for (String host : List.of("workers", "state", "cloud")) {
+        w.slow(n.name, host, host.equals("state") ? ms / 4 : ms);
+        w.slow(host, n.name, host.equals("state") ? ms / 4 : ms);
+      }
+    }
+  }
+
+  private static World crowded(long seed) {
+    World w = new World(seed, Setup.of(3, 12));
+    w.cloud.capacity.put(CloudModel.TYPE, 12);
+    w.objectives.add(new Objective("wait", "u", 2, 0.9, 1));
+    w.objectives.add(new Objective("wait", "n", 30, 0.9, 1));
+    slow(w, 1000);
+    w.runTo(6);
+    for (int i = 0; i < 10; i++) {
+      // Guests at whose work nobody aims, and large and small work of the others.
+      JobDraft guest = JobDraft.array("wk-g" + i, 12).in("g", Priority.LOW);
+      w.submit(guest.saves(i % 2 == 0 ? 2 : 0).spec(), 15_000L);
+      boolean large = i % 3 == 0;
+      JobDraft normal = JobDraft.array("wk-n" + i, large ? 60 : 8).in("n", Priority.NORMAL);
+      w.submit(normal.takes(large ? 3 : 2, 0).spec(), 12_000L);
+    }
+    for (int i = 0; i < 10; i++) {
+      int id = i;
+      w.after(5000 * i, () -> urgent(w, id));
+    }
+    w.runTo(18);
+    return w;
+  }
+
+  private static void urgent(World w, int id) {
+    JobDraft d = JobDraft.array("wk-u" + id, 6).in("u", Priority.HIGH);
+    w.submit(d.takes(id % 2 == 0 ? 2 : 1, 0).spec(), 8_000L);
+  }
 }
--- a/src/test/java/org/astershift/world/WorkerModel.java
+++ b/src/test/java/org/astershift/world/WorkerModel.java
@@ -370,6 +370,7 @@
       }
       case STOP -> {
         if (t != null) {
+          world.checker.halted += t.phase == Report.Phase.EXITED ? 0 : 1;
           stop(t, o.graceS());
         }
       }
