--- a/src/test/java/org/astershift/world/MeetingsTest.java
+++ b/src/test/java/org/astershift/world/MeetingsTest.java
@@ -43,7 +43,7 @@
 
   private record Gap(Heard heard, Fate fate, Down down) {}
 
-  private static World busy(long seed, int machines, Mutant... mutants) {
+  static World busy(long seed, int machines, Mutant... mutants) {
     World w = new World(seed, Setup.of(3, machines));
     w.mutants.addAll(List.of(mutants));
     w.runTo(4);
@@ -56,15 +56,15 @@
     return w;
   }
 
-  private static List<NodeModel> leaders(World w) {
+  static List<NodeModel> leaders(World w) {
     return w.nodes.stream().filter(n -> n.up() && n.leads()).toList();
   }
 
-  private static boolean leadsBeside(World w, NodeModel old) {
+  static boolean leadsBeside(World w, NodeModel old) {
     return leaders(w).stream().anyMatch(n -> n != old);
   }
 
-  private static void assertSound(World w) {
+  static void assertSound(World w) {
     assertEquals(List.of(), w.checker.broken, w.wholeStory());
   }
 
@@ -182,7 +182,7 @@
     }
   }
 
-  private static void assertMissed(Mutant mutant, LongFunction<World> played) {
+  static void assertMissed(Mutant mutant, LongFunction<World> played) {
     for (long seed = 1; seed <= 4 * SEEDS; seed++) {
       if (!played.apply(seed).checker.broken.isEmpty()) {
         return;
--- a/src/test/java/org/astershift/world/Mutant.java
+++ b/src/test/java/org/astershift/world/Mutant.java
@@ -32,6 +32,8 @@
   ENDS_REPLACE_ENDS,
   /** What is told of a job from memory does not mind that its end may be on record. */
   TOLD_WHILE_ENDING,
+  /** What the mirror shows of a live job is told, however old it is. */
+  TOLD_FROM_THE_MIRROR,
   /** Who asks about a job while an answer is being worked out shares that one. */
   SHARES_THE_ROUND_IN_WORK,
   /** A note is written whatever its key holds by then. */
--- a/src/test/java/org/astershift/world/NodeModel.java
+++ b/src/test/java/org/astershift/world/NodeModel.java
@@ -1202,6 +1202,10 @@
             answer.accept(view.running() ? "running" : "queued");
             return;
           }
+          if (has(Mutant.TOLD_FROM_THE_MIRROR) && mirror.containsKey("j/" + job)) {
+            answer.accept("queued");
+            return;
+          }
           if (t == null && forward) {
             share(elsewhere, job, answer, this::askLeader);
           } else {
--- a/src/test/java/org/astershift/world/StoreModel.java
+++ b/src/test/java/org/astershift/world/StoreModel.java
@@ -244,7 +244,11 @@
   /** All changes after this revision, as a controller's mirror reads them. */
   List<Row> since(String node, long after) {
     List<Row> news = since(after);
-    news.forEach(row -> read(node, row.key()));
+    for (Row row : news) {
+      if (!row.key().startsWith("d/")) { // which no mirror holds
+        read(node, row.key());
+      }
+    }
     return news;
   }
 
--- a/src/test/java/org/astershift/world/Swarm.java
+++ b/src/test/java/org/astershift/world/Swarm.java
@@ -19,14 +19,25 @@
 
   private static final int KINDS = 20;
   private static final int JOBS = 40;
+
+  /** Troubles that users make, or that meet them: {@link #users}. */
+  private static final int USER_KINDS = 7;
+
+  /** Jobs of a stream: a quarter of a minute of it. */
+  private static final int STREAM = 60;
+
+  private static final int FIRST_OF_STREAM = 100;
   final World world;
   private final int kinds;
+  private final int userKinds;
+  private int jobs = JOBS;
 
   private Swarm(long seed) {
     RandomSetup drawn = new RandomSetup(seed);
     world = new World(seed, drawn.setup);
     world.teamLimit = drawn.limited ? 3 * drawn.setup.machines() : 0;
     kinds = drawn.kinds;
+    userKinds = drawn.userKinds;
   }
 
   /** Drawn apart from the world's own numbers, so that both may change by themselves. */
@@ -34,6 +45,7 @@
     final Setup setup;
     final int kinds;
     final boolean limited;
+    final int userKinds;
 
     RandomSetup(long seed) {
       java.util.SplittableRandom r = new java.util.SplittableRandom(seed);
@@ -42,6 +54,7 @@
       setup = new Setup(nodes, 20 + r.nextInt(20), zones, 2000, 14_000);
       kinds = 1 + r.nextInt((1 << KINDS) - 1);
       limited = r.nextInt(3) == 0;
+      userKinds = r.nextInt(1 << USER_KINDS) & r.nextInt(1 << USER_KINDS);
     }
   }
 
@@ -67,10 +80,17 @@
         w.after(soonMs, () -> s.fault(true));
       }
     }
+    for (int kind = 0; kind < USER_KINDS; kind++) {
+      if ((s.userKinds & 1 << kind) != 0) {
+        int k = kind;
+        w.after(w.random.nextLong((HEALED_S - FAULTS_FROM_S) * 1000L), () -> s.users(k));
+      }
+    }
     w.after(ASKED_FROM_S * 1000L - w.now(), w::askAll);
     w.runTo(HEALED_S);
     w.healAll();
     w.store.lateShare = 0;
+    w.store.unheardShare = 0;
     w.store.slowMs = 0;
     w.stuckMs = 0;
     w.nodes.forEach(NodeModel::hasPlaces);
@@ -138,13 +158,7 @@
           }
         }
       }
-      case 6 -> {
-        if (!world.store.isDown()) {
-          world.note("state", "is down");
-          world.store.down(true);
-          world.after(Math.min(forMs, 20_000), () -> world.store.down(false));
-        }
-      }
+      case 6 -> down(Math.min(forMs, 20_000));
       case 7 -> cut(node.name, zone(), forMs);
       case 8 -> {
         String zone = zone();
@@ -176,12 +190,7 @@
           world.workers.get(machine()).beginAnew(50 + world.random.nextLong(900));
         }
       }
-      case 15 -> {
-        if (!world.store.refuses(node.name)) {
-          world.store.refuse(node.name, true);
-          world.after(forMs, () -> world.store.refuse(node.name, false));
-        }
-      }
+      case 15 -> refuse(node, forMs);
       case 16 -> {
         world.store.lateShare = 0.05 + 0.4 * world.random.nextDouble();
         world.after(forMs, () -> world.store.lateShare = 0);
@@ -206,6 +215,69 @@
     }
   }
 
+  /** What users do all at once, or what meets them just then. */
+  private void users(int kind) {
+    Users users = world.users;
+    long forMs = 5000 + world.random.nextLong(45_000);
+    NodeModel leader =
+        world.nodes.stream()
+            .filter(n -> n.up() && n.leads())
+            .findFirst()
+            .orElse(world.nodes.get(0));
+    switch (kind) {
+      case 0 -> {
+        users.closeLooks = 0.2 + 0.8 * world.random.nextDouble();
+        users.cancelsAtOnce = 0.3;
+        world.after(forMs, () -> users.closeLooks = users.cancelsAtOnce = 0);
+      }
+      case 1 -> {
+        world.store.unheardShare = 0.05 + 0.4 * world.random.nextDouble();
+        world.after(forMs, () -> world.store.unheardShare = 0);
+      }
+      case 2 -> users.cancelNow(2 + world.random.nextInt(8));
+      case 3 -> {
+        users.cancelsAtEnd = 0.1 + 0.5 * world.random.nextDouble();
+        world.after(forMs, () -> users.cancelsAtEnd = 0);
+      }
+      case 4 -> {
+        jobs += STREAM;
+        users.stream(FIRST_OF_STREAM, STREAM, 3000);
+      }
+      case 5 -> {
+        // Cancelled as the leader alone is refused, and a second later all are, for long.
+        users.cancelNow(2 + world.random.nextInt(6));
+        world.after(world.random.nextLong(100), () -> refuse(leader, 3000));
+        world.after(1000, () -> down(Checker.CANCEL_MS + 2000));
+      }
+      default -> {
+        for (int i = 0; i < 10; i++) {
+          boolean crashes = world.random.nextBoolean();
+          world.after(
+              i * forMs / 10 + world.random.nextLong(500),
+              () ->
+                  world.nodes.stream()
+                      .filter(n -> n.up() && n.leads())
+                      .forEach(crashes ? this::crash : NodeModel::handOver));
+        }
+      }
+    }
+  }
+
+  private void refuse(NodeModel node, long forMs) {
+    if (!world.store.refuses(node.name)) {
+      world.store.refuse(node.name, true);
+      world.after(forMs, () -> world.store.refuse(node.name, false));
+    }
+  }
+
+  private void down(long forMs) {
+    if (!world.store.isDown()) {
+      world.note("state", "is down");
+      world.store.down(true);
+      world.after(forMs, () -> world.store.down(false));
+    }
+  }
+
   /** Back after something between a twentieth of a second and ten, often at once. */
   private void crash(NodeModel n) {
     if (!n.crashed()) {
@@ -250,6 +322,6 @@
     String out = leaders == 1 ? "" : leaders + " lead; ";
     out += running >= 2 * world.setup.machines() ? "" : running + " replicas run; ";
     int ended = world.checker.ended();
-    return out + (ended == JOBS ? "" : ended + " of " + JOBS + " arrays are done; ");
+    return out + (ended == jobs ? "" : ended + " of " + jobs + " arrays are done; ");
   }
 }
