Old reports, held reports, long absences and late starts meet a new leader

Change: the simulation keeps copies for the next leader and delivers each at every controller, as one stands, wins, catches up, begins or has acted, and holds reports back, with their answers' way, until a new leader has acted (LateReports).

Found: each copy that was newer than the last put off the question which makes an inherited machine show the new token (it counted from the last report), and with it all jobs opened before.

--- a/src/main/java/org/astershift/core/Commands.java
+++ b/src/main/java/org/astershift/core/Commands.java
@@ -169,11 +169,14 @@
   /**
    * Most inherited machines report by themselves, and again once they have seen the new token; only
    * those that do not are asked. To ask a thousand at once costs a node on a fifth of a core more
-   * than all their reports.
+   * than all their reports. Counted from the first that was heard of it: copies of what it said
+   * before, each newer than the last, put the question off for as long as they came.
    */
   private static boolean claimDue(Machine m, long nowMs) {
-    long waitMs = m.session == 0 ? Constants.CLAIM_UNSEEN_MS : Constants.CLAIM_SEEN_MS;
-    return !m.claimed && m.inherited && nowMs - Math.max(m.knownMs, m.seenMs) >= waitMs;
+    boolean said = m.firstSaidMs >= 0;
+    long sinceMs = said ? m.firstSaidMs : Math.max(m.knownMs, m.seenMs);
+    long waitMs = said ? Constants.CLAIM_SEEN_MS : Constants.CLAIM_UNSEEN_MS;
+    return !m.claimed && m.inherited && nowMs - sinceMs >= waitMs;
   }
 
   /** Whether a question that has waited for its turn is still worth asking. */
--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -75,6 +75,9 @@
    */
   long unheardMs;
 
+  /** When it was first said to be there since then; -1: it was not yet. */
+  long firstSaidMs = -1;
+
   /** Reports without this leader's token that came after another one was answered with it. */
   int inVain;
 
@@ -211,6 +214,7 @@
     seq = 0;
     reportSession = 0;
     reportSeq = 0;
+    firstSaidMs = -1;
     inVain = 0;
     claimed = false;
     inherited = true;
--- a/src/main/java/org/astershift/core/Reports.java
+++ b/src/main/java/org/astershift/core/Reports.java
@@ -92,6 +92,7 @@
     }
     m.addr = r.addr();
     m.seenMs = nowMs;
+    m.firstSaidMs = m.firstSaidMs < 0 ? nowMs : m.firstSaidMs;
     c.heardFrom(m.zone);
     if (r.token() == c.token) {
       c.claim(m, nowMs);
--- a/src/test/java/org/astershift/world/Checker.java
+++ b/src/test/java/org/astershift/world/Checker.java
@@ -54,6 +54,8 @@
 
   int started;
 
+  private long latestToken;
+
   Checker(World world) {
     this.world = world;
   }
@@ -235,7 +237,17 @@
     return called.size();
   }
 
+  /** Whether the task is on this machine. */
+  boolean isOn(String task, String machine) {
+    return onMachines.contains(task + " on " + machine);
+  }
+
+  long latestToken() {
+    return latestToken;
+  }
+
   void leads(String node, long token) {
+    latestToken = Math.max(latestToken, token);
     leaders.add(node);
     world.note(node, "leads with token " + token);
   }
--- a/src/test/java/org/astershift/world/NodeModel.java
+++ b/src/test/java/org/astershift/world/NodeModel.java
@@ -90,6 +90,7 @@
     final Set<String> noted = new HashSet<>();
 
     int rentals;
+    boolean acted;
     long dueMs = Long.MAX_VALUE;
 
     Term(long token, long beganMs, Scheduler scheduler) {
@@ -326,6 +327,7 @@
             rest(lease == null ? Constants.RETRY_MS : 0);
           });
     } else if (act instanceof Act.Claim c) {
+      world.lateReports.at(LateReports.Moment.STANDS, this);
       commit(
           Map.of(StoreModel.LEADER, 0L),
           List.of(new Write(StoreModel.LEADER, name, c.lease())),
@@ -335,6 +337,9 @@
                     ? Election.Claimed.UNKNOWN
                     : o.revision() > 0 ? Election.Claimed.APPLIED : Election.Claimed.REFUSED,
                 o == null ? 0 : o.revision());
+            if (o != null && o.revision() > 0) {
+              world.lateReports.at(LateReports.Moment.WINS, this);
+            }
             rest(0);
           });
     } else if (act instanceof Act.CatchUp c) {
@@ -356,6 +361,7 @@
   }
 
   private void catchUp(long revision, long untilMs) {
+    world.lateReports.at(LateReports.Moment.CATCHES_UP, this);
     boolean done = mirrored >= revision || has(Mutant.NO_CATCHING_UP);
     if (done || clock() > untilMs) {
       election.caughtUp(revision, done);
@@ -582,6 +588,7 @@
     }
     StoreModel.below(mirror, "i/").forEach((request, r) -> rent(t, request, (Decision.Rent) r));
     world.checker.leads(name, token);
+    world.lateReports.at(LateReports.Moment.BEGINS, this);
     pass(t);
     list(t);
     save(t);
@@ -619,6 +626,10 @@
   }
 
   private void carryOut(Term t, Decision d) {
+    if (!t.acted && !(d instanceof Decision.Witness)) {
+      t.acted = true;
+      world.lateReports.at(LateReports.Moment.ACTED, this);
+    }
     if (d instanceof Decision.Direct o) {
       direct(t, o);
     } else if (d instanceof Decision.OpenJob o) {
@@ -737,9 +748,9 @@
               return;
             }
             if (t == term) {
-              boolean ok = orders != null;
+              boolean ok = orders != null || has(Mutant.DOUBT_IS_ANSWERED);
               answeredInDoubt += election.valid(t.token, clock()) ? 0 : 1;
-              answer.accept(new WorkerModel.Answer(ok, t.token, ok ? said(t, orders) : null, null));
+              answer.accept(new WorkerModel.Answer(ok, t.token, orders == null ? List.of() : said(t, orders), null));
               return;
             }
           }
@@ -1205,6 +1216,11 @@
     return term != null;
   }
 
+  /** Of its term; 0 if it does not lead. */
+  long token() {
+    return term == null ? 0 : term.token;
+  }
+
   /** Whether it leads and has not heard all machines of earlier leaders yet. */
   boolean starting() {
     return term != null && term.scheduler.starting();
--- a/src/test/java/org/astershift/world/WorkerModel.java
+++ b/src/test/java/org/astershift/world/WorkerModel.java
@@ -62,6 +62,18 @@
     return alive;
   }
 
+  int life() {
+    return life;
+  }
+
+  long session() {
+    return session;
+  }
+
+  long token() {
+    return token;
+  }
+
   void start() {
     alive = true;
     answeredSentMs = world.now();
@@ -127,8 +139,9 @@
   }
 
   /** As it was sent, or as a leader would read it that does not order what it is told. */
-  private Report aged(Report r) {
+  Report aged(Report r) {
     boolean news = world.mutants.contains(Mutant.COPIES_ARE_NEWS);
+    boolean shows = world.mutants.contains(Mutant.COPIES_SHOW_THE_TOKEN);
     return new Report(
         r.machine(),
         r.addr(),
@@ -137,7 +150,7 @@
         r.spot(),
         r.session(),
         news ? seq + 1 : r.seq(),
-        news ? token : r.token(),
+        news ? token : shows ? world.latestToken() : r.token(),
         null,
         r.tasks());
   }
@@ -148,13 +161,14 @@
     long sentIn = session;
     Report r = says();
     copy(r);
+    world.lateReports.said(this, r);
     int of = life;
     NodeModel to = world.nodes.get(node);
     world.call(
         name,
         to.name,
         ANSWER_MS,
-        answer -> to.report(r, answer),
+        world.lateReports.way(to, answer -> to.report(r, answer)),
         (Answer a) -> here(of, () -> answered(a, sentMs, sentIn)));
   }
 
--- a/src/test/java/org/astershift/world/World.java
+++ b/src/test/java/org/astershift/world/World.java
@@ -32,6 +32,7 @@
   final StoreModel store;
   final CloudModel cloud;
   final Checker checker;
+  final LateReports lateReports = new LateReports(this);
   final Set<Mutant> mutants = EnumSet.noneOf(Mutant.class);
   final Map<String, WorkerModel> workers = new LinkedHashMap<>();
   final List<NodeModel> nodes = new ArrayList<>();
@@ -347,6 +348,11 @@
     return slower.getOrDefault(job + "/" + index, runMs.get(job));
   }
 
+  /** The token of whoever began to lead last; 0: nobody has. */
+  long latestToken() {
+    return checker.latestToken();
+  }
+
   // ---- the log of all hosts, side by side ----
 
   void note(String host, String what) {
