--- a/src/test/java/org/astershift/world/LateReports.java
+++ b/src/test/java/org/astershift/world/LateReports.java
@@ -81,8 +81,7 @@
     if (heldBack == 0 || world.random.nextDouble() >= heldBack) {
       return service;
     }
-    return answer ->
-        held.add(new Held(to, world.latestToken(), () -> service.serve(answer)));
+    return answer -> held.add(new Held(to, world.latestToken(), () -> service.serve(answer)));
   }
 
   /** A change of leaders has come so far at this controller. */
@@ -127,8 +126,9 @@
     h.arrives.run();
   }
 
-  /** Whatever is still held back arrives. */
+  /** Nothing is kept or held back any more; what was held back arrives. */
   void release() {
+    kept = 0;
     heldBack = 0;
     held.forEach(h -> world.after(world.random.nextLong(SOON_MS), h.arrives));
     held.clear();
--- a/src/test/java/org/astershift/world/NodeModel.java
+++ b/src/test/java/org/astershift/world/NodeModel.java
@@ -750,7 +750,9 @@
             if (t == term) {
               boolean ok = orders != null || has(Mutant.DOUBT_IS_ANSWERED);
               answeredInDoubt += election.valid(t.token, clock()) ? 0 : 1;
-              answer.accept(new WorkerModel.Answer(ok, t.token, orders == null ? List.of() : said(t, orders), null));
+              answer.accept(
+                  new WorkerModel.Answer(
+                      ok, t.token, orders == null ? List.of() : said(t, orders), null));
               return;
             }
           }
--- a/src/test/java/org/astershift/world/ReportMeetingsTest.java
+++ b/src/test/java/org/astershift/world/ReportMeetingsTest.java
@@ -38,8 +38,8 @@
   }
 
   /**
-   * Arrays that end ({@code wk-10..15}), that are cancelled before the leader ends
-   * (20..23), and that run on (30..32), beside a service and under a limit.
+   * Arrays that end ({@code wk-10..15}), that are cancelled before the leader ends (20..23), and
+   * that run on (30..32), beside a service and under a limit.
    */
   private static World busy(long seed, double kept, Mutant... mutants) {
     World w = new World(seed, Setup.of(3, MACHINES));
@@ -224,6 +224,8 @@
       }
     }
     assertTrue(arrived > 100, arrived + " reports arrived at the new leader");
+    Mutant m = Mutant.COPIES_ARE_NEWS;
+    assertMissed(m, seed -> heldBack(End.values()[(int) seed % 5], seed, m));
   }
 
   private static World heldBack(End how, long seed, Mutant... mutants) {
@@ -408,8 +410,7 @@
     w.runTo(15 + (w.setup.leaseMs() + 1500 + w.random.nextInt(25_000)) / 1000.0);
     assertTrue(!withLeader || leadsAnew(w, token), w.story());
     int meanwhile = w.checker.confirmed() - before;
-    long lived =
-        w.workers.values().stream().filter(m -> m.alive() && m.zone.equals("a")).count();
+    long lived = w.workers.values().stream().filter(m -> m.alive() && m.zone.equals("a")).count();
     NodeModel next = leader(w);
     w.after(w.random.nextLong(1000), () -> end(w, next, End.values()[w.random.nextInt(3)]));
     w.runTo(nowS(w) + w.random.nextInt(1000) / 1000.0);
--- a/src/test/java/org/astershift/world/Swarm.java
+++ b/src/test/java/org/astershift/world/Swarm.java
@@ -22,11 +22,18 @@
   final World world;
   private final int kinds;
 
+  /** Shares of the reports that are kept for the next leader, and held back until it has acted. */
+  private final double kept;
+
+  private final double heldBack;
+
   private Swarm(long seed) {
     RandomSetup drawn = new RandomSetup(seed);
     world = new World(seed, drawn.setup);
     world.teamLimit = drawn.limited ? 3 * drawn.setup.machines() : 0;
     kinds = drawn.kinds;
+    kept = drawn.kept;
+    heldBack = drawn.heldBack;
   }
 
   /** Drawn apart from the world's own numbers, so that both may change by themselves. */
@@ -34,6 +41,8 @@
     final Setup setup;
     final int kinds;
     final boolean limited;
+    final double kept;
+    final double heldBack;
 
     RandomSetup(long seed) {
       java.util.SplittableRandom r = new java.util.SplittableRandom(seed);
@@ -42,6 +51,8 @@
       setup = new Setup(nodes, 20 + r.nextInt(20), zones, 2000, 14_000);
       kinds = 1 + r.nextInt((1 << KINDS) - 1);
       limited = r.nextInt(3) == 0;
+      kept = r.nextInt(3) == 0 ? 0.2 : 0;
+      heldBack = r.nextInt(3) == 0 ? 0.02 + 0.2 * r.nextDouble() : 0;
     }
   }
 
@@ -56,7 +67,9 @@
       int id = i;
       w.after(w.random.nextLong(110_000), () -> s.job(id));
     }
+    w.lateReports.kept = s.kept;
     w.runTo(FAULTS_FROM_S);
+    w.lateReports.heldBack = s.heldBack;
     int faults = 1 + w.random.nextInt(12);
     for (int i = 0; i < faults; i++) {
       long atMs = w.random.nextLong((HEALED_S - FAULTS_FROM_S) * 1000L);
@@ -73,6 +86,7 @@
     w.store.lateShare = 0;
     w.store.slowMs = 0;
     w.stuckMs = 0;
+    w.lateReports.release();
     w.nodes.forEach(NodeModel::hasPlaces);
     w.nodes.stream()
         .filter(n -> w.store.refuses(n.name))
--- a/src/test/java/org/astershift/world/WorkerModel.java
+++ b/src/test/java/org/astershift/world/WorkerModel.java
@@ -168,7 +168,7 @@
         name,
         to.name,
         ANSWER_MS,
-        world.lateReports.way(to, answer -> to.report(r, answer)),
+        world.lateReports.way(to, answer -> to.report(seq > r.seq() ? aged(r) : r, answer)),
         (Answer a) -> here(of, () -> answered(a, sentMs, sentIn)));
   }
 
