--- a/src/test/java/org/astershift/world/TeamMeetingsTest.java
+++ b/src/test/java/org/astershift/world/TeamMeetingsTest.java
@@ -449,7 +449,7 @@
   }
 
   private static int waiting(World w) {
-    return w.accepted().stream().mapToInt(job -> w.checker.waiting(w.spec(job)).size()).sum();
+    return w.users.accepted().stream().mapToInt(job -> w.checker.waiting(w.users.spec(job)).size()).sum();
   }
 
   private static void slow(World w, long ms) {
--- a/src/test/java/org/astershift/world/WorkerModel.java
+++ b/src/test/java/org/astershift/world/WorkerModel.java
@@ -115,6 +115,18 @@
     return alive;
   }
 
+  int life() {
+    return life;
+  }
+
+  long session() {
+    return session;
+  }
+
+  long token() {
+    return token;
+  }
+
   void start() {
     alive = true;
     answeredSentMs = world.now();
@@ -276,8 +288,9 @@
   }
 
   /** As it was sent, or as a leader would read it that does not order what it is told. */
-  private Report aged(Report r) {
+  Report aged(Report r) {
     boolean news = world.mutants.contains(Mutant.COPIES_ARE_NEWS);
+    boolean shows = world.mutants.contains(Mutant.COPIES_SHOW_THE_TOKEN);
     return new Report(
         r.machine(),
         r.addr(),
@@ -286,7 +299,7 @@
         r.spot(),
         r.session(),
         news ? seq + 1 : r.seq(),
-        news ? token : r.token(),
+        news ? token : shows ? world.latestToken() : r.token(),
         null,
         r.tasks());
   }
@@ -297,6 +310,7 @@
     long sentIn = session;
     Report r = says();
     copy(r);
+    world.lateReports.said(this, r);
     int of = life;
     NodeModel to = world.nodes.get(node);
     if (mute()) {
@@ -307,7 +321,7 @@
         name,
         to.name,
         ANSWER_MS,
-        answer -> to.report(r, answer),
+        world.lateReports.way(to, answer -> to.report(seq > r.seq() ? aged(r) : r, answer)),
         (Answer a) -> here(of, () -> answered(a, sentMs, sentIn)));
     if (hangNextMs > 0) {
       hang(hangNextMs);
--- a/src/test/java/org/astershift/world/World.java
+++ b/src/test/java/org/astershift/world/World.java
@@ -31,6 +31,7 @@
   final Checker checker;
   final LeftWaiting leftWaiting;
   final Users users;
+  final LateReports lateReports = new LateReports(this);
   final Set<Mutant> mutants = EnumSet.noneOf(Mutant.class);
   final Map<String, WorkerModel> workers = new LinkedHashMap<>();
   final List<NodeModel> nodes = new ArrayList<>();
@@ -281,6 +282,11 @@
     users.askAll();
   }
 
+  /** The token of whoever began to lead last; 0: nobody has. */
+  long latestToken() {
+    return checker.latestToken();
+  }
+
   // ---- the log of all hosts, side by side ----
 
   void note(String host, String what) {
