Core: what may run on paper runs: types offered nowhere, tasks that take nothing, arrays in one zone that are spread

Cause, found by drawing jobs, types and limits: a job without accelerators was bound to types without them though these were offered nowhere, or in one zone where two were needed; tasks that take nothing overflowed the number of machines to rent, and any number went on one machine, whose reports would be over what a body may hold; nothing was ever rented for an array that is both spread and bound to one zone, since no zone may hold all of its tasks at once. Change: types without accelerators suffice only where the job could run on them alone; a machine gets 400 tasks at most; a part of such an array is enough for its zone.

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -534,6 +534,13 @@
   /** Milliseconds between saves of progress. */
   public static final long SAVE_MS = 2000;
 
+  /**
+   * Tasks that a machine gets at most, however little they take. Its reports name them all, ended
+   * ones too, with up to some 140 bytes each, and a body may have 64 KiB: a machine whose reports
+   * are refused loses its lease, and with it all of its tasks, again and again.
+   */
+  public static final int TASKS_A_MACHINE = 400;
+
   // ---- http ----
 
   /** Largest request body, bytes; the protocol's. */
--- a/src/main/java/org/astershift/core/Bin.java
+++ b/src/main/java/org/astershift/core/Bin.java
@@ -1,5 +1,7 @@
 package org.astershift.core;
 
+import org.astershift.config.Constants;
+
 /** Room on one machine that is there, booting or asked for, as a plan for renting fills it. */
 final class Bin {
   private static final double TOLERANCE = 1e-6;
@@ -9,6 +11,7 @@
   private double cpus;
   private double gpus;
   private double memory;
+  private int tasks = Constants.TASKS_A_MACHINE;
 
   /** An empty machine. */
   Bin(MachineType type, String zone, boolean spot) {
@@ -26,6 +29,7 @@
     cpus -= m.usedCpus();
     gpus -= m.usedGpus();
     memory -= m.usedMemory();
+    tasks -= m.runs.size();
   }
 
   /** With what its array tasks will have left at a time, as far as their estimates tell. */
@@ -39,6 +43,7 @@
         bin.cpus += spec.cpus();
         bin.gpus += spec.gpus();
         bin.memory += spec.memoryGb();
+        bin.tasks++;
       }
     }
     return bin;
@@ -49,7 +54,7 @@
     if (!holds(spec) || !allows(spec)) {
       return 0;
     }
-    double n = most;
+    double n = Math.min(most, tasks);
     n = spec.cpus() > 0 ? Math.min(n, (cpus + TOLERANCE) / spec.cpus()) : n;
     n = spec.gpus() > 0 ? Math.min(n, (gpus + TOLERANCE) / spec.gpus()) : n;
     n = spec.memoryGb() > 0 ? Math.min(n, (memory + TOLERANCE) / spec.memoryGb()) : n;
@@ -65,7 +70,8 @@
 
   /** Whether there is room for one task, be it allowed or not. */
   boolean holds(JobSpec spec) {
-    return cpus + TOLERANCE >= spec.cpus()
+    return tasks > 0
+        && cpus + TOLERANCE >= spec.cpus()
         && gpus + TOLERANCE >= spec.gpus()
         && memory + TOLERANCE >= spec.memoryGb();
   }
@@ -78,6 +84,7 @@
     cpus -= spec.cpus();
     gpus -= spec.gpus();
     memory -= spec.memoryGb();
+    tasks--;
     return true;
   }
 }
--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -200,17 +200,20 @@
   /** Types that a task of the job may go to; those with accelerators only if it needs them. */
   private Set<String> usableTypes(JobSpec spec) {
     Set<String> fitting = new LinkedHashSet<>();
-    Set<String> plainOnes = new LinkedHashSet<>();
+    List<MachineType> plain = new ArrayList<>();
     for (MachineType t : types.values()) {
       if (spec.fits(t)) {
         fitting.add(t.name());
         if (t.gpus() == 0) {
-          plainOnes.add(t.name());
+          plain.add(t);
         }
       }
     }
-    // Work without accelerators stays off machines with them, where there are others for it.
-    return spec.gpus() == 0 && !plainOnes.isEmpty() ? plainOnes : fitting;
+    // Work without accelerators stays off machines with them, where others are enough for it.
+    if (spec.gpus() == 0 && Eligibility.noPlace(spec, plain) == null) {
+      fitting.retainAll(plain.stream().map(MachineType::name).toList());
+    }
+    return fitting;
   }
 
   // ---- jobs ----
--- a/src/main/java/org/astershift/core/Eligibility.java
+++ b/src/main/java/org/astershift/core/Eligibility.java
@@ -32,6 +32,14 @@
     if (team == null) {
       return "unknown team";
     }
+    int n = together(spec);
+    return team.allows(n * spec.cpus(), n * spec.gpus())
+        ? noPlace(spec, types)
+        : "more than the team's limit";
+  }
+
+  /** The same whatever its team may have. */
+  static String noPlace(JobSpec spec, Collection<MachineType> types) {
     Set<String> zones = new HashSet<>();
     for (MachineType t : types) {
       if (spec.fits(t)) {
@@ -41,14 +49,14 @@
     if (zones.isEmpty()) {
       return "a task fits no allowed machine type";
     }
-    boolean whole = spec.kind() != JobKind.ARRAY;
-    int together = whole ? spec.tasks() : 1;
-    if (!team.allows(together * spec.cpus(), together * spec.gpus())) {
-      return "more than the team's limit";
-    }
     boolean oneZone = spec.oneZone() || zones.size() == 1;
-    return whole && spec.spread() && oneZone && together > spec.spreadLimit()
+    return spec.spread() && oneZone && together(spec) > spec.spreadLimit()
         ? "its tasks have to be in two zones, and may be in one only"
         : null;
   }
+
+  /** Tasks that have to be held at the same time. */
+  private static int together(JobSpec spec) {
+    return spec.kind() == JobKind.ARRAY ? 1 : spec.tasks();
+  }
 }
--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -144,6 +144,7 @@
 
   private double reservedGpus;
   private double reservedMemory;
+  private int reservedTasks;
 
   /** Within a pass: what it could give up, as far as that was asked; null once that changes. */
   Preemption.Stoppable stoppable;
@@ -306,7 +307,8 @@
   }
 
   boolean hasRoom(double cpus, double gpus, double memory) {
-    return freeCpus() + TOLERANCE >= cpus
+    return freeTasks() > 0
+        && freeCpus() + TOLERANCE >= cpus
         && freeGpus() + TOLERANCE >= gpus
         && freeMemory() + TOLERANCE >= memory;
   }
@@ -321,7 +323,7 @@
     if (!hasRoom(s)) {
       return 0;
     }
-    double n = most;
+    double n = Math.min(most, freeTasks());
     if (s.cpus() > 0) {
       n = Math.min(n, (freeCpus() + TOLERANCE) / s.cpus());
     }
@@ -339,10 +341,11 @@
     reservedCpus = 0;
     reservedGpus = 0;
     reservedMemory = 0;
+    reservedTasks = 0;
   }
 
   boolean reserved() {
-    return reservedCpus > 0 || reservedGpus > 0 || reservedMemory > 0;
+    return reservedTasks > 0;
   }
 
   double freeCpus() {
@@ -357,11 +360,17 @@
     return kind.memoryGb() - usedMemory - reservedMemory;
   }
 
+  /** How many more tasks its reports can name. */
+  int freeTasks() {
+    return Constants.TASKS_A_MACHINE - runs.size() - reservedTasks;
+  }
+
   /** Keeps room for so many tasks from others, until the next pass. */
   void reserve(JobSpec s, int tasks) {
     reservedCpus += tasks * s.cpus();
     reservedGpus += tasks * s.gpus();
     reservedMemory += tasks * s.memoryGb();
+    reservedTasks += tasks;
   }
 
   boolean holdsAny() {
--- a/src/main/java/org/astershift/core/MachineType.java
+++ b/src/main/java/org/astershift/core/MachineType.java
@@ -1,6 +1,7 @@
 package org.astershift.core;
 
 import java.util.List;
+import org.astershift.config.Constants;
 
 /** A machine type of the cloud, with its current prices an hour. */
 public record MachineType(
@@ -22,7 +23,7 @@
 
   /** How many such tasks an empty machine can take. */
   public int capacity(JobSpec s) {
-    double n = Integer.MAX_VALUE;
+    double n = Constants.TASKS_A_MACHINE;
     n = s.cpus() > 0 ? Math.min(n, cpus / s.cpus()) : n;
     n = s.gpus() > 0 ? Math.min(n, gpus / s.gpus()) : n;
     n = s.memoryGb() > 0 ? Math.min(n, memoryGb / s.memoryGb()) : n;
--- a/src/main/java/org/astershift/core/Preemption.java
+++ b/src/main/java/org/astershift/core/Preemption.java
@@ -27,27 +27,32 @@
     double cpus;
     double gpus;
     double memory;
+    int tasks;
 
     void add(Room r) {
+      tasks += r.tasks;
       cpus += r.cpus;
       gpus += r.gpus;
       memory += r.memory;
     }
 
     void addFree(Machine m) {
+      tasks += m.freeTasks();
       cpus += m.freeCpus();
       gpus += m.freeGpus();
       memory += m.freeMemory();
     }
 
     void add(JobSpec s) {
+      tasks++;
       cpus += s.cpus();
       gpus += s.gpus();
       memory += s.memoryGb();
     }
 
     boolean holds(JobSpec s) {
-      return cpus + TOLERANCE >= s.cpus()
+      return tasks > 0
+          && cpus + TOLERANCE >= s.cpus()
           && gpus + TOLERANCE >= s.gpus()
           && memory + TOLERANCE >= s.memoryGb();
     }
@@ -98,7 +103,8 @@
 
     /** Whether there would be room for a task if all candidates stopped. */
     private boolean mayHold(Machine m, JobSpec s) {
-      return m.freeCpus() + most.cpus + TOLERANCE >= s.cpus()
+      return m.freeTasks() + most.tasks > 0
+          && m.freeCpus() + most.cpus + TOLERANCE >= s.cpus()
           && m.freeGpus() + most.gpus + TOLERANCE >= s.gpus()
           && m.freeMemory() + most.memory + TOLERANCE >= s.memoryGb();
     }
--- a/src/main/java/org/astershift/core/Renting.java
+++ b/src/main/java/org/astershift/core/Renting.java
@@ -126,7 +126,9 @@
     double bestCost = Double.MAX_VALUE;
     for (String zone : c.zones()) {
       int most = need.allowed(zone);
-      if (most < need.left()) {
+      // Of an array that is spread as well a part runs there after the other.
+      boolean inParts = need.job.spec.kind() == JobKind.ARRAY && most > 0;
+      if (most < need.left() && !inParts) {
         continue;
       }
       int lacking = Math.max(0, most - need.fits(free, zone) - need.fits(coming, zone));
--- /dev/null
+++ b/src/test/java/org/astershift/core/EligibilityTest.java
@@ -0,0 +1,304 @@
+package org.astershift.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import org.astershift.config.Constants;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Which jobs can never run; and that what is accepted runs, where the cloud has enough. */
+@Timeout(60)
+class EligibilityTest {
+  private static MachineType type(String name, double gpus, String zones) {
+    List<String> in = zones.isEmpty() ? List.of() : List.of(zones.split(""));
+    return new MachineType(name, 4, gpus, 16, 50, 1, 1 + gpus, 0.5, 1, in);
+  }
+
+  private static JobSpec job(
+      JobKind kind, int tasks, double cpus, double gpus, double gb, List<String> types, String zone,
+      boolean oneZone, boolean spread, boolean spot) {
+    return new JobSpec(
+        "wk-1", "c", "t", kind, Priority.NORMAL, tasks, cpus, gpus, gb, "i", 1, types, zone,
+        oneZone, spread, spot, 1, 0, 0, null);
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        // kind, tasks, cpus, gpus, GB; zone, flags; limits of cpus and gpus; verdict
+        "an array | ARRAY 9 4 0 16 | - - | 0 0 | runs",
+        "a processor too many | ARRAY 1 4.01 0 1 | - - | 0 0 | fits no",
+        "more memory than any has | ARRAY 1 1 0 16.1 | - - | 0 0 | fits no",
+        "accelerators where they are | ARRAY 1 4 4 1 | b - | 0 0 | runs",
+        "accelerators where none are | ARRAY 1 4 1 1 | a - | 0 0 | fits no",
+        "a zone that is not | ARRAY 1 1 0 1 | z - | 0 0 | fits no",
+        "a zone where nothing is offered | ARRAY 1 1 0 1 | d - | 0 0 | fits no",
+        "an array over its limit | ARRAY 9 1 0 1 | - - | 1 0 | runs",
+        "a task over its limit | ARRAY 1 1.5 0 1 | - - | 1 0 | limit",
+        "a gang at its limit | GANG 9 1 0 1 | - - | 9 0 | runs",
+        "a gang of tenths at its limit | GANG 3 0.1 0 1 | - - | 0.3 0 | runs",
+        "a gang over its limit | GANG 9 1 0 1 | - - | 8 0 | limit",
+        "a service over its limit | SERVICE 9 1 0 1 | - - | 8 0 | limit",
+        "accelerators over their limit | GANG 3 1 1 1 | - - | 0 2 | limit",
+        "no limit of what it takes | GANG 3 1 1 1 | - - | 3 0 | runs",
+        "nothing taken of what is limited | GANG 99 1 0 1 | - - | 0 2 | runs",
+        "a spread gang | GANG 2 1 0 1 | - apart | 0 0 | runs",
+        "a spread gang in one zone | GANG 2 1 0 1 | - apart one | 0 0 | two zones",
+        "a spread gang in the zone | GANG 2 1 0 1 | a apart | 0 0 | two zones",
+        "a spread service in one zone | SERVICE 2 1 0 1 | - apart one | 0 0 | two zones",
+        "a spread array in one zone | ARRAY 2 1 0 1 | a apart one | 0 0 | runs",
+        "one spread task in one zone | GANG 1 1 0 1 | a apart one | 0 0 | runs",
+        "a gang in one zone | GANG 9 1 0 1 | - one | 0 0 | runs",
+        "spread, with types in one zone only | GANG 2 1 1 1 | - apart | 0 0 | two zones",
+        "nothing at all | GANG 2 0 0 0 | - apart | 0 0 | runs",
+      })
+  void says(String what, String takes, String where, String limits, String verdict) {
+    String[] j = takes.split(" ");
+    String[] z = where.split(" ", 2);
+    String[] l = limits.split(" ");
+    JobSpec spec =
+        job(
+            JobKind.valueOf(j[0]),
+            Integer.parseInt(j[1]),
+            Double.parseDouble(j[2]),
+            Double.parseDouble(j[3]),
+            Double.parseDouble(j[4]),
+            null,
+            z[0].equals("-") ? null : z[0],
+            z[1].contains("one"),
+            z[1].contains("apart"),
+            false);
+    Team team = new Team("t", 0, Double.parseDouble(l[0]), 0, Double.parseDouble(l[1]));
+    List<MachineType> types =
+        List.of(type("small", 0, "ab"), type("fast", 4, "b"), type("gone", 4, ""));
+    String never = Eligibility.neverRuns(spec, types, team);
+    String said = never == null ? "runs" : never;
+    assertTrue(said.contains(verdict), said);
+  }
+
+  @Test
+  void offeredNowhereIsNoType() {
+    JobSpec spec = job(JobKind.ARRAY, 1, 1, 4, 1, List.of("gone"), null, false, false, false);
+    Team team = new Team("t", 0, 0, 0, 0);
+    List<MachineType> types = List.of(type("small", 0, "a"), type("gone", 4, ""));
+    assertEquals(
+        "a task fits no allowed machine type", Eligibility.neverRuns(spec, types, team));
+    assertEquals("unknown team", Eligibility.neverRuns(spec, types, null));
+  }
+
+  /**
+   * Drawn jobs, alone on machines of drawn types, with a cloud that has all it offers: what is
+   * accepted runs as a whole, and what is refused does not, and nothing breaks a limit meanwhile.
+   */
+  @Test
+  void whatIsAcceptedRunsAndWhatIsRefusedNeverWould() {
+    Map<String, Integer> verdicts = new TreeMap<>();
+    for (int seed = 1; seed <= 400; seed++) {
+      Random random = new Random(seed);
+      Map<String, MachineType> types = new TreeMap<>();
+      for (String name : List.of("small", "large", "fast")) {
+        if (random.nextInt(4) > 0) {
+          String zones = pick(random, "a", "b", "ab", "abc", "abc", "");
+          types.put(name, type(name, name.equals("fast") ? 4 : 0, zones));
+        }
+      }
+      JobKind kind = pick(random, JobKind.values());
+      double cpus = pick(random, 0.0, 0.1, 0.7, 1.0, 1.0, 4.0, 5.0);
+      double gpus = pick(random, 0.0, 0.0, 0.0, 0.5, 1.0, 4.0, 5.0);
+      double gb = pick(random, 0.0, 0.1, 1.0, 16.0, 17.0);
+      boolean tiny = cpus == 0 && gpus == 0 && gb <= 0.1;
+      int tasks = tiny ? pick(random, 1, 2, 1000) : pick(random, 1, 1, 2, 3, 8, 9, 50);
+      List<String> only = random.nextInt(4) == 0 ? List.of(pick(random, "small", "fast")) : null;
+      String zone = random.nextInt(4) == 0 ? pick(random, "a", "b") : null;
+      boolean oneZone = random.nextInt(4) == 0;
+      boolean spread = random.nextInt(2) == 0;
+      JobSpec spec =
+          job(kind, tasks, cpus, gpus, gb, only, zone, oneZone, spread, random.nextBoolean());
+      boolean exact = random.nextInt(3) == 0;
+      double cpusMax = exact ? tasks * cpus : pick(random, 0.0, 0.0, 0.9, 4.0, 20.0);
+      Team team = new Team("t", 0, cpusMax, 0, pick(random, 0.0, 0.0, 3.0));
+
+      String never = Eligibility.neverRuns(spec, types.values(), team);
+      verdicts.merge(never == null ? "runs as " + kind : never, 1, Integer::sum);
+      boolean ran = new Deployment(types, team).runs(spec, never == null ? 120 : 30);
+      assertEquals(never == null, ran, "seed " + seed + ": " + never + ", " + spec + types + team);
+    }
+    assertEquals(6, verdicts.size(), verdicts.toString());
+    verdicts.forEach((verdict, n) -> assertTrue(n > 10, verdicts.toString()));
+  }
+
+  @SafeVarargs
+  private static <T> T pick(Random random, T... of) {
+    return of[random.nextInt(of.length)];
+  }
+
+  /** A leader alone with a cloud of a hundred machines, which are up within the second. */
+  private static final class Deployment {
+    private static final int MACHINES = 100;
+    private final Map<String, MachineType> types;
+    private final Team team;
+    private final Scheduler scheduler;
+    private final Map<String, Box> boxes = new TreeMap<>();
+    private JobSpec spec;
+    private boolean finished;
+    private boolean whole;
+    private int made;
+
+    Deployment(Map<String, MachineType> types, Team team) {
+      this.types = types;
+      this.team = team;
+      Facts facts = new Facts(Map.of("t", team), List.of(), 2, 14, 30, 4, 40, 3);
+      this.scheduler =
+          new Scheduler(facts, org.astershift.config.Operator.defaults(), 7);
+      scheduler.types(types);
+    }
+
+    private static final class Task {
+      Order start;
+      long sinceMs;
+      boolean done;
+
+      Report.Item item() {
+        Report.Phase phase = done ? Report.Phase.EXITED : Report.Phase.RUNNING;
+        return new Report.Item(
+            start.job(), start.index(), start.attempt(), phase, done ? "done" : null);
+      }
+    }
+
+    private static final class Box {
+      MachineType type;
+      String zone;
+      boolean spot;
+      long seq;
+      final Map<Integer, Task> tasks = new TreeMap<>();
+
+      int running() {
+        return (int) tasks.values().stream().filter(t -> !t.done).count();
+      }
+    }
+
+    /** Whether the job ran as a whole within so many seconds. */
+    boolean runs(JobSpec job, int seconds) {
+      spec = job;
+      scheduler.addJob(job, false, new java.util.BitSet(), 0);
+      for (long now = 0; now < seconds * 1000L; now += 500) {
+        for (Decision d : scheduler.pass(now, Long.MAX_VALUE / 4)) {
+          carryOut(d, now);
+        }
+        work(now);
+        if (finished || (job.kind() == JobKind.SERVICE && whole)) {
+          return true;
+        }
+      }
+      return false;
+    }
+
+    private void carryOut(Decision d, long now) {
+      if (d instanceof Decision.OpenJob o) {
+        scheduler.opened(o.job());
+      } else if (d instanceof Decision.FinishJob f) {
+        scheduler.ended(f.job(), false, now);
+        finished = true;
+      } else if (d instanceof Decision.Enrol e) {
+        scheduler.enrolled(e.machine());
+      } else if (d instanceof Decision.Rent r) {
+        assertTrue(r.count() > 0, () -> r + " for " + spec);
+        if (boxes.size() + r.count() > MACHINES) {
+          scheduler.notRented("r", r, true, now);
+          return;
+        }
+        scheduler.renting("r", r);
+        List<String> names = new ArrayList<>();
+        for (int i = 0; i < Math.min(r.count(), Constants.RENT_BATCH); i++) {
+          String name = "vm-" + ++made;
+          Box box = new Box();
+          box.type = types.get(r.type());
+          box.zone = r.zone();
+          box.spot = r.spot();
+          boxes.put(name, box);
+          names.add(name);
+        }
+        scheduler.rented("r", names, r, now);
+      } else if (d instanceof Decision.Return r) {
+        boxes.keySet().removeAll(r.machines());
+        scheduler.returned(r.machines(), now);
+      } else if (d instanceof Decision.Direct o) {
+        Box box = boxes.get(o.machine());
+        obey(box, o.orders(), now);
+        scheduler.directResult(o.machine(), false, report(o.machine(), box), now);
+      }
+    }
+
+    private void obey(Box box, List<Order> orders, long now) {
+      for (Order o : orders) {
+        switch (o.op()) {
+          case START -> {
+            Task t = new Task();
+            t.start = o;
+            t.sinceMs = now;
+            box.tasks.putIfAbsent(o.index(), t);
+          }
+          case STOP, FORGET -> box.tasks.remove(o.index());
+          default -> throw new IllegalStateException();
+        }
+      }
+      check();
+    }
+
+    private Report report(String name, Box box) {
+      List<Report.Item> items = new ArrayList<>();
+      box.tasks.values().forEach(t -> items.add(t.item()));
+      return new Report(
+          name, name + ":1", box.type.name(), box.zone, box.spot, 1, ++box.seq, 7, null, items);
+    }
+
+    private void work(long now) {
+      int running = boxes.values().stream().mapToInt(Box::running).sum();
+      whole |= running == spec.tasks();
+      for (Map.Entry<String, Box> e : new ArrayList<>(boxes.entrySet())) {
+        for (Task t : e.getValue().tasks.values()) {
+          boolean together = spec.kind() != JobKind.GANG || whole;
+          boolean ends = spec.kind() != JobKind.SERVICE && together;
+          t.done |= ends && now - t.sinceMs >= 1000;
+        }
+        List<Order> orders = scheduler.report(report(e.getKey(), e.getValue()), now);
+        obey(e.getValue(), orders, now);
+      }
+      scheduler.unsaved().forEach(scheduler::saved);
+    }
+
+    /** The rules, and what a report may hold. */
+    private void check() {
+      Map<String, Integer> zones = new TreeMap<>();
+      int all = 0;
+      for (Box box : boxes.values()) {
+        int n = box.running();
+        all += n;
+        zones.merge(box.zone, n, Integer::sum);
+        double tolerance = 1e-6;
+        assertTrue(n * spec.cpus() <= box.type.cpus() + tolerance, spec::toString);
+        assertTrue(n * spec.gpus() <= box.type.gpus() + tolerance, spec::toString);
+        assertTrue(n * spec.memoryGb() <= box.type.memoryGb() + tolerance, spec::toString);
+        assertTrue(box.tasks.size() <= Constants.TASKS_A_MACHINE, spec::toString);
+        assertTrue(n == 0 || spec.types() == null || spec.types().contains(box.type.name()));
+        assertTrue(n == 0 || spec.zone() == null || spec.zone().equals(box.zone));
+        assertTrue(n == 0 || spec.spot() || !box.spot);
+      }
+      zones.values().removeIf(n -> n == 0);
+      assertTrue(!spec.oneZone() || zones.size() <= 1, () -> spec + ": " + zones);
+      for (int n : zones.values()) {
+        assertTrue(!spec.spread() || n <= spec.spreadLimit(), () -> spec + ": " + zones);
+      }
+      assertTrue(team.allows(all * spec.cpus(), all * spec.gpus()), spec::toString);
+    }
+  }
+}
