A machine with accelerators is not idle under work that only it can take

Cause: it counted as idle without an accelerator in use, so a service or a task of minutes without accelerators, bound to such a type or with no place on others, lost its machine a minute after it came, again and again. Change: idle is a machine without work that needs its accelerators and without work for which no other type is enough. Measured: EligibilityTest asserts that no machine is given back under a task and that services run on; it failed before the change (a service of three on a type with accelerators, two of them given back) and passes; TraceTest and PassCostTest pass.

--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -296,9 +296,20 @@
     strangers += more;
   }
 
-  /** Nothing is here of what the machine is for. */
+  /**
+   * Nothing is here of what the machine is for: of one with accelerators, neither work that needs
+   * them nor work that no other type is enough for. What only fills its gaps does not keep it.
+   */
   boolean idle() {
-    return kind != null && kind.gpus() > 0 ? usedGpus <= TOLERANCE : held == 0;
+    if (held == 0 || kind == null || kind.gpus() == 0 || usedGpus > TOLERANCE) {
+      return held == 0;
+    }
+    for (Run run : runs.values()) {
+      if (!run.exited() && run.job.usableTypes.contains(type)) {
+        return false;
+      }
+    }
+    return true;
   }
 
   /** Processors that replicas of services take. */
--- a/src/test/java/org/astershift/core/EligibilityTest.java
+++ b/src/test/java/org/astershift/core/EligibilityTest.java
@@ -195,11 +195,11 @@
           carryOut(d, now);
         }
         work(now);
-        if (finished || (job.kind() == JobKind.SERVICE && whole)) {
+        if (finished) {
           return true;
         }
       }
-      return false;
+      return job.kind() == JobKind.SERVICE && running() == job.tasks();
     }
 
     private void carryOut(Decision d, long now) {
@@ -229,7 +229,9 @@
         }
         scheduler.rented("r", names, r, now);
       } else if (d instanceof Decision.Return r) {
-        boxes.keySet().removeAll(r.machines());
+        for (String name : r.machines()) {
+          assertEquals(0, boxes.remove(name).running(), () -> "given back under " + spec);
+        }
         scheduler.returned(r.machines(), now);
       } else if (d instanceof Decision.Direct o) {
         Box box = boxes.get(o.machine());
@@ -261,9 +263,12 @@
           name, name + ":1", box.type.name(), box.zone, box.spot, 1, ++box.seq, 7, null, items);
     }
 
+    private int running() {
+      return boxes.values().stream().mapToInt(Box::running).sum();
+    }
+
     private void work(long now) {
-      int running = boxes.values().stream().mapToInt(Box::running).sum();
-      whole |= running == spec.tasks();
+      whole |= running() == spec.tasks();
       for (Map.Entry<String, Box> e : new ArrayList<>(boxes.entrySet())) {
         for (Task t : e.getValue().tasks.values()) {
           boolean together = spec.kind() != JobKind.GANG || whole;
