--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -150,6 +150,7 @@
 
   private double reservedGpus;
   private double reservedMemory;
+  private int reservedTasks;
 
   /** Within a pass: what it could give up, as far as that was asked; null once that changes. */
   Preemption.Stoppable stoppable;
@@ -303,9 +304,20 @@
     strangers += more;
   }
 
-  /** Nothing is here of what the machine is for. */
+  /**
+   * Nothing is here of what the machine is for: of one with accelerators, neither work that needs
+   * them nor work that no other type is enough for. What only fills its gaps does not keep it.
+   */
   boolean idle() {
-    return kind != null && kind.gpus() > 0 ? usedGpus <= TOLERANCE : held == 0;
+    if (held == 0 || kind == null || kind.gpus() == 0 || usedGpus > TOLERANCE) {
+      return held == 0;
+    }
+    for (Run run : runs.values()) {
+      if (!run.exited() && run.job.usableTypes.contains(type)) {
+        return false;
+      }
+    }
+    return true;
   }
 
   /** Processors that replicas of services take. */
@@ -314,7 +326,8 @@
   }
 
   boolean hasRoom(double cpus, double gpus, double memory) {
-    return freeCpus() + TOLERANCE >= cpus
+    return freeTasks() > 0
+        && freeCpus() + TOLERANCE >= cpus
         && freeGpus() + TOLERANCE >= gpus
         && freeMemory() + TOLERANCE >= memory;
   }
@@ -329,7 +342,7 @@
     if (!hasRoom(s)) {
       return 0;
     }
-    double n = most;
+    double n = Math.min(most, freeTasks());
     if (s.cpus() > 0) {
       n = Math.min(n, (freeCpus() + TOLERANCE) / s.cpus());
     }
@@ -347,10 +360,11 @@
     reservedCpus = 0;
     reservedGpus = 0;
     reservedMemory = 0;
+    reservedTasks = 0;
   }
 
   boolean reserved() {
-    return reservedCpus > 0 || reservedGpus > 0 || reservedMemory > 0;
+    return reservedTasks > 0;
   }
 
   double freeCpus() {
@@ -365,11 +379,17 @@
     return kind.memoryGb() - usedMemory - reservedMemory;
   }
 
+  /** How many more tasks its reports can name. */
+  int freeTasks() {
+    return Constants.TASKS_A_MACHINE - runs.size() - reservedTasks;
+  }
+
   /** Keeps room for so many tasks from others, until the next pass. */
   void reserve(JobSpec s, int tasks) {
     reservedCpus += tasks * s.cpus();
     reservedGpus += tasks * s.gpus();
     reservedMemory += tasks * s.memoryGb();
+    reservedTasks += tasks;
   }
 
   boolean holdsAny() {
