Fences: two tests looked before the write that they let through was decided on

notesOfALeaderThatIsNoneAreNotApplied and theKeyOfAnotherIsNotTaken passed with their fence taken away, since the news of the other leader ended the wait before the late write was carried out; they wait for its answer now. Cases of an end on record that a cancellation does not replace, of a machine that has seen a later leader, and of a job that is being cancelled while machines come. Leases of these tests end late, so that a busy machine does not change terms in the midst of one.

--- a/src/test/java/org/astershift/leader/FenceCase.java
+++ b/src/test/java/org/astershift/leader/FenceCase.java
@@ -3,14 +3,16 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.util.List;
 import java.util.Map;
 import org.astershift.core.JobKind;
 import org.astershift.core.JobSpec;
 import org.astershift.core.Priority;
 import org.astershift.http.HttpServer;
+import org.astershift.standin.Await;
+import org.astershift.standin.PortBlock;
 import org.astershift.standin.StandInCloud;
 import org.astershift.standin.StandInStore;
 import org.astershift.standin.StandIns;
@@ -35,15 +37,18 @@
   StandInStore.Door door;
   StandInStore.Door otherDoor;
   StandInCloud cloud;
+  PortBlock ports;
   OneNode node;
   StoreClient other;
 
   @BeforeEach
   void start() throws Exception {
     service = new StandInStore(0);
+    service.leasesEndLate(60_000);
     door = service.door();
     otherDoor = service.door();
-    cloud = new StandInCloud(0, List.of(1), 0); // no worker reaches anybody
+    ports = PortBlock.take();
+    cloud = new StandInCloud(0, ports.ports(1), 0); // where nobody listens unless a test says so
     node = new OneNode(dir, door, cloud);
     other = new StoreClient(StandIns.settings(dir, otherDoor.port(), cloud.port()));
   }
@@ -55,6 +60,7 @@
     door.close();
     otherDoor.close();
     service.close();
+    ports.close();
   }
 
   static JobSpec job() {
@@ -85,6 +91,22 @@
     return Records.job(new Records.JobRecord(job(), System.currentTimeMillis()));
   }
 
+  /** A row as it is on record, however busy the machine. */
+  StoreClient.Row read(String key) throws Exception {
+    StoreClient.Row[] row = new StoreClient.Row[1];
+    Await.until(
+        "a read of " + key,
+        () -> {
+          try {
+            row[0] = other.get(key);
+          } catch (IOException e) {
+            return false;
+          }
+          return true;
+        });
+    return row[0];
+  }
+
   Outcome write(StoreClient.Txn txn) throws InterruptedException {
     return other.commit(txn, RateBudget.Use.URGENT, 10_000);
   }
--- a/src/test/java/org/astershift/leader/FencesTest.java
+++ b/src/test/java/org/astershift/leader/FencesTest.java
@@ -10,6 +10,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.astershift.core.Report;
 import org.astershift.standin.Await;
@@ -37,8 +39,9 @@
     assertNotNull(term.told(ID));
     assertEquals("queued", node.desk.poll(ID, false).phase());
     door.refuse(true);
+    service.leasesEndLate(0);
     Await.until("the lease to be over", () -> !node.director.valid(term));
-    Await.until("its key to be gone", () -> other.get(Records.LEADER).data() == null);
+    Await.until("its key to be gone", () -> read(Records.LEADER).data() == null);
     anotherLeads();
     endElsewhere(true);
     assertSame(term, node.director.term(), "it still leads, as far as it knows");
@@ -74,11 +77,11 @@
     Outcome.Applied accepted = (Outcome.Applied) write(new StoreClient.Txn().put(LIVE, record()));
     assertEquals(200, node.desk.submit(job(), false).status());
     assertEquals(200, node.desk.submit(job(), true).status(), "it is accepted, whatever fits now");
-    assertEquals(accepted.revision(), other.get(LIVE).revision());
+    assertEquals(accepted.revision(), read(LIVE).revision());
     endElsewhere(true);
     UserDesk.Submitted again = node.desk.submit(job(), false);
     assertEquals("200 withdrawn", again.status() + " " + again.known().phase());
-    assertNull(other.get(LIVE).data(), "what is over is not accepted once more");
+    assertNull(read(LIVE).data(), "what is over is not accepted once more");
   }
 
   /**
@@ -114,8 +117,8 @@
           }
         });
     assertEquals(503, node.desk.cancel(ID, true).status());
-    assertNull(other.get(OVER).data());
-    assertNotNull(other.get(LIVE).data());
+    assertNull(read(OVER).data());
+    assertNotNull(read(LIVE).data());
     Await.until("the term to be over", () -> term.over() && node.director.term() == null);
   }
 
@@ -125,16 +128,18 @@
     node.start();
     final Term term = node.leads();
     AtomicInteger late = new AtomicInteger();
+    AtomicInteger answered = new AtomicInteger();
     door.watched(
         (r, done) -> {
           if (!done && says(r, "late-note") && late.incrementAndGet() == 1) {
             anotherLeads();
           }
+          answered.addAndGet(done && says(r, "late-note") ? 1 : 0);
         });
     term.notes.put(Notes.Kind.OPENED, "late-note", true, 0);
-    Await.until("the term to be over", term::over);
-    assertTrue(late.get() > 0);
+    Await.until("the late note to be decided on", () -> answered.get() > 0);
     assertFalse(service.has(Records.NOTES + "o0"));
+    Await.until("the term to be over", term::over);
   }
 
   /**
@@ -151,8 +156,8 @@
     Await.until("a note without an answer", () -> service.lost(Records.NOTES) > 0);
     service.loseAnswers(0);
     term.notes.put(Notes.Kind.OPENED, "second", true, 0);
-    Await.until("both notes", () -> other.get(page).data().size() == 2);
-    long revision = other.get(page).revision();
+    Await.until("both notes", () -> notes(page) == 2);
+    long revision = read(page).revision();
     List<String> conditions = new ArrayList<>();
     door.watched(
         (r, done) -> {
@@ -161,10 +166,15 @@
           }
         });
     term.notes.put(Notes.Kind.OPENED, "third", true, 0);
-    Await.until("the third note", () -> other.get(page).data().size() == 3);
+    Await.until("the third note", () -> notes(page) == 3);
     assertTrue(conditions.get(0).contains("{\"k\":\"" + page + "\",\"stamp\":" + revision + "}"));
   }
 
+  private int notes(String page) throws Exception {
+    StoreClient.Row row = read(page);
+    return row.data() == null ? 0 : row.data().size();
+  }
+
   /** What threads of an earlier or a later term say does not touch this one. */
   @Test
   void otherTermsDoNotTouchThisOne() throws Exception {
@@ -191,14 +201,18 @@
   @Test
   void theKeyOfAnotherIsNotTaken() throws Exception {
     AtomicInteger claims = new AtomicInteger();
+    AtomicInteger answered = new AtomicInteger();
     door.watched(
         (r, done) -> {
-          if (!done && says(r, "\"set\":\"" + Records.LEADER) && claims.incrementAndGet() == 1) {
+          boolean claim = says(r, "\"set\":\"" + Records.LEADER);
+          if (!done && claim && claims.incrementAndGet() == 1) {
             anotherLeads();
           }
+          answered.addAndGet(done && claim ? 1 : 0);
         });
     node.start();
-    Await.until("a claim that came too late", () -> claims.get() > 0);
+    Await.until("a claim that came too late to be answered", () -> answered.get() > 0);
+    assertEquals("another", read(Records.LEADER).data().get("node"));
     Await.until("the leader to be known", () -> "another".equals(node.director.otherLeader()));
     assertNull(node.director.term());
     assertEquals(0, node.director.token());
@@ -240,11 +254,76 @@
     node.start();
     final Term term = node.leads();
     accept();
-    StoreClient.Row live = other.get(LIVE);
+    StoreClient.Row live = read(LIVE);
     assertEquals("withdrawn", node.desk.cancel(ID, true).phase());
     node.director.learnt(live);
     node.director.accepted(new Records.JobRecord(job(), 0), live.revision());
     assertFalse(term.keeps(ID));
     assertEquals("withdrawn", node.desk.poll(ID, true).phase());
   }
+
+  /** The job is done and told, with the record of that written just before the cancellation's. */
+  @Test
+  void whatIsDoneOnRecordIsNotReplaced() throws Exception {
+    node.start();
+    node.leads();
+    accept();
+    door.watched(
+        (r, done) -> {
+          if (!done && says(r, "\"set\":\"" + OVER) && !service.has(OVER)) {
+            endElsewhere(false);
+          }
+        });
+    assertEquals("done", node.desk.cancel(ID, true).phase());
+    assertFalse(Records.ended(read(OVER).data()).cancelled());
+  }
+
+  /** The same by the answer to a direct order: the machine has seen a later leader. */
+  @Test
+  void aMachineThatRefusesItsOrdersEndsTheTerm() throws Exception {
+    node.listens(ports.ports(1).get(0)).start();
+    Term term = node.leads();
+    accept();
+    Await.until("the job to run", () -> started().contains(ID + "/0"));
+    cloud.everRented().forEach(w -> w.seenUnsaid(term.token + 1000));
+    node.desk.cancel(ID, true); // its stop goes out directly
+    Await.until("the term to be over", term::over);
+  }
+
+  /** While the end of a cancelled job is being written, and machines come, it is not started. */
+  @Test
+  void nothingStartsOfAJobThatIsBeingCancelled() throws Exception {
+    CountDownLatch mayRent = new CountDownLatch(1);
+    cloud.rented(
+        m -> {
+          try {
+            mayRent.await();
+          } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+          }
+        });
+    write(
+        new StoreClient.Txn()
+            .put(LIVE, record())
+            .put(Records.NOTES + "o0", Map.of(ID, Records.opened(List.of()))));
+    node.listens(ports.ports(1).get(0)).start();
+    final Term term = node.leads();
+    assertTrue(term.keeps(ID));
+    AtomicInteger ends = new AtomicInteger();
+    door.watched(
+        (r, done) -> {
+          if (!done && says(r, "\"set\":\"" + OVER) && ends.incrementAndGet() == 1) {
+            write(new StoreClient.Txn().put(Records.JOB + "wk-000002", record()));
+            mayRent.countDown();
+            Await.until("the next job to start", () -> started().contains("wk-000002/0"));
+          }
+        });
+    node.desk.cancel(ID, true);
+    Await.until("the next job to start", () -> started().contains("wk-000002/0"));
+    assertEquals(List.of("wk-000002/0"), started());
+  }
+
+  private List<String> started() {
+    return cloud.everRented().stream().flatMap(w -> w.started().stream()).toList();
+  }
 }
--- a/src/test/java/org/astershift/leader/OneNode.java
+++ b/src/test/java/org/astershift/leader/OneNode.java
@@ -1,11 +1,14 @@
 package org.astershift.leader;
 
+import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.astershift.api.PublicApi;
 import org.astershift.config.Operator;
 import org.astershift.config.Settings;
+import org.astershift.http.HttpServer;
 import org.astershift.standin.Await;
 import org.astershift.standin.StandInCloud;
 import org.astershift.standin.StandInStore;
@@ -23,6 +26,7 @@
   final Mirror mirror;
   final Director director;
   final UserDesk desk;
+  private HttpServer http;
 
   /** What happens after its term has read the rows below a prefix; the prefix is told. */
   volatile Consumer<String> loaded = prefix -> {};
@@ -51,6 +55,13 @@
     return this;
   }
 
+  /** Workers and users reach it here. */
+  OneNode listens(int port) throws Exception {
+    http = new HttpServer("127.0.0.1", port, 50, new PublicApi(director, desk, Map.of()));
+    http.start();
+    return this;
+  }
+
   /** Its term, once it certainly leads. */
   Term leads() throws Exception {
     Await.until(
@@ -59,7 +70,10 @@
   }
 
   @Override
-  public void close() {
+  public void close() throws IOException {
+    if (http != null) {
+      http.close();
+    }
     Term term = director.term();
     if (term != null) {
       director.end(term.token, "the test is over");
--- a/src/test/java/org/astershift/leader/TakeoverFencesTest.java
+++ b/src/test/java/org/astershift/leader/TakeoverFencesTest.java
@@ -72,6 +72,7 @@
   /** It is told of a later leader while it still takes in what there is. */
   @Test
   void aTermThatIsOverBeforeItBeganDoesNotBegin() throws Exception {
+    service.leasesEndLate(0);
     AtomicLong overToken = new AtomicLong();
     node.loaded =
         prefix -> {
@@ -91,18 +92,20 @@
   void onlyThePredecessorsKeyIsRemoved() throws Exception {
     write(new StoreClient.Txn().put(Records.LEADER, Records.leader("one")));
     AtomicBoolean once = new AtomicBoolean();
+    AtomicBoolean answered = new AtomicBoolean();
     door.watched(
         (r, done) -> {
-          if (!done
-              && says(r, "\"remove\":\"" + Records.LEADER)
-              && once.compareAndSet(false, true)) {
+          boolean removal = says(r, "\"remove\":\"" + Records.LEADER);
+          if (!done && removal && once.compareAndSet(false, true)) {
             anotherLeads();
+          } else if (done && removal) {
+            answered.set(true);
           }
         });
     node.start();
-    Await.until("the removal", once::get);
+    Await.until("the removal to be answered", answered::get);
     Await.until("the leader to be known", () -> "another".equals(node.director.otherLeader()));
-    assertEquals("another", other.get(Records.LEADER).data().get("node"));
+    assertEquals("another", read(Records.LEADER).data().get("node"));
     assertEquals(0, node.director.token());
   }
 
@@ -133,7 +136,7 @@
             hangs.set(true);
             write(new StoreClient.Txn().put(LIVE, record()));
           } else if (done && won.get() == 0 && says(r, "\"set\":\"" + Records.LEADER)) {
-            won.set(other.get(Records.LEADER).revision());
+            won.set(read(Records.LEADER).revision());
           }
           if (done && r.path().equals("/watch")) {
             Await.until("the mirror to go on", () -> !hangs.get());
@@ -146,7 +149,7 @@
         "it to give up or to lead",
         () -> {
           early[0] = node.director.term();
-          return early[0] != null || other.get(Records.LEADER).data() == null;
+          return early[0] != null || read(Records.LEADER).data() == null;
         });
     assertEquals(null, early[0], "it leads and has not read the jobs");
     hangs.set(false);
--- a/src/test/java/org/astershift/standin/StandInStore.java
+++ b/src/test/java/org/astershift/standin/StandInStore.java
@@ -26,6 +26,9 @@
 
   private record Event(long revision, Map<String, Object> news, String key) {}
 
+  /** By so much leases end late. */
+  private long lateMs;
+
   /** Changes up to this revision are not kept any more. */
   private long forgotten = -1;
 
@@ -122,6 +125,11 @@
     return new Door();
   }
 
+  /** Leases end so much too late, so that a test that stands still for a while loses none. */
+  public synchronized void leasesEndLate(long ms) {
+    lateMs = ms;
+  }
+
   /** No watch can go on from what happened so far. */
   public synchronized void forgetChanges() {
     forgotten = revision;
@@ -223,7 +231,7 @@
       return;
     }
     for (long id : new ArrayList<>(leases.keySet())) {
-      if (leases.get(id)[1] <= now()) {
+      if (leases.get(id)[1] + lateMs <= now()) {
         leases.remove(id);
         for (String key : new ArrayList<>(rows.keySet())) {
           if (rows.get(key).lease() == id) {
--- a/src/test/java/org/astershift/standin/StandInWorker.java
+++ b/src/test/java/org/astershift/standin/StandInWorker.java
@@ -40,6 +40,9 @@
   /** What is said to it arrives once this is over: packets held by a cut. */
   private boolean deaf;
 
+  /** It sends no report. */
+  private boolean silent;
+
   StandInWorker(String name, String zone, List<Integer> controllers, long taskMs)
       throws IOException {
     this.name = name;
@@ -86,6 +89,12 @@
     notifyAll();
   }
 
+  /** A leader with this token has spoken to it; its next reports are held back. */
+  public synchronized void seenUnsaid(long later) {
+    token = Math.max(token, later);
+    silent = true;
+  }
+
   /** It ends and is there again: no task, no token, and the first tick. Says what it lost. */
   public synchronized List<String> beginAnew() {
     List<String> lost = new ArrayList<>();
@@ -199,7 +208,9 @@
 
   /** Waits for the next report's time on the object's monitor, so that closing need not wait. */
   private synchronized void rest() throws InterruptedException {
-    wait(REPORT_MS);
+    do {
+      wait(REPORT_MS);
+    } while (silent && !closed);
   }
 
   private synchronized void answered(String report, HttpClient.Answer a) throws Json.Bad {
