--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -429,6 +429,19 @@
     return sinceMs > facts.leaseS() * 1000 * Constants.MUTE_LEASES;
   }
 
+  /** Says in the log when a machine becomes mute, and when its reports come again. */
+  void tellMute(Machine m, long nowMs) {
+    boolean mute = mute(m, nowMs);
+    if (m.state == Machine.State.LIVE && mute != m.toldMute && !overdue(m, nowMs)) {
+      m.toldMute = mute;
+      LOG.info(
+          mute
+              ? "machine {} answers orders and its reports do not come: nothing new goes there"
+              : "machine {} reports again",
+          m.name);
+    }
+  }
+
   /** Silence after which a machine is asked directly: its report is overdue. */
   private long suspectMs() {
     return (long) (facts.reportS() * 1000 * Constants.REPORT_LATEST) + Constants.SUSPECT_MS;
--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -64,6 +64,9 @@
   /** When a report of it was last answered, or since when this leader may do that. */
   long renewedMs;
 
+  /** It was said in the log that it is mute. */
+  boolean toldMute;
+
   int directFailures;
 
   /**
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -437,6 +437,7 @@
       lastSweepMs = nowMs;
       for (Machine m : c.all()) {
         expire(m, Math.min(nowMs, soleUntilMs));
+        c.tellMute(m, nowMs);
       }
       silence.survey(nowMs);
       hearing = silence.hearing();
