A new leader warns of no job that it has not begun before it has heard the machines

Change: nothing is said while a machine of earlier leaders is unheard, nor of a job of which tasks are done.

--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -610,7 +610,10 @@
 
   /** A line for the log: what each class and team got; warns of one that gets nothing. */
   public String served(long nowMs) {
-    c.served.unbegun(c.waiting, c::teamAllows, nowMs);
+    // What runs on machines not heard yet seems to wait.
+    if (!c.unheard()) {
+      c.served.unbegun(c.waiting, c::teamAllows, nowMs);
+    }
     return c.served.summary(c.jobs.values(), nowMs);
   }
 
--- a/src/main/java/org/astershift/core/Served.java
+++ b/src/main/java/org/astershift/core/Served.java
@@ -138,7 +138,8 @@
   void unbegun(Iterable<Job> waiting, Predicate<Job> withinLimit, long nowMs) {
     for (Job job : waiting) {
       boolean late = nowMs - job.submittedMs >= Constants.UNBEGUN_WARN_MS;
-      if (!late || job.begun || job.warned || job.spec.kind() == JobKind.SERVICE) {
+      boolean begun = job.begun || job.doneCount() > 0;
+      if (!late || begun || job.warned || job.spec.kind() == JobKind.SERVICE) {
         continue;
       }
       job.warned = true;
--- a/src/test/java/org/astershift/core/TracePlayer.java
+++ b/src/test/java/org/astershift/core/TracePlayer.java
@@ -211,6 +211,11 @@
       case "isolated" -> {
         return List.of("isolated " + s.isolated());
       }
+      case "served" -> {
+        s.served(now);
+        Job job = s.job(p.get(2));
+        return List.of(p.get(2) + (job.warned ? " has not begun" : " is not warned of"));
+      }
       case "show" -> {
         return List.of(show(s, p.get(2)));
       }
