--- a/src/main/java/org/astershift/core/Placement.java
+++ b/src/main/java/org/astershift/core/Placement.java
@@ -34,6 +34,7 @@
   /** All free machines and the whole window. */
   void pass(long nowMs) {
     c.recount();
+    c.keepNoLimits();
     queue.refresh(nowMs);
     if (queue.isEmpty()) {
       return;
