--- a/src/main/java/org/astershift/core/Placement.java
+++ b/src/main/java/org/astershift/core/Placement.java
@@ -34,11 +34,11 @@
   /** All free machines and the whole window. */
   void pass(long nowMs) {
     c.recount();
-    c.keepNoLimits();
     queue.refresh(nowMs);
     if (queue.isEmpty()) {
       return;
     }
+    c.keepNoLimits();
     List<Machine> usable = new ArrayList<>();
     for (Machine m : c.all()) {
       m.clearReserved();
