--- a/src/test/java/org/astershift/world/Checker.java
+++ b/src/test/java/org/astershift/world/Checker.java
@@ -147,7 +147,7 @@
    */
   List<Integer> waiting(JobSpec spec) {
     List<Integer> out = new ArrayList<>();
-    if (called.contains("d/" + spec.id()) || cancelAsked.contains(spec.id())) {
+    if (called.contains("d/" + spec.id()) || cancelAsked.containsKey(spec.id())) {
       return out;
     }
     for (int i = 0; i < spec.tasks(); i++) {
