An end that a leader wrote and never learnt of is laid down when it is read

A leader's write of a job's end is applied, its answer lost, and nobody asks this leader to cancel again: the job stayed in the term for ever, cancelled but not over, with its notes and its entry among the team's jobs; a repeated cancellation was answered from the ends known without telling the term. What a node reads as over it now lays down in its term (Director.overOnRecord). FencesTest.whenTheAnswerToAnEndIsLostNothingOlderIsTold, for both kinds of ends.

--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -526,6 +526,19 @@
     LOG.debug("job {} is {}", id, end.cancelled() ? "cancelled" : "done");
   }
 
+  /**
+   * The end of a job was read. Where this leader wrote it, got no answer and was asked no more, its
+   * term would keep the job, its notes and its place among the team's for ever.
+   */
+  void overOnRecord(String id, Records.Ended end) {
+    ended.put(id, end);
+    Term t = term;
+    if (t != null && t.keeps(id)) {
+      ended(t, id, end);
+      stir();
+    }
+  }
+
   /** Makes the job's end durable, before anyone is told; null if that is not certain yet. */
   Records.Ended finish(Term t, String id, boolean cancelled, long patienceMs)
       throws InterruptedException {
--- a/src/main/java/org/astershift/leader/UserDesk.java
+++ b/src/main/java/org/astershift/leader/UserDesk.java
@@ -126,7 +126,7 @@
         return JobAnswer.UNKNOWN;
       }
       Records.Ended end = Records.ended(row.data());
-      ended.put(id, end);
+      director.overOnRecord(id, end);
       return answer(end);
     } catch (IOException | Json.Bad e) {
       LOG.debug("reading {}: {}", id, e.toString());
--- a/src/test/java/org/astershift/leader/FencesTest.java
+++ b/src/test/java/org/astershift/leader/FencesTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.astershift.core.Report;
 import org.astershift.standin.Await;
@@ -20,6 +21,8 @@
 import org.astershift.store.StoreClient.Outcome;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Each fence that stands in a thread of a leader and not in a decision: what happens between two of
@@ -27,6 +30,9 @@
  */
 @Timeout(200)
 class FencesTest extends FenceCase {
+  /** So long a case looks whether something older is told. */
+  private static final long LOOK_NS = 300_000_000;
+
   /**
    * A leader cut off from the state service alone leads on in doubt. Another one may have ended the
    * job and said so, so it tells nothing from memory: neither what is live nor a cancellation.
@@ -248,6 +254,43 @@
     assertFalse(term.keeps(ID));
   }
 
+  /**
+   * The end is on record and its answer lost, that of a cancellation and that of a job whose tasks
+   * are done: the leader tells nothing of it from memory, though it tries no more. Whoever then
+   * reads the record has the term lay the job down, which kept it for ever before.
+   */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void whenTheAnswerToAnEndIsLostNothingOlderIsTold(boolean cancelled) throws Exception {
+    node.start();
+    final Term term = node.leads();
+    accept();
+    AtomicBoolean over = new AtomicBoolean();
+    door.watched(
+        (r, done) -> {
+          boolean end = says(r, "\"set\":\"" + OVER);
+          if (end && over.get()) {
+            throw new IllegalStateException("refused: no second try comes through");
+          }
+          over.compareAndSet(false, end && done);
+          service.loseAnswers(end && !done ? 1 : 0);
+        });
+    if (cancelled) {
+      assertEquals(503, node.desk.cancel(ID, true).status());
+    } else {
+      term.ends.add(ID); // as for a job whose tasks are all done
+      Await.until("the end on record", over::get);
+    }
+    long untilNs = System.nanoTime() + LOOK_NS;
+    do {
+      assertNull(term.told(ID), "it is over on record");
+    } while (System.nanoTime() < untilNs);
+    assertTrue(term.keeps(ID), "the leader does not know it");
+    assertEquals(cancelled ? "withdrawn" : "done", node.desk.poll(ID, true).phase());
+    assertFalse(term.keeps(ID), "what is over on record is laid down");
+    assertNull(term.scheduler.view(ID));
+  }
+
   /** A job that its node learns of by accepting it late, after it was cancelled by that leader. */
   @Test
   void anAcceptanceToldLateBringsNothingBack() throws Exception {
