A stop whose effect is not seen goes again with each question

Cause: a stop went directly once; where it was lost and no report came, only the end of the lease stopped a cancelled task on a mute machine. Change: a question that goes to such a machine anyway carries its stops. Measured: TraceTest, MachineMeetingsTest, TermTest, OrderBudgetTest pass.

--- a/src/main/java/org/astershift/core/Commands.java
+++ b/src/main/java/org/astershift/core/Commands.java
@@ -166,10 +166,24 @@
     boolean probe = m.session > 0 && c.overdue(m, nowMs);
     boolean puzzle = m.older || (m.deaf() && nowMs - m.lastDirectMs >= Constants.DEAF_ASK_MS);
     return claim || probe || puzzle
-        ? direct(m, List.of(), Constants.PROBE_TIMEOUT_MS, nowMs)
+        ? direct(m, repeatedStops(m), Constants.PROBE_TIMEOUT_MS, nowMs)
         : null;
   }
 
+  /**
+   * Stops that were sent and of which no effect was seen yet: where no report comes, no answer to
+   * one repeats them, and a question that goes there anyway may.
+   */
+  private static List<Order> repeatedStops(Machine m) {
+    List<Order> orders = new ArrayList<>(0);
+    for (Run run : m.runs.values()) {
+      if (!run.exited() && run.unwanted() && run.stopSent) {
+        orders.add(Order.stop(run, run.graceS()));
+      }
+    }
+    return orders;
+  }
+
   /**
    * Most inherited machines report by themselves, and again once they have seen the new token; only
    * those that do not are asked. To ask a thousand at once costs a node on a fifth of a core more
