--- /dev/null
+++ b/src/test/java/org/astershift/world/SuccessionTest.java
@@ -0,0 +1,113 @@
+package org.astershift.world;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.function.LongFunction;
+import org.astershift.core.JobKind;
+import org.astershift.world.World.Setup;
+import org.junit.jupiter.api.Test;
+
+/** What a leader wrote last, and the one that follows it. */
+class SuccessionTest {
+  private static final int SEEDS = 10;
+  private static final int MUTANT_SEEDS = 40;
+
+  private static World busy(long seed, Mutant... mutants) {
+    World w = new World(seed, Setup.of(3, 12));
+    w.mutants.addAll(List.of(mutants));
+    w.runTo(4);
+    w.submit(WorldTest.job("wk-1", JobKind.SERVICE, 12), null);
+    for (int i = 10; i < 16; i++) {
+      w.userSubmits(WorldTest.job("wk-" + i, JobKind.ARRAY, 2), 300_000L, () -> {});
+    }
+    w.runTo(20);
+    assertEquals(1, leaders(w).size(), w.story());
+    return w;
+  }
+
+  private static List<NodeModel> leaders(World w) {
+    return w.nodes.stream().filter(n -> n.up() && n.leads()).toList();
+  }
+
+  private static void assertSound(World w) {
+    assertEquals(List.of(), w.checker.broken, () -> "seed " + w.seed + "\n" + w.wholeStory());
+  }
+
+  private static void assertMissed(Mutant mutant, LongFunction<World> played) {
+    for (long seed = 1; seed <= MUTANT_SEEDS; seed++) {
+      if (!played.apply(seed).checker.broken.isEmpty()) {
+        return;
+      }
+    }
+    assertEquals("missed", "not missed", mutant + " taken away");
+  }
+
+  /**
+   * A leader's cancellations get no answer, it ends, and they would be carried out when the next
+   * one leads, which runs these jobs; a third reads what is on record and does not reach it.
+   */
+  @Test
+  void theEndsThatALeaderWroteLastComeAfterItsTerm() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      World w = lateEnds(seed);
+      assertSound(w);
+      for (int i = 10; i < 16; i++) {
+        assertTrue(w.checker.confirmedMs("wk-" + i) != null, w.wholeStory());
+      }
+    }
+    assertMissed(
+        Mutant.WRITES_WITHOUT_THE_KEY, seed -> lateEnds(seed, Mutant.WRITES_WITHOUT_THE_KEY));
+  }
+
+  private static World lateEnds(long seed, Mutant... mutants) {
+    World w = busy(seed, mutants);
+    NodeModel old = leaders(w).get(0);
+    List<NodeModel> others = w.nodes.stream().filter(n -> n != old).toList();
+    w.store.lateShare = 1;
+    for (int i = 10; i < 16; i++) {
+      w.userCancels("wk-" + i);
+    }
+    w.runTo(20.4);
+    old.crash();
+    w.store.lateShare = 0;
+    w.cutBoth(others.get(0).name, others.get(1).name);
+    w.askAll();
+    assertTrue(w.runUntil(() -> !leaders(w).isEmpty(), 30), w.story());
+    w.runTo(45);
+    w.healAll();
+    old.start();
+    w.runTo(80);
+    return w;
+  }
+
+  /** What was accepted just before a leader began is known to it, however slow its mirror is. */
+  @Test
+  void theMirrorLagsAsALeaderEnds() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      assertSound(laggingMirror(seed));
+    }
+    assertMissed(Mutant.NO_CATCHING_UP, seed -> laggingMirror(seed, Mutant.NO_CATCHING_UP));
+  }
+
+  private static World laggingMirror(long seed, Mutant... mutants) {
+    World w = busy(seed, mutants);
+    NodeModel old = leaders(w).get(0);
+    w.store.slowMs = 1200;
+    for (int i = 20; i < 50; i++) {
+      int id = i;
+      w.after(
+          w.random.nextLong(6000),
+          () -> w.userSubmits(WorldTest.job("wk-" + id, JobKind.ARRAY, 1), 20_000L, () -> {}));
+    }
+    w.after(3000, old::handOver);
+    w.runTo(26);
+    assertTrue(w.runUntil(() -> leaders(w).stream().anyMatch(n -> n != old), 60), w.story());
+    w.store.slowMs = 0;
+    w.runTo(w.now() / 1000.0 + 10);
+    w.leftWaiting.troublesAreOver();
+    w.runTo(w.now() / 1000.0 + 98);
+    return w;
+  }
+}
