--- a/src/test/java/org/astershift/world/TeamMeetingsTest.java
+++ b/src/test/java/org/astershift/world/TeamMeetingsTest.java
@@ -201,6 +201,7 @@
     w.runTo((troubleMs + forMs) / 1000.0 + 10);
     p.changed = w.checker.leaders.stream().distinct().count() > 1 || w.checker.leaders.size() > 1;
     w.healAll();
+    w.nodes.forEach(n -> machines.forEach(machine -> w.slow(n.name, machine, 0)));
     w.leftWaiting.troublesAreOver();
     w.runTo(w.now() / 1000.0 + 25);
     return p;
@@ -213,6 +214,7 @@
       w.nodes.forEach(
           n -> {
             w.cutBoth(n.name, machine);
+            w.slow(n.name, machine, 1500); // and what is said to it then comes late
             w.after(forMs, () -> w.healBoth(n.name, machine));
           });
     }
