--- a/src/test/java/org/astershift/world/Checker.java
+++ b/src/test/java/org/astershift/world/Checker.java
@@ -147,7 +147,7 @@
    */
   List<Integer> waiting(JobSpec spec) {
     List<Integer> out = new ArrayList<>();
-    if (called.contains("d/" + spec.id()) || cancelAsked.containsKey(spec.id())) {
+    if (isOver(spec.id()) || cancelAsked.containsKey(spec.id())) {
       return out;
     }
     for (int i = 0; i < spec.tasks(); i++) {
@@ -341,6 +341,11 @@
     return lastTold.get(job + " at " + node);
   }
 
+  /** Whether its end is on record. */
+  boolean isOver(String job) {
+    return called.contains("d/" + job);
+  }
+
   /** When the user was first told that it is cancelled; null: not yet. */
   Long confirmedMs(String job) {
     return confirmedMs.get(job);
