--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -108,12 +108,6 @@
   /** Times its aim after which free room is kept for a gang that finds too little. */
   public static final double KEEP_AFTER = 2;
 
-  /**
-   * Milliseconds for which a team's limit is kept for its gangs that have to begin, if none of them
-   * gets its places: its other jobs may wait 90 s beside room. Then it is open for as long.
-   */
-  public static final long LIMIT_KEPT_MS = 60_000;
-
   /**
    * Seconds after which the jobs of a class that is hardly served count for its floor, or its aim
    * on starting if that is longer: an operator who looks after some minutes finds it served.
--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -77,12 +77,6 @@
   private long attempts;
   private long resumedMs = Long.MIN_VALUE / 2;
   private int unheard;
-
-  /** By team, the gang for which its limit is kept: see {@link #keepLimit}. */
-  private final Map<String, Job> limitKept = new HashMap<>();
-
-  /** By team, since when its limit is kept and nothing was seated. */
-  private final Map<String, Long> limitKeptMs = new HashMap<>();
   private boolean restless;
 
   /** Busy and allocated processors of machines that can stand in for each other. */
@@ -539,50 +533,10 @@
       return false;
     }
     double[] use = teamUse(team.name());
-    double[] kept = limitKept(job);
     JobSpec s = job.spec;
     return team.allows(
-        use[0] + (s.cpus() > 0 ? tasks * s.cpus() + hidden.cpus() + kept[0] : 0),
-        use[1] + (s.gpus() > 0 ? tasks * s.gpus() + hidden.gpus() + kept[1] : 0));
-  }
-
-  /**
-   * Keeps of its team's limit what all waiting tasks of the gang take, up to the next pass; in vain
-   * not for long, since the team's other jobs wait beside room meanwhile.
-   */
-  void keepLimit(Job gang, long nowMs) {
-    String team = gang.spec.team();
-    if (nowMs - limitKeptMs.getOrDefault(team, nowMs) > 2 * Constants.LIMIT_KEPT_MS) {
-      limitKeptMs.remove(team);
-    }
-    if (nowMs - limitKeptMs.computeIfAbsent(team, t -> nowMs) <= Constants.LIMIT_KEPT_MS) {
-      limitKept.putIfAbsent(team, gang);
-    }
-  }
-
-  /** The gang has its places. */
-  void seated(Job gang) {
-    if (limitKept.remove(gang.spec.team(), gang)) {
-      limitKeptMs.remove(gang.spec.team());
-    }
-  }
-
-  void keepNoLimits() {
-    limitKept.clear();
-  }
-
-  /** What is kept of the team's limit for a gang, and not for this job nor for more urgent ones. */
-  private double[] limitKept(Job job) {
-    Job gang = limitKept.get(job.spec.team());
-    if (gang == null
-        || gang == job
-        || gang.state != Job.State.LIVE
-        || gang.cancelWanted
-        || job.spec.priority().compareTo(gang.spec.priority()) < 0) {
-      return new double[2];
-    }
-    int tasks = gang.waitingCount();
-    return new double[] {tasks * gang.spec.cpus(), tasks * gang.spec.gpus()};
+        use[0] + (s.cpus() > 0 ? tasks * s.cpus() + hidden.cpus() : 0),
+        use[1] + (s.gpus() > 0 ? tasks * s.gpus() + hidden.gpus() : 0));
   }
 
   /** Processors and accelerators that the team may still take, whatever the unheard hold of it. */
--- a/src/main/java/org/astershift/core/Gangs.java
+++ b/src/main/java/org/astershift/core/Gangs.java
@@ -30,12 +30,11 @@
     for (Job job : jobs) {
       if (mayStart(job)) {
         Map<String, Part> parts = parts(job, usable, nowMs);
-        if (place(job, parts, nowMs) || job.suspect()) {
-          continue;
-        }
-        if (!withinLimit(job)) {
-          keepLimit(job, nowMs);
-        } else if (!keeps && starves(job, nowMs)) {
+        if (!place(job, parts, nowMs)
+            && !keeps
+            && !job.suspect()
+            && starves(job, nowMs)
+            && withinLimit(job)) {
           keeps = keep(job, parts, nowMs);
         }
       }
@@ -51,9 +50,7 @@
       if (!group.hungry()) {
         return;
       }
-      if (mayStart(job) && !withinLimit(job)) {
-        keepLimit(job, nowMs);
-      } else if (mayStart(job)) {
+      if (mayStart(job) && withinLimit(job)) {
         int tasks = job.waitingCount();
         Map<String, Part> parts = parts(job, usable, nowMs);
         if (place(job, parts, nowMs)) {
@@ -84,20 +81,6 @@
     return c.teamAllows(job, job.waitingCount());
   }
 
-  /**
-   * Smaller jobs of its team take each bit of the limit that becomes free, and a large gang would
-   * wait for as long as there are any: what it takes is kept once it has to begin.
-   */
-  private void keepLimit(Job job, long nowMs) {
-    Team team = c.facts.teams().get(job.spec.team());
-    int tasks = job.waitingCount();
-    if (team != null
-        && Floor.overdue(job, nowMs)
-        && team.allows(tasks * job.spec.cpus(), tasks * job.spec.gpus())) {
-      c.keepLimit(job, nowMs);
-    }
-  }
-
   /** Machines among which all tasks of a gang have to find room: one zone's, or all. */
   private static final class Part {
     /** With room now, and with the image where that counts. */
@@ -159,7 +142,6 @@
       job.gangAttempt = c.nextAttempt();
     }
     job.keptIn = null;
-    c.seated(job);
     for (Map.Entry<Integer, Machine> e : best.entrySet()) {
       c.place(job, e.getKey(), e.getValue(), job.gangAttempt, nowMs);
       LOG.debug("gang task {}/{} placed on {}", job.spec.id(), e.getKey(), e.getValue().name);
--- a/src/main/java/org/astershift/core/Placement.java
+++ b/src/main/java/org/astershift/core/Placement.java
@@ -38,7 +38,6 @@
     if (queue.isEmpty()) {
       return;
     }
-    c.keepNoLimits();
     List<Machine> usable = new ArrayList<>();
     for (Machine m : c.all()) {
       m.clearReserved();
