A start that waited for its turn is not sent once its job is cancelled

Direct orders wait in line for a thread, behind machines that do not answer for as long as their deadlines. A start decided before a cancellation and sent after its confirmation broke what users were told: nothing of the job starts from then on. When its turn has come, starts of jobs that are over or to be cancelled are left out (Scheduler.stillWanted). FencesTest.aStartThatWaitedWhileItsJobWasCancelledIsNotSent falls without it (started twice). FencesTest and TraceTest run.

--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -299,6 +299,20 @@
     return false;
   }
 
+  /**
+   * The orders of one whose turn has come, without starts of jobs that are over or to be cancelled:
+   * it may have waited behind machines that do not answer while its user was told that nothing of
+   * the job starts any more.
+   */
+  public List<Order> stillWanted(Decision.Direct d) {
+    return d.orders().stream().filter(o -> o.op() != Order.Op.START || wanted(o.job())).toList();
+  }
+
+  private boolean wanted(String id) {
+    Job job = c.jobs.get(id);
+    return job != null && job.state == Job.State.LIVE && !job.cancelWanted;
+  }
+
   /** Sends what was decided while a direct order to the machine waited or was under way. */
   private void again(Machine m) {
     if (Commands.due(m)) {
--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -414,17 +414,19 @@
     return t == null ? 0 : t.token;
   }
 
-  private void direct(Term t, Decision.Direct d) {
+  /** Its turn has come. */
+  void direct(Term t, Decision.Direct d) {
     if (t.over()) {
       return;
     }
+    List<Order> orders;
     synchronized (t) {
       if (!t.scheduler.stillDue(d, Term.nowMs())) {
         return;
       }
+      orders = t.scheduler.stillWanted(d);
     }
-    OrderSender.Result result =
-        sender.send(d.addr(), t.token, d.session(), d.orders(), d.timeoutMs());
+    OrderSender.Result result = sender.send(d.addr(), t.token, d.session(), orders, d.timeoutMs());
     boolean deposed;
     boolean restless;
     synchronized (t) {
--- a/src/test/java/org/astershift/leader/FencesTest.java
+++ b/src/test/java/org/astershift/leader/FencesTest.java
@@ -14,8 +14,11 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.astershift.core.Decision;
+import org.astershift.core.Order;
 import org.astershift.core.Report;
 import org.astershift.standin.Await;
+import org.astershift.standin.StandInWorker;
 import org.astershift.store.Records;
 import org.astershift.store.StoreClient;
 import org.astershift.store.StoreClient.Outcome;
@@ -366,6 +369,24 @@
     assertEquals(List.of("wk-000002/0"), started());
   }
 
+  /**
+   * A start waits for its turn behind machines that do not answer; meanwhile its job is cancelled,
+   * and that is told.
+   */
+  @Test
+  void aStartThatWaitedWhileItsJobWasCancelledIsNotSent() throws Exception {
+    node.listens(ports.ports(1).get(0)).start();
+    final Term term = node.leads();
+    accept();
+    Await.until("the job to run", () -> started().contains(ID + "/0"));
+    Await.until("it to be cancelled", () -> node.desk.cancel(ID, true).status() == 200);
+    StandInWorker worker = cloud.everRented().get(0);
+    Order late = new Order(Order.Op.START, ID, 0, 77, 0);
+    String addr = worker.said().get(0).replaceAll(".*\"addr\":\"([^\"]+)\".*", "$1");
+    node.director.direct(term, new Decision.Direct(worker.name(), addr, 1, List.of(late), 5000));
+    assertEquals(List.of(ID + "/0"), started());
+  }
+
   private List<String> started() {
     return cloud.everRented().stream().flatMap(w -> w.started().stream()).toList();
   }
