--- a/src/test/java/org/astershift/CloseLooksTest.java
+++ b/src/test/java/org/astershift/CloseLooksTest.java
@@ -51,7 +51,7 @@
   @Test
   void aStreamOfShortJobs() throws Exception {
     try (CloseUsers users = new CloseUsers(nodes, 1, 150, 1)) {
-      users.start();
+      users.start(users.jobs().size());
       users.join();
       check(users);
     }
@@ -66,17 +66,21 @@
   void answersAreLostAndLeadersChange() throws Exception {
     try (CloseUsers users = new CloseUsers(nodes, 1001, 150, 2)) {
       nodes.store.loseAnswers(0.33);
-      users.start();
+      // A part of the jobs is left for each trouble: where users were fast all were over before the last.
+      int part = users.jobs().size() / 3;
+      users.start(part);
       Await.until("the first jobs to be over", () -> users.over() >= 20);
       int first = nodes.leader();
       nodes.kill(first);
       Await.until("another leader after a crash", () -> nodes.leader() != first);
       nodes.start(first);
+      users.more(part);
       int half = users.over() + 20;
       Await.until("jobs to be over under the next leader", () -> users.over() >= half);
       int second = nodes.leader();
       nodes.doors.get(second).refuse(true);
       Await.until("another leader after a refusal", () -> nodes.leader() != second);
+      users.more(users.jobs().size() - 2 * part);
       int late = users.over() + 20;
       Await.until("jobs to be over beside a leader in doubt", () -> users.over() >= late);
       nodes.doors.get(second).refuse(false);
--- a/src/test/java/org/astershift/CloseUsers.java
+++ b/src/test/java/org/astershift/CloseUsers.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.astershift.http.HttpClient;
@@ -74,6 +75,10 @@
   private final List<Job> jobs = new ArrayList<>();
   private final AtomicInteger over = new AtomicInteger();
   private final Map<Known, AtomicInteger> looks = new EnumMap<>(Known.class);
+
+  /** How many more jobs may be begun. */
+  private final Semaphore turns = new Semaphore(0);
+
   private final ExecutorService threads = Executors.newCachedThreadPool();
   private final List<Future<?>> users = new ArrayList<>();
   private final List<HttpClient> clients = new ArrayList<>();
@@ -112,15 +117,23 @@
     return new ArrayList<>(broken);
   }
 
-  void start() {
+  /** The users come, and begin with so many of the jobs. */
+  void start(int begun) {
+    more(begun);
     for (int i = 0; i < USERS; i++) {
       int number = i;
       users.add(threads.submit(() -> serve(number)));
     }
   }
 
+  /** So many jobs more may be begun: what follows a trouble waits for it. */
+  void more(int begun) {
+    turns.release(begun);
+  }
+
   /** Until all jobs are over; fails with the first user that did not get there. */
   void join() throws Exception {
+    more(USERS); // who finds no job left goes
     for (Future<?> user : users) {
       user.get(2 * PATIENCE_NS, TimeUnit.NANOSECONDS);
     }
@@ -134,12 +147,16 @@
 
   private Void serve(int number) throws Exception {
     int node = number;
-    for (Job job = waiting.poll(); job != null; job = waiting.poll()) {
+    while (true) {
+      turns.acquire();
+      Job job = waiting.poll();
+      if (job == null) {
+        return null;
+      }
       node++;
       live(job, node % Controllers.NODES);
       over.incrementAndGet();
     }
-    return null;
   }
 
   private void live(Job job, int node) throws Exception {
