--- a/src/test/java/org/astershift/CloseLooksTest.java
+++ b/src/test/java/org/astershift/CloseLooksTest.java
@@ -66,7 +66,7 @@
   void answersAreLostAndLeadersChange() throws Exception {
     try (CloseUsers users = new CloseUsers(nodes, 1001, 150, 2)) {
       nodes.store.loseAnswers(0.33);
-      // A part of the jobs is left for each trouble: where users were fast all were over before the last.
+      // A part of the jobs is left for each trouble, however fast the users are.
       int part = users.jobs().size() / 3;
       users.start(part);
       Await.until("the first jobs to be over", () -> users.over() >= 20);
