--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -631,8 +631,8 @@
   public static final int KEPT_WORKERS = 100;
 
   /**
-   * How deep a body may be nested. All that the protocols name is a few levels deep; a thousand, the
-   * parser's own limit, overflow a stack of {@link #STACK_BYTES}: a body of brackets ended its
+   * How deep a body may be nested. All that the protocols name is a few levels deep; a thousand,
+   * the parser's own limit, overflow a stack of {@link #STACK_BYTES}: a body of brackets ended its
    * connection without an answer.
    */
   public static final int JSON_DEPTH = 100;
--- a/src/main/java/org/astershift/core/Placement.java
+++ b/src/main/java/org/astershift/core/Placement.java
@@ -271,10 +271,10 @@
   }
 
   /**
-   * Whether the room is kept from a job at which nobody aims, since aimed tasks wait that may become
-   * able to use it. After a minute beside room all such jobs with the same place and need may have
-   * what there is, in one pass, and then room is kept from them anew: for as long as larger work
-   * waited they stood beside a processor that was free on each machine.
+   * Whether the room is kept from a job at which nobody aims, since aimed tasks wait that may
+   * become able to use it. After a minute beside room all such jobs with the same place and need
+   * may have what there is, in one pass, and then room is kept from them anew: for as long as
+   * larger work waited they stood beside a processor that was free on each machine.
    */
   private boolean heldBack(Machine m, Job job, long nowMs) {
     if (!job.spare || !queue.aimedWaits(m)) {
--- a/src/main/java/org/astershift/core/Renting.java
+++ b/src/main/java/org/astershift/core/Renting.java
@@ -255,9 +255,7 @@
           Pool pool = new Pool(name, zone, spot);
           boolean not =
               lost
-                  ? refusedLately(pool, nowMs)
-                      || !c.isCutOff(zone, nowMs)
-                      || awaited.contains(zone)
+                  ? refusedLately(pool, nowMs) || !c.isCutOff(zone, nowMs) || awaited.contains(zone)
                   : paused(pool, nowMs);
           if (allowed <= 0 || not) {
             continue;
--- a/src/main/java/org/astershift/core/Run.java
+++ b/src/main/java/org/astershift/core/Run.java
@@ -1,6 +1,5 @@
 package org.astershift.core;
 
-import org.astershift.config.Constants;
 
 /** One attempt of one task on one machine, from the decision to place it until its proof of end. */
 final class Run {
--- a/src/main/java/org/astershift/http/Json.java
+++ b/src/main/java/org/astershift/http/Json.java
@@ -16,9 +16,7 @@
       JSON.builder(
               JsonFactory.builder()
                   .streamReadConstraints(
-                      StreamReadConstraints.builder()
-                          .maxNestingDepth(Constants.JSON_DEPTH)
-                          .build())
+                      StreamReadConstraints.builder().maxNestingDepth(Constants.JSON_DEPTH).build())
                   .build())
           .build();
 
--- a/src/test/java/org/astershift/api/SubmissionTest.java
+++ b/src/test/java/org/astershift/api/SubmissionTest.java
@@ -175,7 +175,13 @@
     out.get("shards")
         .addAll(
             List.of(
-                "0", "100001", "1.5", "2.0", "1e2", "4294967297", "9223372036854775809",
+                "0",
+                "100001",
+                "1.5",
+                "2.0",
+                "1e2",
+                "4294967297",
+                "9223372036854775809",
                 "18446744073709551617"));
     out.get("hulls").addAll(List.of("\"small\"", "7", "true", "{}", "[7]", "[null]", "[[]]"));
     out.get("harbor").addAll(List.of("7", "true", "[\"a\"]", "{}"));
@@ -263,12 +269,32 @@
   private void onRecord(String id, int cpus) throws Exception {
     JobSpec spec =
         new JobSpec(
-            id, "c", "demo", JobKind.SERVICE, Priority.LOW, 1, cpus, 0, 1, "i", 1, null, null,
-            false, false, false, 1, 0, 0, null);
+            id,
+            "c",
+            "demo",
+            JobKind.SERVICE,
+            Priority.LOW,
+            1,
+            cpus,
+            0,
+            1,
+            "i",
+            1,
+            null,
+            null,
+            false,
+            false,
+            false,
+            1,
+            0,
+            0,
+            null);
     Map<String, Object> row =
         Map.of(
-            "set", Records.JOB + id,
-            "data", Records.job(new Records.JobRecord(spec, System.currentTimeMillis())));
+            "set",
+            Records.JOB + id,
+            "data",
+            Records.job(new Records.JobRecord(spec, System.currentTimeMillis())));
     try (HttpClient client = new HttpClient("127.0.0.1", store.port(), 1)) {
       byte[] body = Json.bytes(Map.of("writes", List.of(row)));
       assertEquals(200, client.call("POST", "/multi", body, 5000).status());
@@ -323,8 +349,7 @@
   /** The cloud is out from the start: what is new waits, and what is known is told. */
   @Test
   void withoutMachineTypesOnlyWhatIsKnownIsDecided() throws Exception {
-    try (HttpServer out =
-        new HttpServer("127.0.0.1", 0, 50, r -> Response.error(503, "trouble"))) {
+    try (HttpServer out = new HttpServer("127.0.0.1", 0, 50, r -> Response.error(503, "trouble"))) {
       out.start();
       onRecord("wk-old1", 1);
       nodes(1, out.port());
@@ -370,8 +395,7 @@
     assertEquals(Set.of(Records.ENDED + "wk-9", Records.ENDED + id), stored());
   }
 
-  private void expect(
-      int node, String method, String path, String body, int status, String word)
+  private void expect(int node, String method, String path, String body, int status, String word)
       throws Exception {
     HttpClient.Answer a = nodes.call(node, method, path, body);
     String said = new String(a.body(), StandardCharsets.UTF_8);
--- a/src/test/java/org/astershift/core/EligibilityTest.java
+++ b/src/test/java/org/astershift/core/EligibilityTest.java
@@ -23,11 +23,37 @@
   }
 
   private static JobSpec job(
-      JobKind kind, int tasks, double cpus, double gpus, double gb, List<String> types, String zone,
-      boolean oneZone, boolean spread, boolean spot) {
+      JobKind kind,
+      int tasks,
+      double cpus,
+      double gpus,
+      double gb,
+      List<String> types,
+      String zone,
+      boolean oneZone,
+      boolean spread,
+      boolean spot) {
     return new JobSpec(
-        "wk-1", "c", "t", kind, Priority.NORMAL, tasks, cpus, gpus, gb, "i", 1, types, zone,
-        oneZone, spread, spot, 1, 0, 0, null);
+        "wk-1",
+        "c",
+        "t",
+        kind,
+        Priority.NORMAL,
+        tasks,
+        cpus,
+        gpus,
+        gb,
+        "i",
+        1,
+        types,
+        zone,
+        oneZone,
+        spread,
+        spot,
+        1,
+        0,
+        0,
+        null);
   }
 
   @ParameterizedTest(name = "{0}")
@@ -90,8 +116,7 @@
     JobSpec spec = job(JobKind.ARRAY, 1, 1, 4, 1, List.of("gone"), null, false, false, false);
     Team team = new Team("t", 0, 0, 0, 0);
     List<MachineType> types = List.of(type("small", 0, "a"), type("gone", 4, ""));
-    assertEquals(
-        "a task fits no allowed machine type", Eligibility.neverRuns(spec, types, team));
+    assertEquals("a task fits no allowed machine type", Eligibility.neverRuns(spec, types, team));
     assertEquals("unknown team", Eligibility.neverRuns(spec, types, null));
   }
 
@@ -157,8 +182,7 @@
       this.types = types;
       this.team = team;
       Facts facts = new Facts(Map.of("t", team), List.of(), 2, 14, 30, 4, 40, 3);
-      this.scheduler =
-          new Scheduler(facts, org.astershift.config.Operator.defaults(), 7);
+      this.scheduler = new Scheduler(facts, org.astershift.config.Operator.defaults(), 7);
       scheduler.types(types);
     }
 
--- a/src/test/java/org/astershift/world/JobDraft.java
+++ b/src/test/java/org/astershift/world/JobDraft.java
@@ -88,7 +88,25 @@
   JobSpec spec() {
     double checkpointS = saveS > 0 ? 5 : 0;
     return new JobSpec(
-        id, jobClass, team, kind, priority, tasks, cpus, gpus, 1, "i", 1, types, zone,
-        oneZone, spread, spot, 20, checkpointS, saveS, null);
+        id,
+        jobClass,
+        team,
+        kind,
+        priority,
+        tasks,
+        cpus,
+        gpus,
+        1,
+        "i",
+        1,
+        types,
+        zone,
+        oneZone,
+        spread,
+        spot,
+        20,
+        checkpointS,
+        saveS,
+        null);
   }
 }
--- a/src/test/java/org/astershift/world/NodeModel.java
+++ b/src/test/java/org/astershift/world/NodeModel.java
@@ -575,7 +575,10 @@
               }
               if (e.fresh()) {
                 t.scheduler.rented(
-                    "", List.of(machine), new Decision.Rent(e.type(), e.zone(), e.spot(), 1), clock());
+                    "",
+                    List.of(machine),
+                    new Decision.Rent(e.type(), e.zone(), e.spot(), 1),
+                    clock());
               } else {
                 t.scheduler.inherit(machine, e.addr(), e.type(), e.zone(), e.spot(), clock());
               }
@@ -1035,9 +1038,7 @@
                 kept,
                 read,
                 kept && (unheard || t.scheduler.cancelKeepable(w.job())),
-                kept
-                    && !has(Mutant.CONFIRMS_WHILE_STARTING)
-                    && t.scheduler.mayStart(w.job()),
+                kept && !has(Mutant.CONFIRMS_WHILE_STARTING) && t.scheduler.mayStart(w.job()),
                 view != null && view.complete(),
                 clock() >= w.untilMs()));
     if (act.ofKept()) {
--- a/src/test/java/org/astershift/world/TeamMeetingsTest.java
+++ b/src/test/java/org/astershift/world/TeamMeetingsTest.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.LongFunction;
-import java.util.function.LongFunction;
 import org.astershift.core.JobKind;
 import org.astershift.core.JobSpec;
 import org.astershift.core.MachineType;
@@ -18,8 +17,8 @@
 
 /**
  * Teams at their limits, and work that waits: limits hold to the millisecond whatever meets, and
- * once the troubles are over nothing is left waiting beside room. Each case counts that its troubles
- * met.
+ * once the troubles are over nothing is left waiting beside room. Each case counts that its
+ * troubles met.
  */
 class TeamMeetingsTest {
   private static final int SEEDS = 6;
@@ -292,8 +291,7 @@
     int played = Fate.values().length * 2 * SEEDS;
     assertTrue(inTheSpell >= 3 * played, inTheSpell + " called off in the spell");
     assertTrue(startedInIt >= played, startedInIt + " started in the spell");
-    assertMissed(
-        Mutant.NO_ROSTER, s -> spell(Fate.CRASHES, s % 2 == 0, s, Mutant.NO_ROSTER).world);
+    assertMissed(Mutant.NO_ROSTER, s -> spell(Fate.CRASHES, s % 2 == 0, s, Mutant.NO_ROSTER).world);
   }
 
   private record Spell(World world, int cancelled, int started) {}
@@ -312,9 +310,7 @@
     }
     suffer(w, old, fate);
     boolean began =
-        w.runUntil(
-            () -> leaders(w).stream().anyMatch(n -> n != old),
-            w.now() / 1000.0 + 20);
+        w.runUntil(() -> leaders(w).stream().anyMatch(n -> n != old), w.now() / 1000.0 + 20);
     assertTrue(began, w.wholeStory());
     w.runTo(w.now() / 1000.0 + 0.2 * (seed % 3));
     int cancelled = 0;
@@ -418,9 +414,9 @@
 
   /**
    * More work than there is room, urgent and not, large tasks and small, over links that take up to
-   * a second, and the leader changes in the middle of it. Nothing breaks, all that was called for is
-   * done, and once the links are fast again nothing waits beside room, though there is still more
-   * work than room.
+   * a second, and the leader changes in the middle of it. Nothing breaks, all that was called for
+   * is done, and once the links are fast again nothing waits beside room, though there is still
+   * more work than room.
    */
   @Test
   void moreWorkThanRoomOverSlowLinks() {
@@ -451,7 +447,9 @@
   }
 
   private static int waiting(World w) {
-    return w.users.accepted().stream().mapToInt(job -> w.checker.waiting(w.users.spec(job)).size()).sum();
+    return w.users.accepted().stream()
+        .mapToInt(job -> w.checker.waiting(w.users.spec(job)).size())
+        .sum();
   }
 
   private static void slow(World w, long ms) {
--- a/src/test/java/org/astershift/world/WorkerModel.java
+++ b/src/test/java/org/astershift/world/WorkerModel.java
@@ -236,7 +236,8 @@
     for (Task t : tasks.values()) {
       items.add(new Report.Item(t.job, t.index, t.attempt, t.phase, t.cause));
     }
-    return new Report(name, name, kind.type(), zone, kind.spot(), session, ++seq, token, null, items);
+    return new Report(
+        name, name, kind.type(), zone, kind.spot(), session, ++seq, token, null, items);
   }
 
   private void here(int of, Runnable body) {
