--- a/src/main/java/org/astershift/core/Run.java
+++ b/src/main/java/org/astershift/core/Run.java
@@ -1,6 +1,5 @@
 package org.astershift.core;
 
-
 /** One attempt of one task on one machine, from the decision to place it until its proof of end. */
 final class Run {
   /** Names an attempt on its machine. */
