A start goes out only over a connection that its leader had while it was certainly alone

Whether a leader is certainly the only one was looked at as a direct start was decided.

Now the order is made up once there is a connection, and has no start unless the lease is certainly the leader's own at that moment; what is left out goes with an answer. The life of the machine that has accepted the connection was there before any later leader, which hears of that life or of a later one, to which the connection does not lead.

FencesTest.aStartThatWaitedUntilAnotherMayLeadIsNotSent (a start was executed under a lease that was over: 2 starts where 1 is right) and OrderSenderTest.ordersAreMadeUpOnceThereIsAConnection fail without it.

--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -312,12 +312,18 @@
   }
 
   /**
-   * The orders of one whose turn has come, without starts of jobs that are over or to be cancelled:
-   * it may have waited behind machines that do not answer while its user was told that nothing of
-   * the job starts any more.
+   * The orders of one whose turn has come, over a connection that exists by now, without starts of
+   * jobs that are over or to be cancelled: it may have waited behind machines that do not answer
+   * while its user was told that nothing of the job starts any more. Nor with any other start
+   * unless no other node can lead yet: then the machine's life that has this connection was there
+   * before any later leader, who makes it show a higher token, or hears its next life, which does
+   * not have the connection, before starting the task elsewhere. What is left out goes with
+   * answers.
    */
-  public List<Order> stillWanted(Decision.Direct d) {
-    return d.orders().stream().filter(o -> o.op() != Order.Op.START || wanted(o.job())).toList();
+  public List<Order> stillWanted(Decision.Direct d, boolean sole) {
+    return d.orders().stream()
+        .filter(o -> o.op() != Order.Op.START || (sole && wanted(o.job())))
+        .toList();
   }
 
   private boolean wanted(String id) {
--- a/src/main/java/org/astershift/http/HttpClient.java
+++ b/src/main/java/org/astershift/http/HttpClient.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.Supplier;
 import org.astershift.config.Constants;
 
 /**
@@ -50,6 +51,17 @@
 
   /** Sends one request. An {@link IOException} other than NotSent leaves its effect unknown. */
   public Answer call(String method, String path, byte[] body, int timeoutMs) throws IOException {
+    return callConnected(method, path, () -> body, timeoutMs);
+  }
+
+  /**
+   * The same of a request that is made up once there is a connection: that may be long after the
+   * call where the connection was slow to come about or this process stood still. What is sent goes
+   * to who accepted that connection, or to nobody: a process that begins anew at that address does
+   * not have it.
+   */
+  public Answer callConnected(String method, String path, Supplier<byte[]> late, int timeoutMs)
+      throws IOException {
     long deadline = System.nanoTime() + timeoutMs * 1_000_000L;
     Connection c = take();
     if (c == null) {
@@ -57,6 +69,7 @@
     }
     boolean ok = false;
     try {
+      byte[] body = late.get();
       StringBuilder head = new StringBuilder(128);
       head.append(method).append(' ').append(path).append(" HTTP/1.1\r\nHost: ").append(host);
       head.append(':').append(port);
--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -419,14 +419,13 @@
     if (t.over()) {
       return;
     }
-    List<Order> orders;
     synchronized (t) {
       if (!t.scheduler.stillDue(d, Term.nowMs())) {
         return;
       }
-      orders = t.scheduler.stillWanted(d);
     }
-    OrderSender.Result result = sender.send(d.addr(), t.token, d.session(), orders, d.timeoutMs());
+    OrderSender.Result result =
+        sender.send(d.addr(), t.token, d.session(), () -> stillWanted(t, d), d.timeoutMs());
     boolean deposed;
     boolean restless;
     synchronized (t) {
@@ -441,6 +440,17 @@
     }
   }
 
+  /**
+   * What to send of it over a connection that exists by now. That this term is certainly the only
+   * one is looked at only here: a start decided before goes to nobody who may listen to the next
+   * leader, however long the connection took or this process stood still.
+   */
+  private List<Order> stillWanted(Term t, Decision.Direct d) {
+    synchronized (t) {
+      return t.scheduler.stillWanted(d, valid(t));
+    }
+  }
+
   // ---- records ----
 
   /** Writes the ends of completed jobs, as many in a transaction as it may have. */
--- a/src/main/java/org/astershift/worker/OrderSender.java
+++ b/src/main/java/org/astershift/worker/OrderSender.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 import org.astershift.config.Constants;
 import org.astershift.core.Order;
 import org.astershift.core.Report;
@@ -58,7 +59,9 @@
     return colon;
   }
 
-  public Result send(String addr, long token, long session, List<Order> orders, int timeoutMs) {
+  /** {@code orders}: those still to be sent once there is a connection; not asked for without. */
+  public Result send(
+      String addr, long token, long session, Supplier<List<Order>> orders, int timeoutMs) {
     int colon = port(addr);
     if (colon < 0) {
       return new Result(false, null);
@@ -66,7 +69,8 @@
     HttpClient client = client(addr, colon);
     try {
       HttpClient.Answer a =
-          client.call("POST", "/orders", WorkerCodec.direct(token, session, orders), timeoutMs);
+          client.callConnected(
+              "POST", "/orders", () -> WorkerCodec.direct(token, session, orders.get()), timeoutMs);
       if (a.status() != 200 && a.status() != 409) {
         LOG.info("orders to {} got status {}", addr, a.status());
         return new Result(a.status() != 400, null);
--- a/src/test/java/org/astershift/leader/FencesTest.java
+++ b/src/test/java/org/astershift/leader/FencesTest.java
@@ -387,6 +387,33 @@
     assertEquals(List.of(ID + "/0"), started());
   }
 
+  /**
+   * A start waits for its turn or its connection, or its leader stands still, until another may
+   * lead: the machine may have listened to that one and begun anew, without a token. It goes with
+   * answers.
+   */
+  @Test
+  void aStartThatWaitedUntilAnotherMayLeadIsNotSent() throws Exception {
+    node.listens(ports.ports(1).get(0)).start();
+    final Term term = node.leads();
+    accept();
+    Await.until("the job to run", () -> started().contains(ID + "/0"));
+    StandInWorker worker = cloud.everRented().get(0);
+    Order late = new Order(Order.Op.START, ID, 0, 77, 0);
+    String addr = worker.said().get(0).replaceAll(".*\"addr\":\"([^\"]+)\".*", "$1");
+    Decision.Direct direct = new Decision.Direct(worker.name(), addr, 1, List.of(late), 5000);
+    door.refuse(true);
+    Await.until("the lease to be over", () -> !node.director.valid(term));
+    node.director.direct(term, direct);
+    assertTrue(term.keeps(ID), "the job is wanted");
+    assertSame(term, node.director.term(), "and this node leads on, in doubt");
+    assertEquals(List.of(ID + "/0"), started());
+    door.refuse(false);
+    Await.until("the lease to be its own again", () -> node.director.valid(term));
+    node.director.direct(term, direct);
+    assertEquals(List.of(ID + "/0", ID + "/0"), started());
+  }
+
   private List<String> started() {
     return cloud.everRented().stream().flatMap(w -> w.started().stream()).toList();
   }
--- a/src/test/java/org/astershift/worker/OrderSenderTest.java
+++ b/src/test/java/org/astershift/worker/OrderSenderTest.java
@@ -4,6 +4,9 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
+import org.astershift.core.Order;
 import org.astershift.http.HttpServer;
 import org.astershift.http.HttpServer.Response;
 import org.junit.jupiter.api.Test;
@@ -15,7 +18,7 @@
           + "\"ebbtide\":false,\"watch\":1,\"tick\":7,\"helm\":5,\"shards\":[]}";
 
   private static String sent(String addr) {
-    OrderSender.Result r = new OrderSender().send(addr, 5, 1, List.of(), 2000);
+    OrderSender.Result r = new OrderSender().send(addr, 5, 1, List::of, 2000);
     return (r.unknown() ? "unknown" : "known") + (r.report() == null ? "" : " with a report");
   }
 
@@ -43,4 +46,32 @@
     assertEquals("known", sent(addr), "no connection: nothing was sent");
     assertEquals("known", sent("nowhere"));
   }
+
+  /**
+   * What to send is decided once there is a connection: until then the leader's lease may have run
+   * out, and who accepts it may have begun anew.
+   */
+  @Test
+  void ordersAreMadeUpOnceThereIsAConnection() throws Exception {
+    AtomicInteger madeUp = new AtomicInteger();
+    Supplier<List<Order>> orders =
+        () -> {
+          madeUp.incrementAndGet();
+          return List.of();
+        };
+    HttpServer gone = new HttpServer("127.0.0.1", 0, 5, r -> Response.of(200, null));
+    String addr = "127.0.0.1:" + gone.port();
+    gone.close();
+    new OrderSender().send(addr, 5, 1, orders, 2000);
+    assertEquals(0, madeUp.get(), "nobody accepts a connection");
+    byte[] report = REPORT.getBytes(StandardCharsets.UTF_8);
+    try (HttpServer worker = new HttpServer("127.0.0.1", 0, 5, r -> new Response(200, report, 0))) {
+      worker.start();
+      OrderSender sender = new OrderSender();
+      for (int i = 1; i <= 2; i++) {
+        sender.send("127.0.0.1:" + worker.port(), 5, 1, orders, 2000);
+        assertEquals(i, madeUp.get(), "once a request, also over a connection that was kept");
+      }
+    }
+  }
 }
