World: orders over connections, and no start meets a later life of its machine there

In the world what is on its way reaches whichever life of a machine is there. Over TCP a connection belongs to the life that has accepted it. A case may now ask for that (World.connections); what is sent otherwise, and all draws, stay as they were, so the fences that hold on the worse network are tried on.

--- a/src/test/java/org/astershift/world/Mutant.java
+++ b/src/test/java/org/astershift/world/Mutant.java
@@ -47,5 +47,7 @@
   /** Tasks of jobs that are over are stopped by nobody. */
   WHAT_IS_OVER_GOES_ON,
   /** A machine gets tasks before it is on record that it may. */
-  TASKS_BEFORE_THE_RECORD
+  TASKS_BEFORE_THE_RECORD,
+  /** A start decided before its connection goes out whoever may lead by then. */
+  STARTS_WHOEVER_LEADS
 }
--- a/src/test/java/org/astershift/world/NodeModel.java
+++ b/src/test/java/org/astershift/world/NodeModel.java
@@ -70,6 +70,9 @@
   /** Reports that it answered while another may have led. */
   private int answeredInDoubt;
 
+  /** Starts left out of orders since their jobs are over, or another might lead. */
+  private int withheld;
+
   /** Ends of jobs that this process knows. */
   private Map<String, EndRow> ended;
 
@@ -726,13 +729,72 @@
   }
 
   private void direct(Term t, Decision.Direct d) {
-    List<Order> orders = said(t, d.orders());
-    call(
+    if (!world.connections) {
+      order(t, d, d.orders(), null, d.timeoutMs());
+      return;
+    }
+    long untilMs = clock() + d.timeoutMs();
+    connect(
         d.addr(),
         d.timeoutMs(),
+        life -> {
+          if (life == null && t == term) {
+            t.scheduler.directResult(d.machine(), false, null, clock());
+          } else if (life != null) {
+            boolean sole = election.valid(t.token, clock()) || has(Mutant.STARTS_WHOEVER_LEADS);
+            List<Order> orders = t.scheduler.stillWanted(d, sole);
+            withheld += d.orders().size() - orders.size();
+            order(t, d, orders, life, Math.max(1, untilMs - clock()));
+          }
+        });
+  }
+
+  /**
+   * A connection to a life of the machine; null: none came about in time. One that came about while
+   * this node stood still it finds as it goes on, whatever the time.
+   */
+  private void connect(String machine, long timeoutMs, Consumer<Integer> done) {
+    int of = incarnation;
+    Integer[] life = new Integer[1];
+    boolean[] over = new boolean[1];
+    Runnable look =
+        () ->
+            here(
+                of,
+                () -> {
+                  if (!over[0]) {
+                    over[0] = true;
+                    done.accept(life[0]);
+                  }
+                });
+    world.send(
+        name,
+        machine,
+        () -> {
+          WorkerModel w = world.workers.get(machine);
+          if (w != null && w.alive()) {
+            int accepted = w.life();
+            world.send(
+                machine,
+                name,
+                () -> {
+                  life[0] = accepted;
+                  look.run();
+                });
+          }
+        });
+    world.after(timeoutMs, look);
+  }
+
+  /** {@code life}: the only one that may get it; null: whichever is there. */
+  private void order(Term t, Decision.Direct d, List<Order> wanted, Integer life, long timeoutMs) {
+    List<Order> orders = said(t, wanted);
+    call(
+        d.addr(),
+        timeoutMs,
         answer -> {
           WorkerModel w = world.workers.get(d.machine());
-          if (w != null) {
+          if (w != null && (life == null || life == w.life())) {
             w.serve(() -> answer.accept(w.orders(t.token, d.session(), orders)));
           }
         },
@@ -1391,6 +1453,10 @@
     return answeredInDoubt;
   }
 
+  int withheld() {
+    return withheld;
+  }
+
   /** Whether its leader's work includes the job. */
   boolean keeps(String job) {
     return term != null && term.ledger.keeps(job);
--- a/src/test/java/org/astershift/world/ReportMeetingsTest.java
+++ b/src/test/java/org/astershift/world/ReportMeetingsTest.java
@@ -482,7 +482,7 @@
    * A direct start is held on its way, its leader hands over, the next one makes the machine show
    * its token and starts the task elsewhere; the machine begins anew, and the start arrives. No
    * rule breaks unless it does so before the new life has had an answer, in its first session: then
-   * nothing tells it from any other (docs/design.md, "A start that no fence stops").
+   * nothing tells it from any other (docs/design.md, "A start under an earlier token").
    */
   @Test
   void aStartUnderAnEarlierTokenMeetsANewLife() {
@@ -490,7 +490,7 @@
     int open = 0;
     int twice = 0;
     for (long seed = 1; seed <= 20 * SEEDS; seed++) {
-      Late l = lateStart(seed);
+      Late l = lateStart(seed, false);
       boolean broken = !l.world.checker.broken.isEmpty();
       if (!l.open) {
         assertSound(l.world);
@@ -512,8 +512,9 @@
   private record Late(
       World world, boolean open, boolean anew, boolean elsewhere, long sinceAnewMs) {}
 
-  private static Late lateStart(long seed) {
+  private static Late lateStart(long seed, boolean connections) {
     World w = busy(seed, 0);
+    w.connections = connections;
     w.runTo(20);
     NodeModel old = leader(w);
     final long token = old.token();
@@ -544,4 +545,59 @@
     w.runTo(60);
     return new Late(w, open, begun, elsewhere, sinceMs);
   }
+
+  /**
+   * The same over connections, each of which belongs to the life of the machine that has accepted
+   * it: the leader hands over with its connection attempt held on its way, or it stands still while
+   * the attempt is, its successor starts the task elsewhere, the machine begins anew, and that life
+   * accepts the connection; then the old leader goes on. No task runs twice, whenever that is: what
+   * to send is decided over the connection, and by then another may lead.
+   */
+  @Test
+  void overConnectionsAStartUnderAnEarlierTokenMeetsNoNewLife() {
+    int withheld = 0;
+    int elsewhere = 0;
+    for (long seed = 1; seed <= 5 * SEEDS; seed++) {
+      assertSound(lateStart(seed, true).world);
+      Still still = standsStill(seed);
+      assertSound(still.world);
+      withheld += still.withheld;
+      elsewhere += still.elsewhere ? 1 : 0;
+    }
+    assertTrue(withheld > 20, withheld + " starts were left out over such a connection");
+    assertTrue(elsewhere > 20, elsewhere + " times their tasks were all started elsewhere");
+    assertMissed(
+        Mutant.STARTS_WHOEVER_LEADS, seed -> standsStill(seed, Mutant.STARTS_WHOEVER_LEADS).world);
+  }
+
+  /** {@code withheld}: starts left out as the old leader went on. */
+  private record Still(World world, int withheld, boolean elsewhere) {}
+
+  private static Still standsStill(long seed, Mutant... mutants) {
+    World w = busy(seed, 0, mutants);
+    w.connections = true;
+    w.runTo(20);
+    NodeModel old = leader(w);
+    final long token = old.token();
+    List<WorkerModel> cut = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      WorkerModel m = w.workers.get("vm-" + (seed + 3 * i) % MACHINES);
+      cut.add(m);
+      w.cut(old.name, m.name);
+    }
+    w.submit(WorldTest.job("wk-50", JobKind.ARRAY, 12), 300_000L);
+    w.runTo(20.4 + w.random.nextInt(600) / 1000.0);
+    final int before = old.withheld();
+    long stillMs = 9000 + w.random.nextLong(3000);
+    old.freeze(stillMs);
+    for (WorkerModel m : cut) {
+      long anewMs = stillMs - 100 - w.random.nextLong(1500);
+      w.after(anewMs, () -> m.beginAnew(50));
+      w.after(anewMs + 60 + w.random.nextLong(500), () -> w.heal(old.name, m.name));
+    }
+    w.runTo((w.now() + stillMs - 1700) / 1000.0);
+    final boolean elsewhere = leadsAnew(w, token) && w.checker.on("wk-50") == 12;
+    w.runTo(60);
+    return new Still(w, old.withheld() - before, elsewhere);
+  }
 }
--- a/src/test/java/org/astershift/world/World.java
+++ b/src/test/java/org/astershift/world/World.java
@@ -48,6 +48,13 @@
   /** Share of the reports of which a copy comes later. */
   double copied;
 
+  /**
+   * Direct orders go over connections, as over TCP: each reaches the life of the machine that has
+   * accepted its connection, or none, and is made up once there is one. Otherwise what is on its
+   * way may reach any life, which is worse than a network without proxies does.
+   */
+  boolean connections;
+
   /** Threads that have read something for a user go on up to so long later. */
   long stuckMs;
 
