A lease is renewed before users' questions, and stale connections go at once

Cause: a renewal stood in line for this node's share of the state service's limit behind every question of users. With more questions than the share it was refused, and whoever led next lost its lease, too. And of connections kept to a service that had begun anew each failed one request: six renewals in a row, 300 ms apart, take longer than the lease lives.

Change: what keeps the leadership (key, lease) goes first in line (RateBudget.Use.VITAL). The first request that finds its kept connection ended closes those that have not been used since.

--- a/src/main/java/org/astershift/http/HttpClient.java
+++ b/src/main/java/org/astershift/http/HttpClient.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.astershift.config.Constants;
@@ -51,10 +52,8 @@
   /** Sends one request. An {@link IOException} other than NotSent leaves its effect unknown. */
   public Answer call(String method, String path, byte[] body, int timeoutMs) throws IOException {
     long deadline = System.nanoTime() + timeoutMs * 1_000_000L;
-    Connection c = take();
-    if (c == null) {
-      c = connect(timeoutMs);
-    }
+    Connection kept = take();
+    Connection c = kept == null ? connect(timeoutMs) : kept;
     boolean ok = false;
     try {
       StringBuilder head = new StringBuilder(128);
@@ -73,6 +72,13 @@
       }
       ok = !m.closes();
       return new Answer(Integer.parseInt(start[1]), m.body());
+    } catch (SocketTimeoutException e) {
+      throw e;
+    } catch (IOException e) {
+      if (kept != null) {
+        forget(kept.lastNs);
+      }
+      throw e;
     } finally {
       if (ok) {
         give(c);
@@ -111,6 +117,21 @@
     return null;
   }
 
+  /**
+   * A kept connection has ended at the other end, as when that begins anew: those that have not
+   * been used since have, too, and each would fail one more request.
+   */
+  private synchronized void forget(long unusedSinceNs) {
+    idle.removeIf(
+        c -> {
+          boolean over = c.lastNs - unusedSinceNs <= 0;
+          if (over) {
+            closeQuietly(c);
+          }
+          return over;
+        });
+  }
+
   private synchronized void give(Connection c) {
     c.lastNs = System.nanoTime();
     idle.addLast(c);
--- a/src/main/java/org/astershift/leader/Leadership.java
+++ b/src/main/java/org/astershift/leader/Leadership.java
@@ -163,7 +163,7 @@
     } else if (act instanceof Act.Remove r) {
       store.commit(
           new StoreClient.Txn().when(Records.LEADER, r.revision()).delete(Records.LEADER),
-          RateBudget.Use.URGENT,
+          RateBudget.Use.VITAL,
           Constants.LEADER_CHANGE_MS);
     } else if (act instanceof Act.Grant g) {
       election.granted(store.grant(g.lifeMs()));
@@ -200,7 +200,7 @@
             .when(Records.LEADER, 0)
             .put(Records.LEADER, Records.leader(node), lease);
     StoreClient.Outcome outcome =
-        store.commit(txn, RateBudget.Use.URGENT, Constants.LEADER_CHANGE_MS);
+        store.commit(txn, RateBudget.Use.VITAL, Constants.LEADER_CHANGE_MS);
     if (outcome instanceof StoreClient.Outcome.Applied a) {
       election.claimed(Election.Claimed.APPLIED, a.revision());
     } else if (outcome instanceof StoreClient.Outcome.Unknown) {
--- a/src/main/java/org/astershift/store/RateBudget.java
+++ b/src/main/java/org/astershift/store/RateBudget.java
@@ -12,6 +12,12 @@
 public final class RateBudget {
   /** Uses of the limit. */
   public enum Use {
+    /**
+     * The leader's key and its lease, which lives for two seconds: before all that wait. In line
+     * behind users' questions a renewal was refused for as long as there were more of them than the
+     * limit allows, and whoever led next lost its lease, too.
+     */
+    VITAL,
     /** Somebody waits for it. */
     URGENT,
     /** Better soon than late. */
@@ -27,7 +33,7 @@
   private double have;
   private long lastNs;
 
-  /** Urgent askers that wait, the first to serve first. */
+  /** Askers that somebody waits for, the first to serve first. */
   private final Deque<Object> line = new ArrayDeque<>();
 
   /** The whole limit is this node's until {@link #share} says otherwise. */
@@ -71,15 +77,17 @@
     Object me = new Object();
     if (use == Use.URGENT) {
       line.addLast(me);
+    } else if (use == Use.VITAL) {
+      line.addFirst(me);
     }
     try {
       while (true) {
         refill();
         // More than one may go into debt: a batch must not wait behind all that asks for little.
         double need =
-            use == Use.URGENT
-                ? 1 + ahead(me)
-                : Math.min(depth, n + line.size() + Constants.LAZY_LEAVES * depth);
+            use == Use.LAZY
+                ? Math.min(depth, n + line.size() + Constants.LAZY_LEAVES * depth)
+                : 1 + ahead(me);
         if (have >= need) {
           have -= n;
           return true;
--- a/src/main/java/org/astershift/store/StoreClient.java
+++ b/src/main/java/org/astershift/store/StoreClient.java
@@ -176,7 +176,7 @@
   public Changes watch(String prefix, long after) throws IOException {
     String path =
         "/watch?starts=" + prefix + "&from=" + after + "&block_ms=" + Constants.WATCH_BLOCK_MS;
-    acquire(requests, 1);
+    acquire(requests, RateBudget.Use.URGENT);
     HttpClient.Answer a =
         noted(
             watching.call(
@@ -249,7 +249,8 @@
   /** A new lease; 0 if the service did not give one. */
   public long grant(long ttlMs) throws IOException {
     try {
-      HttpClient.Answer a = call("POST", "/grants", Json.bytes(Map.of("life_ms", ttlMs)));
+      byte[] body = Json.bytes(Map.of("life_ms", ttlMs));
+      HttpClient.Answer a = call(RateBudget.Use.VITAL, "POST", "/grants", body);
       return Json.whole(Json.object(expect(a)), "mooring");
     } catch (Json.Bad e) {
       throw new Trouble(e.getMessage());
@@ -258,7 +259,8 @@
 
   /** False if the lease is over. */
   public boolean renew(long lease) throws IOException {
-    HttpClient.Answer a = call("POST", "/grants/" + lease + "/renew", new byte[0]);
+    String path = "/grants/" + lease + "/renew";
+    HttpClient.Answer a = call(RateBudget.Use.VITAL, "POST", path, new byte[0]);
     if (a.status() == 404) {
       return false;
     }
@@ -267,17 +269,22 @@
   }
 
   public void revoke(long lease) throws IOException {
-    expect(call("DELETE", "/grants/" + lease, null));
+    expect(call(RateBudget.Use.VITAL, "DELETE", "/grants/" + lease, null));
   }
 
   private HttpClient.Answer call(String method, String path, byte[] body) throws IOException {
-    acquire(requests, 1);
+    return call(RateBudget.Use.URGENT, method, path, body);
+  }
+
+  private HttpClient.Answer call(RateBudget.Use use, String method, String path, byte[] body)
+      throws IOException {
+    acquire(requests, use);
     return noted(http.call(method, path, body, Constants.STORE_TIMEOUT_MS));
   }
 
-  private static void acquire(RateBudget budget, int n) throws IOException {
+  private static void acquire(RateBudget budget, RateBudget.Use use) throws IOException {
     try {
-      if (!budget.acquire(RateBudget.Use.URGENT, n, Constants.STORE_TIMEOUT_MS)) {
+      if (!budget.acquire(use, 1, Constants.STORE_TIMEOUT_MS)) {
         throw new Trouble("over this node's share of the limits");
       }
     } catch (InterruptedException e) {
--- a/src/test/java/org/astershift/standin/StandIns.java
+++ b/src/test/java/org/astershift/standin/StandIns.java
@@ -14,12 +14,17 @@
    * limits are far above what a test asks of the state service.
    */
   public static Settings settings(Path dir, int store, int cloud) throws Exception {
+    return settings(dir, store, cloud, 20_000);
+  }
+
+  /** The same with so many requests to the state service, and as many changes, a second. */
+  public static Settings settings(Path dir, int store, int cloud, double rps) throws Exception {
     String text =
         Files.readString(Path.of("src/test/resources/first-job.toml"))
             .replace("127.0.0.1:18443", "127.0.0.1:" + cloud)
             .replace("127.0.0.1:18379", "127.0.0.1:" + store)
-            .replace("rps = 250.0", "rps = 20000.0")
-            .replace("rps = 100.0", "rps = 20000.0");
+            .replace("rps = 250.0", "rps = " + rps)
+            .replace("rps = 100.0", "rps = " + rps);
     return Settings.load(Files.writeString(dir.resolve("node.toml"), text));
   }
 
--- a/src/test/java/org/astershift/store/StoreShellTest.java
+++ b/src/test/java/org/astershift/store/StoreShellTest.java
@@ -9,10 +9,12 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.astershift.config.Constants;
 import org.astershift.standin.Await;
 import org.astershift.standin.StandInStore;
@@ -143,4 +145,44 @@
     assertNull(mirror.row(key(1)));
     assertTrue(!told.contains(key(2) + "+"), "what did not change is no news");
   }
+
+  /**
+   * Users ask for more than this node may ask of the state service. The leader's lease is renewed
+   * before their questions are answered: behind them it ran out, and the next leader's did, too.
+   */
+  @Test
+  void aLeaseIsRenewedHoweverManyQuestionsWait() throws Exception {
+    StoreClient narrow = new StoreClient(StandIns.settings(dir, door.port(), 1, 40));
+    long lease = narrow.grant(60_000);
+    AtomicBoolean over = new AtomicBoolean();
+    AtomicInteger refused = new AtomicInteger();
+    List<Thread> users = new ArrayList<>();
+    for (int i = 0; i < 150; i++) {
+      Thread t =
+          new Thread(
+              threads,
+              () -> {
+                while (!over.get()) {
+                  try {
+                    narrow.get(key(1));
+                  } catch (IOException e) {
+                    refused.incrementAndGet();
+                  }
+                }
+              });
+      users.add(t);
+      t.start();
+    }
+    try {
+      Await.until("more questions than may be asked", () -> refused.get() > 100);
+      for (int i = 0; i < 5; i++) {
+        assertTrue(narrow.renew(lease));
+      }
+    } finally {
+      over.set(true);
+    }
+    for (Thread t : users) {
+      t.join();
+    }
+  }
 }
