Orders, notes and late answers: what an audit of the threads found

Cause, each confirmed by a test that failed before: - A direct start was decided while its leader certainly led, waited for its turn behind machines that do not answer, and went out in doubt. Starts of a leader in doubt go with answers to reports only; now also those that waited. - An order that fails before it is sent (an address whose port is none) stayed under way for ever: its task's place was held, and its job could not be cancelled. It is settled whatever came of it; such a port is no address. - What followed a note on record (its listener) ended the loop of notes by an exception, and the leader lived on without noting anything. - A submission whose answer came after the job's end was told queued by the node that had confirmed the end.

Tests: FencesTest.aStartThatWaitedUntilItsLeaderWasInDoubtIsNotSent, anOrderThatFailsIsNotUnderWayForEver, notesAreWrittenWhateverOneOfThemBringsAbout, anAcceptanceAnsweredAfterTheEndTellsTheEnd; OrderSenderTest has the port.

--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -426,13 +426,24 @@
       }
       orders = t.scheduler.stillWanted(d);
     }
-    OrderSender.Result result = sender.send(d.addr(), t.token, d.session(), orders, d.timeoutMs());
+    if (!valid(t)) {
+      // It was decided while this leader certainly led, and then waited behind machines that do not
+      // answer: the starts go with answers to reports, as all starts of a leader in doubt.
+      orders = orders.stream().filter(o -> o.op() != Order.Op.START).toList();
+    }
+    OrderSender.Result result = new OrderSender.Result(true, null);
     boolean deposed;
     boolean restless;
-    synchronized (t) {
-      t.scheduler.directResult(d.machine(), result.unknown(), result.report(), Term.nowMs());
-      deposed = t.scheduler.deposed();
-      restless = t.scheduler.restless();
+    try {
+      result = sender.send(d.addr(), t.token, d.session(), orders, d.timeoutMs());
+    } finally {
+      // Whatever came of it: an order that is under way for ever holds its task's place, and the
+      // job's cancellation.
+      synchronized (t) {
+        t.scheduler.directResult(d.machine(), result.unknown(), result.report(), Term.nowMs());
+        deposed = t.scheduler.deposed();
+        restless = t.scheduler.restless();
+      }
     }
     if (deposed) {
       leadership.stepDown(t.token, "machine " + d.machine() + " has seen a higher token");
--- a/src/main/java/org/astershift/leader/Notes.java
+++ b/src/main/java/org/astershift/leader/Notes.java
@@ -332,7 +332,13 @@
     }
     for (Draft d : drafts) {
       for (String key : d.changed()) {
-        listener.durable(d.page().kind, key, d.entries().get(key));
+        try {
+          listener.durable(d.page().kind, key, d.entries().get(key));
+        } catch (RuntimeException | Error e) {
+          // The note is on record. Passed on, this ended the loop, and a leader that lived on and
+          // noted nothing more opened no job and rented nothing.
+          LOG.error("what follows the note of {} failed", key, e);
+        }
       }
     }
   }
--- a/src/main/java/org/astershift/leader/UserDesk.java
+++ b/src/main/java/org/astershift/leader/UserDesk.java
@@ -62,6 +62,10 @@
     Outcome o = store.commit(txn, RateBudget.Use.URGENT, Constants.ACCEPT_PATIENCE_MS);
     if (o instanceof Outcome.Applied a) {
       director.accepted(record, a.revision());
+      end = ended.get(spec.id());
+      if (end != null) {
+        return new Submitted(200, answer(end)); // the answer was slow, and its user was quicker
+      }
       return new Submitted(201, new JobAnswer(200, "queued", 0, 0));
     }
     if (o instanceof Outcome.Refused) {
--- a/src/main/java/org/astershift/worker/OrderSender.java
+++ b/src/main/java/org/astershift/worker/OrderSender.java
@@ -16,6 +16,8 @@
 public final class OrderSender {
   private static final Logger LOG = LoggerFactory.getLogger(OrderSender.class);
 
+  private static final int MOST_PORT = 65_535;
+
   /** The clients used last keep their connections; the others' sockets are for incoming ones. */
   private final Map<String, HttpClient> clients =
       new LinkedHashMap<>(16, 0.75f, true) {
@@ -51,7 +53,8 @@
   /** Where the port begins; -1 if this is no address. */
   private static int port(String addr) {
     int colon = addr.lastIndexOf(':');
-    if (colon <= 0 || !addr.substring(colon + 1).matches("[0-9]{1,5}")) {
+    String port = addr.substring(colon + 1);
+    if (colon <= 0 || !port.matches("[0-9]{1,5}") || Integer.parseInt(port) > MOST_PORT) {
       LOG.info("not a worker's address: {}", addr);
       return -1;
     }
--- a/src/test/java/org/astershift/leader/FencesTest.java
+++ b/src/test/java/org/astershift/leader/FencesTest.java
@@ -11,12 +11,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.astershift.config.Settings;
 import org.astershift.core.Decision;
 import org.astershift.core.Order;
 import org.astershift.core.Report;
+import org.astershift.http.Threads;
 import org.astershift.standin.Await;
 import org.astershift.standin.StandInWorker;
 import org.astershift.store.Records;
@@ -387,6 +390,122 @@
     assertEquals(List.of(ID + "/0"), started());
   }
 
+  /**
+   * A submission is on record, and before its node has the answer the job is cancelled and that is
+   * told: who hears of the submission last hears nothing older.
+   */
+  @Test
+  void anAcceptanceAnsweredAfterTheEndTellsTheEnd() throws Exception {
+    node.start();
+    node.leads();
+    String[] told = new String[1];
+    door.watched(
+        (r, done) -> {
+          if (done && told[0] == null && says(r, "\"set\":\"" + LIVE)) {
+            told[0] = "not told";
+            Await.until(
+                "the job to be cancelled", () -> node.desk.cancel(ID, true).status() == 200);
+            told[0] = node.desk.poll(ID, true).phase();
+          }
+        });
+    UserDesk.Submitted s = node.desk.submit(job());
+    assertEquals("withdrawn", told[0]);
+    assertEquals("200 withdrawn", s.status() + " " + s.known().phase());
+  }
+
+  /**
+   * A start waits for its turn behind machines that do not answer, and its leader's lease may be
+   * over by then: a machine that begins anew would execute it beside a successor's.
+   */
+  @Test
+  void aStartThatWaitedUntilItsLeaderWasInDoubtIsNotSent() throws Exception {
+    node.listens(ports.ports(1).get(0)).start();
+    final Term term = node.leads();
+    accept();
+    Await.until("the job to run", () -> started().contains(ID + "/0"));
+    StandInWorker worker = cloud.everRented().get(0);
+    node.director.direct(term, start(worker, 6));
+    assertTrue(started().contains(ID + "/6"), "a leader that certainly is one sends it");
+    door.refuse(true);
+    Await.until("the lease to be in doubt", () -> !node.director.valid(term));
+    node.director.direct(term, start(worker, 7));
+    assertFalse(started().contains(ID + "/7"), "in doubt it goes with an answer or not at all");
+  }
+
+  private static Decision.Direct start(StandInWorker worker, int task) {
+    String addr = worker.said().get(0).replaceAll(".*\"addr\":\"([^\"]+)\".*", "$1");
+    Order order = new Order(Order.Op.START, ID, task, 77, 0);
+    return new Decision.Direct(worker.name(), addr, 1, List.of(order), 5000);
+  }
+
+  /**
+   * A machine's address makes no sense, so an order to it fails before it is sent. It is settled
+   * all the same: taken for under way, its start could not be cancelled any more.
+   */
+  @Test
+  void anOrderThatFailsIsNotUnderWayForEver() throws Exception {
+    node.start();
+    final Term term = node.leads();
+    accept();
+    Await.until("a machine", () -> !cloud.everRented().isEmpty());
+    long[] tick = {0};
+    Await.until(
+        "the job to be started there",
+        () -> {
+          reported(term, ++tick[0]);
+          synchronized (term) {
+            return term.scheduler.mayStart(ID);
+          }
+        });
+    Await.until(
+        "the cancellation to be confirmed",
+        () -> {
+          reported(term, ++tick[0]);
+          return node.desk.cancel(ID, true).status() == 200;
+        });
+  }
+
+  /** A report of the machine, empty, under an address that is none. */
+  private void reported(Term term, long tick) {
+    String machine = cloud.everRented().get(0).name();
+    String addr = "127.0.0.1:70000";
+    long token = tick > 1 ? term.token : 0;
+    node.director.report(
+        new Report(machine, addr, "small", "a", false, 1, tick, token, null, List.of()),
+        term.token);
+  }
+
+  /**
+   * What a note that is on record brings about fails: the notes after it are written all the same.
+   */
+  @Test
+  void notesAreWrittenWhateverOneOfThemBringsAbout() throws Exception {
+    StoreClient.Txn key = new StoreClient.Txn().put(Records.LEADER, Records.leader("one"));
+    long token = ((Outcome.Applied) write(key)).revision();
+    ConcurrentLinkedQueue<String> durable = new ConcurrentLinkedQueue<>();
+    Notes notes =
+        new Notes(
+            token,
+            node.store,
+            new Settings.StoreLimits(100, 100, 8, 8),
+            (kind, name, value) -> {
+              if (name.equals("bad")) {
+                throw new IllegalStateException("a fault in what follows this note");
+              }
+              durable.add(name);
+            });
+    notes.put(Notes.Kind.OPENED, "bad", 1, 0);
+    notes.put(Notes.Kind.OPENED, "beside it", 1, 0);
+    Thread loop = new Thread(Threads.guarded("notes", () -> notes.loop(null)));
+    loop.start();
+    Await.until("the first page", () -> notes(Records.NOTES + "o0") == 2);
+    notes.put(Notes.Kind.OPENED, "later", 1, 0);
+    Await.until("the later note", () -> durable.contains("later"));
+    assertEquals(List.of("beside it", "later"), List.copyOf(durable));
+    notes.end();
+    loop.join();
+  }
+
   private List<String> started() {
     return cloud.everRented().stream().flatMap(w -> w.started().stream()).toList();
   }
--- a/src/test/java/org/astershift/worker/OrderSenderTest.java
+++ b/src/test/java/org/astershift/worker/OrderSenderTest.java
@@ -1,6 +1,7 @@
 package org.astershift.worker;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -42,5 +43,7 @@
     gone.close();
     assertEquals("known", sent(addr), "no connection: nothing was sent");
     assertEquals("known", sent("nowhere"));
+    assertEquals("known", sent("127.0.0.1:70000"), "no port");
+    assertFalse(new OrderSender().answers("127.0.0.1:70000", 2000));
   }
 }
