--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -424,14 +424,19 @@
         return;
       }
     }
-    OrderSender.Result result =
-        sender.send(d.addr(), t.token, d.session(), () -> stillWanted(t, d), d.timeoutMs());
+    OrderSender.Result result = new OrderSender.Result(true, null);
     boolean deposed;
     boolean restless;
-    synchronized (t) {
-      t.scheduler.directResult(d.machine(), result.unknown(), result.report(), Term.nowMs());
-      deposed = t.scheduler.deposed();
-      restless = t.scheduler.restless();
+    try {
+      result = sender.send(d.addr(), t.token, d.session(), () -> stillWanted(t, d), d.timeoutMs());
+    } finally {
+      // Whatever came of it: an order that is under way for ever holds its task's place, and the
+      // job's cancellation.
+      synchronized (t) {
+        t.scheduler.directResult(d.machine(), result.unknown(), result.report(), Term.nowMs());
+        deposed = t.scheduler.deposed();
+        restless = t.scheduler.restless();
+      }
     }
     if (deposed) {
       leadership.stepDown(t.token, "machine " + d.machine() + " has seen a higher token");
