Renting: what is soon over leaves its team's limit, too

Cause: each job got what its team's limit left at the moment, and then what array tasks leave within a boot covered it. Change: for jobs that such room is for, Allowance adds what its team's tasks will have left. Test: trace what-is-soon-over-leaves-its-limit-too (nothing was rented before).

--- a/src/main/java/org/astershift/core/Bin.java
+++ b/src/main/java/org/astershift/core/Bin.java
@@ -37,9 +37,7 @@
     Bin bin = new Bin(m);
     for (Run run : m.runs.values()) {
       JobSpec spec = run.job.spec;
-      if (spec.kind() == JobKind.ARRAY
-          && !run.exited()
-          && run.placedMs + spec.estimateS() * 1000 < atMs) {
+      if (run.overBy(atMs)) {
         bin.cpus += spec.cpus();
         bin.gpus += spec.gpus();
         bin.memory += spec.memoryGb();
--- a/src/main/java/org/astershift/core/Renting.java
+++ b/src/main/java/org/astershift/core/Renting.java
@@ -84,6 +84,7 @@
     long soonMs = nowMs + soonMs();
     inZone.clear();
     awaited.clear();
+    Allowance allowance = new Allowance(c);
     for (Machine m : c.all()) {
       inZone.merge(m.zone, 1, Integer::sum);
       if (m.state == Machine.State.BOOTING) {
@@ -94,22 +95,34 @@
       } else if (c.usable(m, nowMs)) {
         free.add(new Bin(m));
         soon.add(Bin.soon(m, soonMs));
+        for (Run run : m.runs.values()) {
+          if (run.overBy(soonMs)) {
+            allowance.soonOver(run);
+          }
+        }
       }
     }
     for (Decision.Rent r : underWay.values()) {
       add(r, coming);
     }
     Map<Pool, Decision.Rent> wanted = new LinkedHashMap<>();
-    Allowance allowance = new Allowance(c);
     for (Job job : queue(nowMs)) {
-      Need need = new Need(job, concurrency(job, allowance, nowMs));
+      // What is free before a new machine could be up needs no new machine.
+      boolean waits =
+          job.spec.kind() != JobKind.GANG
+              && (job.startAimS == null || job.startAimS * 1000 > soonMs - nowMs);
+      int most = concurrency(job, nowMs);
+      // What leaves room soon leaves as much of its team's limit. Counted as room alone, it covered
+      // all that the limits still allowed: nothing was rented however many waited, with the teams
+      // far below their limits (own day full-teams-hukkalampo).
+      int n = waits ? allowance.takeSoon(job, most) : allowance.take(job, most);
+      Need need = new Need(job, n);
       if (job.spec.oneZone()) {
         need.only(zone(need, free, coming, nowMs));
       }
       if (job.spec.kind() == JobKind.GANG) {
         need.fill(free);
-      } else if (job.startAimS == null || job.startAimS * 1000 > soonMs - nowMs) {
-        // What is free before a new machine could be up needs no new machine.
+      } else if (waits) {
         need.fill(soon);
       }
       need.fill(coming);
@@ -209,7 +222,7 @@
   }
 
   /** How many of the waiting tasks should run at once for the job to be in time. */
-  private int concurrency(Job job, Allowance allowance, long nowMs) {
+  private int concurrency(Job job, long nowMs) {
     JobSpec spec = job.spec;
     if (job.suspect()) {
       // A probe needs no more; a gang that is probably broken waits for what is there.
@@ -223,7 +236,7 @@
       double rounds = Math.max(1, left / spec.estimateS());
       n = (int) Math.min(n, Math.ceil(n / rounds));
     }
-    return allowance.take(job, n);
+    return n;
   }
 
   /** Seconds until a machine rented now could run a task of the job: its boot and its fetch. */
--- a/src/main/java/org/astershift/core/Run.java
+++ b/src/main/java/org/astershift/core/Run.java
@@ -88,6 +88,13 @@
     return phase == Report.Phase.RUNNING || phase == Report.Phase.SAVING;
   }
 
+  /** Whether, as far as its estimate tells, it will have left its room at this time. */
+  boolean overBy(long atMs) {
+    return job.spec.kind() == JobKind.ARRAY
+        && !exited()
+        && placedMs + job.spec.estimateS() * 1000 < atMs;
+  }
+
   /** Nobody wants it to run any more. */
   boolean unwanted() {
     return stopping || useless();
