Election: a claim without an answer holds if its key stands on its own lease

Cause: a claim of the leader's key without an answer was taken back unread, though it had been carried out: each following one met the same while the answers of most writes were lost. Change: after such a claim the lease is prolonged and the key read (Election.Act.Verify). A key on this lease is certainly this claim's, as nobody else has the lease; its revision is the token, and the term counts from the renewal. Otherwise the lease is ended as before, so that a claim carried out late fails.

--- a/src/main/java/org/astershift/leader/Leadership.java
+++ b/src/main/java/org/astershift/leader/Leadership.java
@@ -171,6 +171,9 @@
     } else if (act instanceof Act.Claim c) {
       claim(c.lease());
       return false;
+    } else if (act instanceof Act.Verify v) {
+      election.verified(standing(v.lease()));
+      return false;
     } else if (act instanceof Act.CatchUp c) {
       boolean done = mirror.reach(c.revision(), Constants.LEADER_LEASE_MS);
       if (!done) {
@@ -210,6 +213,16 @@
     }
   }
 
+  /** The revision of the key, if it stands on this lease and that could be prolonged; else 0. */
+  private long standing(long lease) {
+    try {
+      return store.renew(lease) ? store.revisionOn(lease, Records.LEADER) : 0;
+    } catch (IOException e) {
+      LOG.debug("whether a claim was carried out is not known: {}", e.toString());
+      return 0;
+    }
+  }
+
   private void begin(long ofToken) {
     LOG.info("{} leads with token {}", node, ofToken);
     try {
--- a/src/main/java/org/astershift/office/Election.java
+++ b/src/main/java/org/astershift/office/Election.java
@@ -43,6 +43,7 @@
   private enum Step {
     FOLLOWS,
     GRANTED,
+    DOUBTS,
     WON,
     LEADS
   }
@@ -67,6 +68,12 @@
     /** Create the key, if absent, on this lease; told by {@link #claimed}. */
     record Claim(long lease) implements Act {}
 
+    /**
+     * Prolong the lease, and read whether the key stands on it; told by {@link #verified}. A claim
+     * had no answer.
+     */
+    record Verify(long lease) implements Act {}
+
     /** Bring the mirror up to this revision; told by {@link #caughtUp}. */
     record CatchUp(long revision) implements Act {}
 
@@ -134,6 +141,10 @@
         tried = true;
         yield new Act.Claim(lease);
       }
+      case DOUBTS -> {
+        leaseSentMs = v.nowMs();
+        yield new Act.Verify(lease);
+      }
       case WON -> new Act.CatchUp(wonRevision);
       case LEADS -> renewal(v);
     };
@@ -190,20 +201,36 @@
       return;
     }
     switch (outcome) {
-      case APPLIED -> {
-        wonRevision = revision;
-        validUntilMs = leaseSentMs + lifeMs();
-        step = Step.WON;
-      }
+      case APPLIED -> won(revision);
       case REFUSED -> step = Step.FOLLOWS;
-      case UNKNOWN -> {
-        // Whether it was applied is unknown, so the key, if it exists, must not stand for this one.
-        step = Step.FOLLOWS;
-        pending.add(new Act.Revoke(lease));
-      }
+      case UNKNOWN -> step = Step.DOUBTS;
     }
   }
 
+  /**
+   * {@code revision}: of the key, if it stands on this claim's lease, which nobody else has; 0 if
+   * it does not, or nothing is known. Given up unread, claims that had been carried out were taken
+   * back one after the other, and nobody led while the answers of most writes were lost.
+   */
+  public synchronized void verified(long revision) {
+    if (step != Step.DOUBTS) {
+      return;
+    }
+    if (revision > 0) {
+      won(revision);
+      return;
+    }
+    // It may be carried out yet: the key, if it comes to exist, must not stand for this one.
+    step = Step.FOLLOWS;
+    pending.add(new Act.Revoke(lease));
+  }
+
+  private void won(long revision) {
+    wonRevision = revision;
+    validUntilMs = leaseSentMs + lifeMs();
+    step = Step.WON;
+  }
+
   /**
    * Whether the mirror now holds all that was there at this revision. Only that of the key which
    * was won last counts: told late of an earlier one, a term began without what had been recorded
--- a/src/main/java/org/astershift/store/StoreClient.java
+++ b/src/main/java/org/astershift/store/StoreClient.java
@@ -154,6 +154,21 @@
     }
   }
 
+  /** The revision of the key if it hangs on this lease; 0 if it is not there, or does not. */
+  public long revisionOn(long lease, String key) throws IOException {
+    HttpClient.Answer a = call(RateBudget.Use.VITAL, "GET", "/store/" + key, null);
+    if (a.status() == 404) {
+      return 0;
+    }
+    try {
+      Map<String, Object> m = Json.object(expect(a));
+      boolean on = m.get("mooring") != null && Json.whole(m, "mooring") == lease;
+      return on ? Json.whole(m, "stamp") : 0;
+    } catch (Json.Bad e) {
+      throw new Trouble(e.getMessage());
+    }
+  }
+
   public Page list(String prefix, String after) throws IOException {
     String path = "/store?starts=" + prefix + "&limit=" + Constants.LIST_ROWS;
     if (after != null) {
--- a/src/test/java/org/astershift/office/ElectionTest.java
+++ b/src/test/java/org/astershift/office/ElectionTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.astershift.office.Election.Act;
 import org.astershift.office.Election.Claimed;
@@ -24,6 +25,41 @@
     assertEquals(new Act.CatchUp(revision), election.next(free));
   }
 
+  /** Stands, and has no answer to its claim. */
+  private View doubts(long lease) {
+    View free = new View(nowMs, true, null, WorkerReach.Seen.NOTHING, 0);
+    assertInstanceOf(Act.Grant.class, election.next(free));
+    election.granted(lease);
+    assertEquals(new Act.Claim(lease), election.next(free));
+    election.claimed(Claimed.UNKNOWN, 0);
+    View later = new View(nowMs + 1500, true, null, WorkerReach.Seen.NOTHING, 0);
+    assertEquals(new Act.Verify(lease), election.next(later));
+    return later;
+  }
+
+  /** A claim without an answer holds if the key stands on its lease, from its renewal on. */
+  @Test
+  void aClaimWithoutAnAnswerHoldsIfItsKeyStands() {
+    View v = doubts(1);
+    assertEquals(0, election.token());
+    election.verified(61);
+    assertEquals(new Act.CatchUp(61), election.next(v));
+    election.caughtUp(61, true);
+    assertEquals(new Act.Begin(61), election.next(v));
+    assertTrue(election.valid(61, nowMs + 1500 + 1500), "counted from the renewal");
+  }
+
+  /** If it does not stand it may be carried out yet, and must not then. */
+  @Test
+  void aClaimWithoutAnAnswerIsTakenBackIfItsKeyDoesNotStand() {
+    View v = doubts(1);
+    election.verified(0);
+    assertEquals(new Act.Revoke(1), election.next(v));
+    assertEquals(0, election.token());
+    election.verified(61); // told late
+    assertInstanceOf(Act.Grant.class, election.next(v));
+  }
+
   /** The mirror was too slow for one key, and a second was won before that is told once more. */
   @Test
   void aTermBeginsOnlyOnAMirrorThatHasReachedItsOwnKey() {
--- a/src/test/java/org/astershift/standin/StandInStore.java
+++ b/src/test/java/org/astershift/standin/StandInStore.java
@@ -263,6 +263,9 @@
     m.put("k", key);
     m.put("data", v.data());
     m.put("stamp", v.revision());
+    if (v.lease() != 0) {
+      m.put("mooring", v.lease());
+    }
     return m;
   }
 
--- a/src/test/java/org/astershift/world/NodeModel.java
+++ b/src/test/java/org/astershift/world/NodeModel.java
@@ -355,6 +355,17 @@
             }
             rest(0);
           });
+    } else if (act instanceof Act.Verify v) {
+      state(
+          () -> {
+            StoreModel.Row row =
+                world.store.renew(v.lease()) ? world.store.get(StoreModel.LEADER) : null;
+            return row != null && row.lease() == v.lease() ? row.revision() : 0L;
+          },
+          revision -> {
+            election.verified(revision == null ? 0 : revision);
+            rest(0);
+          });
     } else if (act instanceof Act.CatchUp c) {
       catchUp(c.revision(), clock() + Constants.LEADER_LEASE_MS);
     } else if (act instanceof Act.Begin b) {
