A start in doubt of a machine's life before is repeated with questions, and a cancellation no longer waits for ever

Cause: of a machine that began anew in this term only answers to orders tell, and its reports are answered with stops alone. A start in doubt there was repeated by nothing.

Change: the questions that go to such a machine anyway repeat it, by a leader that is certainly the only one and once the machine is on record again; one that is not wanted any more goes with its stop, as in answers to reports, so that the machine remembers the attempt and a late start has no effect. A start with its stop is sent of a cancelled job as long as nobody was told that it is (Scheduler.stillWanted).

--- a/src/main/java/org/astershift/core/Commands.java
+++ b/src/main/java/org/astershift/core/Commands.java
@@ -166,7 +166,7 @@
    * The claim of an inherited machine, or the question whether a machine whose report is overdue is
    * still there; null if neither is due.
    */
-  Decision.Direct question(Machine m, long nowMs) {
+  Decision.Direct question(Machine m, boolean sole, long nowMs) {
     if (m.orderInFlight
         || m.addr == null
         || m.state == Machine.State.BOOTING
@@ -179,18 +179,32 @@
     boolean probe = m.session > 0 && c.overdue(m, nowMs);
     boolean puzzle = m.older || (m.deaf() && nowMs - m.lastDirectMs >= Constants.DEAF_ASK_MS);
     return claim || probe || puzzle
-        ? direct(m, repeatedStops(m), Constants.PROBE_TIMEOUT_MS, nowMs)
+        ? direct(m, repeated(m, sole, nowMs), Constants.PROBE_TIMEOUT_MS, nowMs)
         : null;
   }
 
   /**
-   * Stops that were sent and of which no effect was seen yet: where no report comes, no answer to
-   * one repeats them, and a question that goes there anyway may.
+   * What was sent and of which no effect was seen yet: where no report comes, no answer to one
+   * repeats it, and a question that goes there anyway may. Of a machine that began anew in this
+   * term no report tells either, so a start in doubt is repeated with the question. One that is not
+   * wanted any more goes with its stop, so that the machine remembers the attempt: a cancellation
+   * waited for ever for a start in doubt of the life before (seeds 4939 and 7641 of the swarm).
    */
-  private static List<Order> repeatedStops(Machine m) {
+  private List<Order> repeated(Machine m, boolean sole, long nowMs) {
     List<Order> orders = new ArrayList<>(0);
+    boolean starts = sole && m.begunAnew && m.enrolled && m.state == Machine.State.LIVE;
     for (Run run : m.runs.values()) {
-      if (!run.exited() && run.unwanted() && run.stopSent) {
+      if (starts && run.phase == null && run.doubtful && run.job.state == Job.State.LIVE) {
+        if (run.unwanted() || (run.job.opened && !c.mute(m, nowMs))) {
+          orders.add(Order.start(run));
+          run.ordered = true;
+          run.inFlight = true;
+          run.orderedIn = Math.max(1, m.session);
+          if (run.unwanted()) {
+            orders.add(Order.stop(run, run.graceS()));
+          }
+        }
+      } else if (!run.exited() && run.unwanted() && run.stopSent) {
         orders.add(Order.stop(run, run.graceS()));
       }
     }
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -322,10 +322,18 @@
    */
   public List<Order> stillWanted(Decision.Direct d, boolean sole) {
     return d.orders().stream()
-        .filter(o -> o.op() != Order.Op.START || (sole && wanted(o.job())))
+        .filter(o -> o.op() != Order.Op.START || (sole && (wanted(o.job()) || stops(d, o))))
         .toList();
   }
 
+  /** Whether a start goes with its stop, of a job that is not over: nobody was told so yet. */
+  private boolean stops(Decision.Direct d, Order start) {
+    return c.jobs.containsKey(start.job())
+        && d.orders().stream()
+            .filter(o -> o.op() == Order.Op.STOP)
+            .anyMatch(o -> o.job().equals(start.job()) && o.index() == start.index());
+  }
+
   private boolean wanted(String id) {
     Job job = c.jobs.get(id);
     return job != null && job.state == Job.State.LIVE && !job.cancelWanted;
@@ -485,7 +493,7 @@
     if (sweep) {
       commands.budget().tidy(nowMs);
       for (Machine m : c.all()) {
-        Decision.Direct question = commands.question(m, nowMs);
+        Decision.Direct question = commands.question(m, nowMs < soleUntilMs, nowMs);
         if (question != null) {
           out.add(question);
         }
--- a/src/test/java/org/astershift/leader/FencesTest.java
+++ b/src/test/java/org/astershift/leader/FencesTest.java
@@ -508,6 +508,37 @@
     loop.join();
   }
 
+  /**
+   * A start goes with its stop so that a machine remembers the attempt, which a cancellation waits
+   * for; without the stop it is not sent, nor once the user was told.
+   */
+  @Test
+  void aStartOfACancelledJobIsSentOnlyWithItsStopAndBeforeThatIsTold() throws Exception {
+    node.listens(ports.ports(1).get(0)).start();
+    final Term term = node.leads();
+    accept();
+    Await.until("the job to run", () -> started().contains(ID + "/0"));
+    StandInWorker worker = cloud.everRented().get(0);
+    String addr = worker.said().get(0).replaceAll(".*\"addr\":\"([^\"]+)\".*", "$1");
+    synchronized (term) {
+      term.scheduler.cancelWanted(ID);
+    }
+    Order start = new Order(Order.Op.START, ID, 0, 77, 0);
+    Order stop = new Order(Order.Op.STOP, ID, 0, 77, 0);
+    List<Order> later =
+        List.of(new Order(Order.Op.START, ID, 0, 78, 0), new Order(Order.Op.STOP, ID, 0, 78, 0));
+    Decision.Direct again = new Decision.Direct(worker.name(), addr, 1, later, 5000);
+    Decision.Direct alone = new Decision.Direct(worker.name(), addr, 1, List.of(start), 5000);
+    Decision.Direct both = new Decision.Direct(worker.name(), addr, 1, List.of(start, stop), 5000);
+    node.director.direct(term, alone);
+    assertEquals(List.of(ID + "/0"), started());
+    node.director.direct(term, both);
+    assertEquals(List.of(ID + "/0", ID + "/0"), started());
+    Await.until("it to be cancelled", () -> node.desk.cancel(ID, true).status() == 200);
+    node.director.direct(term, again);
+    assertEquals(List.of(ID + "/0", ID + "/0"), started());
+  }
+
   private List<String> started() {
     return cloud.everRented().stream().flatMap(w -> w.started().stream()).toList();
   }
