The test of an order that fails waits for its start and not for a look at it

It looked for the moment in which the start is under way, which is over at once where the order is settled. On the code before the mend it waits for the confirmation in vain.

--- a/src/test/java/org/astershift/leader/FencesTest.java
+++ b/src/test/java/org/astershift/leader/FencesTest.java
@@ -450,15 +450,20 @@
     final Term term = node.leads();
     accept();
     Await.until("a machine", () -> !cloud.everRented().isEmpty());
-    long[] tick = {0};
+    long[] tick = {2};
+    reported(term, 1);
+    reported(
+        term, 2); // with the token; the start follows directly, once what it needs is on record
     Await.until(
-        "the job to be started there",
-        () -> {
-          reported(term, ++tick[0]);
-          synchronized (term) {
-            return term.scheduler.mayStart(ID);
-          }
-        });
+        "what the start needs to be on record",
+        () -> notes(Records.NOTES + "o0") == 1 && !fresh(Records.NOTES + "m0"));
+    long untilNs = System.nanoTime() + LOOK_NS;
+    boolean underWay;
+    do {
+      synchronized (term) {
+        underWay = term.scheduler.mayStart(ID);
+      }
+    } while (!underWay && System.nanoTime() < untilNs); // it is settled as soon as it has failed
     Await.until(
         "the cancellation to be confirmed",
         () -> {
@@ -467,6 +472,16 @@
         });
   }
 
+  private boolean fresh(String page) throws Exception {
+    StoreClient.Row row = read(page);
+    for (Map.Entry<String, Object> e : row.data().entrySet()) {
+      if (!Records.machine(e.getKey(), e.getValue()).fresh()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /** A report of the machine, empty, under an address that is none. */
   private void reported(Term term, long tick) {
     String machine = cloud.everRented().get(0).name();
