Where an answer comes from, and who shares one, are values; cancellations are timed

UserDesk.poll asks JobQuery where an answer may come from (the known end, the leader's memory, the leader, the record); Shared keeps the waits, and who works an answer out, follows or shares is Coalescing's, in office. Behaviour is unchanged (SharedTest and FencesTest as they were).

Every ten seconds a leader's log says how long users waited for their cancellations, from the first arrival to the confirmation: median, 99%, worst, and how many wait and since when.

--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -259,6 +259,7 @@
         List<Decision> decisions;
         String summary = null;
         String served = null;
+        String cancellations = null;
         boolean usedUp;
         synchronized (t) {
           long now = Term.nowMs();
@@ -273,6 +274,7 @@
             told = now;
             summary = t.scheduler.summary();
             served = t.scheduler.served(now);
+            cancellations = t.cancellationTimes();
           }
         }
         if (usedUp) {
@@ -281,6 +283,9 @@
         if (summary != null) {
           LOG.info("{}; passes took {} ms, the longest {} ms", summary, passesMs, longestMs);
           LOG.info(served);
+          if (cancellations != null) {
+            LOG.info(cancellations);
+          }
           passesMs = 0;
           longestMs = 0;
         }
--- a/src/main/java/org/astershift/leader/Shared.java
+++ b/src/main/java/org/astershift/leader/Shared.java
@@ -1,13 +1,12 @@
 package org.astershift.leader;
 
-import java.util.HashMap;
-import java.util.Map;
+import org.astershift.office.Coalescing;
+import org.astershift.office.Coalescing.Part;
+import org.astershift.office.Coalescing.Place;
+import org.astershift.office.Coalescing.Round;
 
 /**
- * Lets those who ask the same at the same time share an answer. An answer may be given only to who
- * asked before the work for it began: otherwise a user who has heard from another node meanwhile
- * that the job is over would be told something older. So who comes while an answer is being worked
- * out shares the next one, and however many ask, one is in work and one follows.
+ * Lets those who ask the same at the same time share an answer: the waits of {@link Coalescing}.
  */
 final class Shared<A> {
   /** Finds the answer; each call begins after all who share it have asked. */
@@ -15,62 +14,53 @@
     A find(String key) throws InterruptedException;
   }
 
-  /** Those who wait for one answer. */
-  private static final class Round<A> {
-    private A answer;
-    private boolean over;
-  }
-
   private final Work<A> work;
-  private final Map<String, Round<A>> running = new HashMap<>();
-  private final Map<String, Round<A>> next = new HashMap<>();
+  private final Coalescing<A> rounds = new Coalescing<>();
 
   Shared(Work<A> work) {
     this.work = work;
   }
 
+  /** Null where the one who worked it out failed: whoever shared its answer asks again. */
   A ask(String key) throws InterruptedException {
-    Round<A> mine;
     synchronized (this) {
-      mine = next.get(key);
-      if (mine != null) {
-        return await(mine);
+      Place<A> place = rounds.asks(key);
+      if (place.part() == Part.SHARES) {
+        return await(place.round());
       }
-      mine = new Round<>();
-      if (running.containsKey(key)) {
-        // The first of the next round works it out, once the present one is over.
-        next.put(key, mine);
-        try {
-          while (running.containsKey(key)) {
-            wait();
-          }
-        } catch (InterruptedException e) {
-          mine.over = true;
-          notifyAll();
-          throw e;
-        } finally {
-          next.remove(key);
-        }
+      if (place.part() == Part.FOLLOWS) {
+        follow(key);
       }
-      running.put(key, mine);
     }
+    A answer = null;
     try {
-      mine.answer = work.find(key);
+      answer = work.find(key);
+      return answer;
     } finally {
       synchronized (this) {
-        mine.over = true;
-        running.remove(key);
+        rounds.ends(key, answer);
         notifyAll();
       }
     }
-    return mine.answer;
   }
 
-  /** Null where the one who worked it out failed: whoever asked asks again. */
+  private void follow(String key) throws InterruptedException {
+    try {
+      while (rounds.busy(key)) {
+        wait();
+      }
+    } catch (InterruptedException e) {
+      rounds.leaves(key);
+      notifyAll();
+      throw e;
+    }
+    rounds.begins(key);
+  }
+
   private A await(Round<A> round) throws InterruptedException {
-    while (!round.over) {
+    while (!round.over()) {
       wait();
     }
-    return round.answer;
+    return round.answer();
   }
 }
--- a/src/main/java/org/astershift/leader/Term.java
+++ b/src/main/java/org/astershift/leader/Term.java
@@ -8,6 +8,7 @@
 import org.astershift.core.Decision;
 import org.astershift.core.Scheduler;
 import org.astershift.http.Json;
+import org.astershift.office.CancellationTimes;
 import org.astershift.office.JobLedger;
 import org.astershift.store.Mirror;
 import org.astershift.store.Records;
@@ -29,6 +30,7 @@
   private final Runnable stepDown;
   private volatile boolean over;
   private final JobLedger ledger;
+  private final CancellationTimes cancellations = new CancellationTimes();
   private long rentals;
 
   /** {@code stepDown} is called when it is certain that another leads. */
@@ -167,8 +169,22 @@
     return ledger.keeps(id);
   }
 
+  /** A user's wish to cancel the job came at {@code arrivedMs}; nothing of it starts any more. */
+  synchronized void cancelWanted(String id, long arrivedMs) {
+    if (ledger.keeps(id)) { // it may have ended a moment ago
+      cancellations.asked(id, arrivedMs);
+      scheduler.cancelWanted(id);
+    }
+  }
+
+  /** For the log: how long users wait for their cancellations; null if there are none. */
+  synchronized String cancellationTimes() {
+    return cancellations.line(nowMs());
+  }
+
   synchronized void ended(String id, boolean cancelled) {
     ledger.ended(id);
+    cancellations.ended(id, cancelled, nowMs());
     scheduler.ended(id, cancelled, nowMs());
     strike(id);
   }
--- a/src/main/java/org/astershift/leader/UserDesk.java
+++ b/src/main/java/org/astershift/leader/UserDesk.java
@@ -7,6 +7,7 @@
 import org.astershift.core.Scheduler;
 import org.astershift.http.Json;
 import org.astershift.office.Cancellation;
+import org.astershift.office.JobQuery;
 import org.astershift.peer.JobAnswer;
 import org.astershift.store.RateBudget;
 import org.astershift.store.Records;
@@ -79,21 +80,22 @@
     return new JobAnswer(200, end.cancelled() ? "withdrawn" : "done", end.done(), 0);
   }
 
-  /** The state of a job. Only a leader that is certainly one may answer from memory. */
+  /** The state of a job, from where {@link JobQuery} lets it come. */
   public JobAnswer poll(String id, boolean forward) throws InterruptedException {
     Records.Ended end = ended.get(id);
-    if (end != null) {
-      return answer(end);
-    }
-    Term t = director.term();
-    if (t != null) {
-      Scheduler.JobView view = t.told(id);
-      if (view != null && director.valid(t)) {
-        return new JobAnswer(
-            200, view.running() ? "running" : "queued", view.done(), view.runningTasks());
-      }
-    }
-    JobAnswer a = (t == null && forward ? elsewhere : read).ask(id);
+    Term t = end == null ? director.term() : null;
+    Scheduler.JobView live = t == null ? null : t.told(id);
+    boolean sole = live != null && director.valid(t); // by now, so it was when that was looked at
+    JobQuery.View view = new JobQuery.View(end != null, t != null, live != null, sole, forward);
+    JobAnswer a =
+        switch (JobQuery.source(view)) {
+          case END -> answer(end);
+          case MEMORY ->
+              new JobAnswer(
+                  200, live.running() ? "running" : "queued", live.done(), live.runningTasks());
+          case LEADER -> elsewhere.ask(id);
+          case RECORD -> read.ask(id);
+        };
     return a == null ? JobAnswer.UNDECIDED : a;
   }
 
@@ -134,7 +136,8 @@
   /** Cancels; answered only when it is durable and can be kept. */
   public JobAnswer cancel(String id, boolean forward) throws InterruptedException {
     Term t = director.term();
-    long deadline = Term.nowMs() + Constants.CANCEL_PATIENCE_MS;
+    long arrivedMs = Term.nowMs();
+    long deadline = arrivedMs + Constants.CANCEL_PATIENCE_MS;
     boolean wanted = false;
     JobAnswer read = null;
     while (true) {
@@ -142,9 +145,7 @@
           Cancellation.next(view(id, t, forward, read != null, Term.nowMs() >= deadline));
       if (act.ofKept() && !wanted) {
         wanted = true; // nothing of it starts from here on, however long the write takes
-        synchronized (t) {
-          t.scheduler.cancelWanted(id);
-        }
+        t.cancelWanted(id, arrivedMs);
         director.stir();
       }
       Records.Ended end = null;
--- a/src/test/java/org/astershift/leader/FencesTest.java
+++ b/src/test/java/org/astershift/leader/FencesTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.astershift.config.Constants;
 import org.astershift.config.Settings;
 import org.astershift.core.Decision;
 import org.astershift.core.Order;
@@ -242,6 +243,34 @@
     assertTrue(term.over());
   }
 
+  /** A cancellation is refused and repeated: its user waits from the first time on. */
+  @Test
+  void aCancellationIsTimedFromItsFirstArrival() throws Exception {
+    node.start();
+    final Term term = node.leads();
+    accept();
+    door.watched(
+        (r, done) -> {
+          if (!done && says(r, "\"set\":\"" + OVER)) {
+            throw new IllegalStateException("refused");
+          }
+        });
+    final long beganMs = Term.nowMs();
+    assertEquals(503, node.desk.cancel(ID, true).status());
+    assertTrue(term.cancellationTimes().contains(" 0 confirmed; 1 wait, the longest for "));
+    door.watched((r, done) -> {});
+    String line;
+    synchronized (term) { // or its own summary might tell it first
+      assertEquals("withdrawn", node.desk.cancel(ID, true).phase());
+      line = term.cancellationTimes();
+    }
+    final long tookMs = Term.nowMs() - beganMs;
+    long saidMs = Long.parseLong(line.replaceAll(".* worst ([0-9]+) ms", "$1"));
+    assertTrue(line.contains(" 1 confirmed, median " + saidMs + " ms"), line);
+    assertTrue(saidMs >= Constants.CANCEL_PATIENCE_MS && saidMs <= tookMs, line);
+    assertNull(term.cancellationTimes());
+  }
+
   /** Nothing of a job whose end is on its way in a cancellation is told from memory. */
   @Test
   void whileACancellationIsWrittenNothingOlderIsTold() throws Exception {
--- /dev/null
+++ b/src/test/java/org/astershift/office/CoalescingTest.java
@@ -0,0 +1,105 @@
+package org.astershift.office;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.astershift.office.Coalescing.Part;
+import org.astershift.office.Coalescing.Place;
+import org.junit.jupiter.api.Test;
+
+/** Who may share an answer with whom, without threads; their waits are tried in SharedTest. */
+class CoalescingTest {
+  private static final List<String> JOBS = List.of("a", "b");
+  private final Coalescing<Integer> rounds = new Coalescing<>();
+
+  /** One who asked, and when. */
+  private record Asker(Place<Integer> place, int at) {}
+
+  @Test
+  void whoComesWhileAnAnswerIsWorkedOutSharesTheNext() {
+    Place<Integer> first = rounds.asks("a");
+    Place<Integer> second = rounds.asks("a");
+    assertEquals(Part.WORKS, first.part());
+    assertEquals(Part.FOLLOWS, second.part());
+    assertEquals(new Place<>(second.round(), Part.SHARES), rounds.asks("a"));
+    assertEquals(Part.WORKS, rounds.asks("b").part(), "another job is another matter");
+    rounds.ends("a", 1);
+    assertEquals(1, first.round().answer());
+    assertFalse(second.round().over());
+    rounds.begins("a");
+    Place<Integer> late = rounds.asks("a");
+    assertEquals(Part.FOLLOWS, late.part(), "its answer began before this one asked");
+    rounds.ends("a", 2);
+    assertEquals(2, second.round().answer());
+    rounds.leaves("a");
+    assertTrue(late.round().over());
+    assertNull(late.round().answer(), "nobody waits for who gave up");
+    assertEquals(Part.WORKS, rounds.asks("a").part());
+  }
+
+  /**
+   * Whatever order askers, ends of work, failures and those who give up come in: no answer is given
+   * whose work began before its asker came, one at most is in work and one follows, and in the end
+   * nobody waits.
+   */
+  @Test
+  void nobodyGetsAnAnswerThatWasBegunBefore() {
+    int shared = 0;
+    for (int seed = 1; seed <= 300; seed++) {
+      SplittableRandom random = new SplittableRandom(seed);
+      Map<String, Integer> began = new HashMap<>();
+      Map<String, Boolean> follows = new HashMap<>();
+      List<Asker> askers = new ArrayList<>();
+      for (int now = 1; now <= 400; now++) {
+        String job = JOBS.get(random.nextInt(JOBS.size()));
+        boolean ending = now > 380;
+        int draw = ending ? 5 + random.nextInt(3) : random.nextInt(8);
+        if (draw < 5) {
+          Place<Integer> place = rounds.asks(job);
+          askers.add(new Asker(place, now));
+          assertEquals(place.part() == Part.WORKS, !began.containsKey(job), "one in work");
+          switch (place.part()) {
+            case WORKS -> began.put(job, now);
+            case FOLLOWS -> assertNull(follows.put(job, true), "one follows");
+            default -> shared++;
+          }
+        } else if (began.containsKey(job)) {
+          // The answer is the moment at which its work began.
+          rounds.ends(job, random.nextInt(9) == 0 ? null : began.get(job));
+          began.remove(job);
+          assertFalse(rounds.busy(job));
+          if (follows.remove(job) != null) {
+            if (random.nextInt(9) == 0) {
+              rounds.leaves(job);
+            } else {
+              rounds.begins(job);
+              began.put(job, now);
+            }
+          }
+        }
+      }
+      for (String job : JOBS) {
+        while (began.remove(job) != null) {
+          rounds.ends(job, 400);
+          if (follows.remove(job) != null) {
+            rounds.begins(job);
+            began.put(job, 400);
+          }
+        }
+      }
+      for (Asker a : askers) {
+        assertTrue(a.place().round().over(), "seed " + seed + ": nobody waits for ever");
+        Integer answer = a.place().round().answer();
+        assertTrue(answer == null || answer >= a.at(), "seed " + seed + ": an older answer");
+      }
+    }
+    assertTrue(shared > 1000, "shared answers: " + shared);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/astershift/office/JobQueryTest.java
@@ -0,0 +1,51 @@
+package org.astershift.office;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.astershift.office.JobQuery.Source;
+import org.astershift.office.JobQuery.View;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Where an answer about a job may come from. */
+class JobQueryTest {
+  private static View view(String says, boolean forward) {
+    return new View(
+        says.contains("over"),
+        says.contains("leads"),
+        says.contains("live"),
+        says.contains("sole"),
+        forward);
+  }
+
+  @ParameterizedTest(name = "{0}: {1}, forwarded: {2}")
+  @CsvSource({
+    "over, END, END",
+    "over leads live sole, END, END",
+    "leads live sole, MEMORY, MEMORY",
+    "leads live, RECORD, RECORD",
+    "leads sole, RECORD, RECORD",
+    "leads, RECORD, RECORD",
+    "follows, LEADER, RECORD",
+  })
+  void comesFrom(String known, Source ofUser, Source ofNode) {
+    assertEquals(ofUser, JobQuery.source(view(known, true)));
+    assertEquals(ofNode, JobQuery.source(view(known, false)), "asked by another controller");
+  }
+
+  /** From memory only where nobody else can have ended the job, whatever else is known. */
+  @Test
+  void onlyWhoIsCertainlyTheOnlyLeaderTellsFromMemory() {
+    for (int bits = 0; bits < 32; bits++) {
+      boolean[] b = new boolean[5];
+      for (int i = 0; i < b.length; i++) {
+        b[i] = (bits >> i & 1) == 1;
+      }
+      Source source = JobQuery.source(new View(b[0], b[1], b[2], b[3], b[4]));
+      assertEquals(!b[0] && b[1] && b[2] && b[3], source == Source.MEMORY, "" + bits);
+      assertEquals(b[0], source == Source.END, "" + bits);
+      assertEquals(!b[0] && !b[1] && b[4], source == Source.LEADER, "" + bits);
+    }
+  }
+}
