One draft of a job for all tests

FenceCase, TermTest, SubmissionTest and EligibilityTest each wrote a JobSpec of twenty fields beside JobDraft. They use it now; what they assert is unchanged, and so are the jobs. JobDraft is public, and takes memory, an estimate, a list of types and flags as values.

--- a/src/test/java/org/astershift/api/SubmissionTest.java
+++ b/src/test/java/org/astershift/api/SubmissionTest.java
@@ -23,6 +23,7 @@
 import org.astershift.standin.StandInCloud;
 import org.astershift.standin.StandInStore;
 import org.astershift.store.Records;
+import org.astershift.world.JobDraft;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -268,27 +269,13 @@
   /** Puts a job on record as a controller that accepted it did. */
   private void onRecord(String id, int cpus) throws Exception {
     JobSpec spec =
-        new JobSpec(
-            id,
-            "c",
-            "demo",
-            JobKind.SERVICE,
-            Priority.LOW,
-            1,
-            cpus,
-            0,
-            1,
-            "i",
-            1,
-            null,
-            null,
-            false,
-            false,
-            false,
-            1,
-            0,
-            0,
-            null);
+        JobDraft.array(id, 1)
+            .kind(JobKind.SERVICE)
+            .of("demo")
+            .in("c", Priority.LOW)
+            .takes(cpus, 0)
+            .estimate(1)
+            .spec();
     Map<String, Object> row =
         Map.of(
             "set",
--- a/src/test/java/org/astershift/core/EligibilityTest.java
+++ b/src/test/java/org/astershift/core/EligibilityTest.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import java.util.TreeMap;
 import org.astershift.config.Constants;
+import org.astershift.world.JobDraft;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -33,27 +34,18 @@
       boolean oneZone,
       boolean spread,
       boolean spot) {
-    return new JobSpec(
-        "wk-1",
-        "c",
-        "t",
-        kind,
-        Priority.NORMAL,
-        tasks,
-        cpus,
-        gpus,
-        gb,
-        "i",
-        1,
-        types,
-        zone,
-        oneZone,
-        spread,
-        spot,
-        1,
-        0,
-        0,
-        null);
+    return JobDraft.array("wk-1", tasks)
+        .kind(kind)
+        .of("t")
+        .takes(cpus, gpus)
+        .memory(gb)
+        .only(types)
+        .zone(zone)
+        .oneZone(oneZone)
+        .spread(spread)
+        .spot(spot)
+        .estimate(1)
+        .spec();
   }
 
   @ParameterizedTest(name = "{0}")
--- a/src/test/java/org/astershift/leader/FenceCase.java
+++ b/src/test/java/org/astershift/leader/FenceCase.java
@@ -7,7 +7,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.Map;
-import org.astershift.core.JobKind;
 import org.astershift.core.JobSpec;
 import org.astershift.core.Priority;
 import org.astershift.http.HttpServer;
@@ -20,6 +19,7 @@
 import org.astershift.store.Records;
 import org.astershift.store.StoreClient;
 import org.astershift.store.StoreClient.Outcome;
+import org.astershift.world.JobDraft;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.io.TempDir;
@@ -68,27 +68,7 @@
   }
 
   static JobSpec job(int tasks) {
-    return new JobSpec(
-        ID,
-        "c",
-        "demo",
-        JobKind.ARRAY,
-        Priority.LOW,
-        tasks,
-        1,
-        0,
-        1,
-        "i",
-        1,
-        null,
-        null,
-        false,
-        false,
-        false,
-        1,
-        0,
-        0,
-        null);
+    return JobDraft.array(ID, tasks).of("demo").in("c", Priority.LOW).estimate(1).spec();
   }
 
   static Map<String, Object> record() {
--- a/src/test/java/org/astershift/leader/TermTest.java
+++ b/src/test/java/org/astershift/leader/TermTest.java
@@ -10,13 +10,13 @@
 import org.astershift.config.Operator;
 import org.astershift.config.Settings;
 import org.astershift.core.Facts;
-import org.astershift.core.JobKind;
 import org.astershift.core.JobSpec;
 import org.astershift.core.Priority;
 import org.astershift.core.Scheduler;
 import org.astershift.store.Mirror;
 import org.astershift.store.Records;
 import org.astershift.store.StoreClient;
+import org.astershift.world.JobDraft;
 import org.junit.jupiter.api.Test;
 
 /** Rules ran_cancelled and went_back: news of a job from before its end does not bring it back. */
@@ -34,28 +34,7 @@
 
   /** {@code aheadMs}: by how much the clock of the node that accepted it is ahead of this one's. */
   private static Records.JobRecord job(long aheadMs) {
-    JobSpec spec =
-        new JobSpec(
-            "wk-1",
-            "c",
-            "t",
-            JobKind.ARRAY,
-            Priority.LOW,
-            1,
-            1,
-            0,
-            1,
-            "i",
-            1,
-            null,
-            null,
-            false,
-            false,
-            false,
-            1,
-            0,
-            0,
-            null);
+    JobSpec spec = JobDraft.array("wk-1", 1).of("t").in("c", Priority.LOW).estimate(1).spec();
     return new Records.JobRecord(spec, System.currentTimeMillis() + aheadMs);
   }
 
--- a/src/test/java/org/astershift/world/JobDraft.java
+++ b/src/test/java/org/astershift/world/JobDraft.java
@@ -5,8 +5,10 @@
 import org.astershift.core.JobSpec;
 import org.astershift.core.Priority;
 
-/** A job as a test describes it: what it does not say is as in {@link WorldTest#job}. */
-final class JobDraft {
+/**
+ * A job as a test describes it, for all tests: what it does not say is as in {@link WorldTest#job}.
+ */
+public final class JobDraft {
   private final String id;
   private JobKind kind = JobKind.ARRAY;
   private String jobClass = "c";
@@ -15,6 +17,8 @@
   private int tasks = 1;
   private double cpus = 1;
   private double gpus;
+  private double memoryGb = 1;
+  private double estimateS = 20;
   private List<String> types;
   private String zone;
   private boolean oneZone;
@@ -26,66 +30,95 @@
     this.id = id;
   }
 
-  static JobDraft array(String id, int tasks) {
+  public static JobDraft array(String id, int tasks) {
     JobDraft d = new JobDraft(id);
     d.tasks = tasks;
     return d;
   }
 
-  JobDraft kind(JobKind kind) {
+  public JobDraft kind(JobKind kind) {
     this.kind = kind;
     return this;
   }
 
-  JobDraft of(String team) {
+  public JobDraft of(String team) {
     this.team = team;
     return this;
   }
 
-  JobDraft in(String jobClass, Priority priority) {
+  public JobDraft in(String jobClass, Priority priority) {
     this.jobClass = jobClass;
     this.priority = priority;
     return this;
   }
 
-  JobDraft takes(double cpus, double gpus) {
+  public JobDraft takes(double cpus, double gpus) {
     this.cpus = cpus;
     this.gpus = gpus;
     return this;
   }
 
-  JobDraft only(String type) {
-    types = List.of(type);
+  public JobDraft memory(double gb) {
+    memoryGb = gb;
     return this;
   }
 
-  JobDraft zone(String zone) {
+  public JobDraft only(String type) {
+    return only(List.of(type));
+  }
+
+  /** Null: any type. */
+  public JobDraft only(List<String> types) {
+    this.types = types;
+    return this;
+  }
+
+  /** What its owner thinks that a task takes. */
+  public JobDraft estimate(double seconds) {
+    estimateS = seconds;
+    return this;
+  }
+
+  /** Null: any zone. */
+  public JobDraft zone(String zone) {
     this.zone = zone;
     return this;
   }
 
-  JobDraft oneZone() {
-    oneZone = true;
+  public JobDraft oneZone() {
+    return oneZone(true);
+  }
+
+  public JobDraft oneZone(boolean is) {
+    oneZone = is;
     return this;
   }
 
-  JobDraft spread() {
-    spread = true;
+  public JobDraft spread() {
+    return spread(true);
+  }
+
+  public JobDraft spread(boolean is) {
+    spread = is;
     return this;
   }
 
-  JobDraft spot() {
-    spot = true;
+  public JobDraft spot() {
+    return spot(true);
+  }
+
+  public JobDraft spot(boolean is) {
+    spot = is;
     return this;
   }
 
   /** Its tasks save when they are stopped, and take so long for that. */
-  JobDraft saves(double saveS) {
+  public JobDraft saves(double saveS) {
     this.saveS = saveS;
     return this;
   }
 
-  JobSpec spec() {
+  public JobSpec spec() {
     double checkpointS = saveS > 0 ? 5 : 0;
     return new JobSpec(
         id,
@@ -96,7 +129,7 @@
         tasks,
         cpus,
         gpus,
-        1,
+        memoryGb,
         "i",
         1,
         types,
@@ -104,7 +137,7 @@
         oneZone,
         spread,
         spot,
-        20,
+        estimateS,
         checkpointS,
         saveS,
         null);
