The simulation plays gangs that gather

Cause: gangs were left out of the simulation of several controllers, though one attempt number for all tasks, replacements, orderly stops and one zone across attempts are where rules could break.

Change: GangModel plays what the protocol's section on gangs says: tasks of one attempt gather, begin together, exit with peers when one is lost or hangs, save together or not at all, complete together, give up waiting after gang_wait_s; what is done is kept. Gangs count for every rule of the checker as other jobs do; not_done now also asks whether each task has completed somewhere, and not only what the leader counted. Users submit gangs in half of the swarm's seeds. Links between machines are not modelled: peers find one another whatever is cut. Worlds without gangs draw the same numbers as before.

--- a/src/test/java/org/astershift/world/Checker.java
+++ b/src/test/java/org/astershift/world/Checker.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.stream.IntStream;
 import org.astershift.config.Constants;
 import org.astershift.core.JobSpec;
 import org.astershift.core.Team;
@@ -246,9 +247,12 @@
     if (!called.add(job)) {
       broken.add("a job ended twice: " + job);
     }
-    int tasks = world.users.spec(job.substring(job.indexOf('/') + 1)).tasks();
-    if (!end.cancelled() && end.done() < tasks) {
-      broken.add("not_done: " + job + " with " + end.done() + " of " + tasks);
+    String id = job.substring(job.indexOf('/') + 1);
+    int tasks = world.users.spec(id).tasks();
+    long all = IntStream.range(0, tasks).filter(i -> completed.contains(id + "/" + i)).count();
+    if (!end.cancelled() && (end.done() < tasks || all < tasks)) {
+      broken.add(
+          "not_done: " + job + " with " + end.done() + " of " + tasks + ", " + all + " completed");
     }
   }
 
--- a/src/test/java/org/astershift/world/CloudModel.java
+++ b/src/test/java/org/astershift/world/CloudModel.java
@@ -146,6 +146,16 @@
     }
   }
 
+  /** It takes one back after a notice, which may be half or one and a half times as long. */
+  void recall(String name, long noticeMs) {
+    long ms = Math.round(noticeMs * (0.5 + world.random.nextDouble()));
+    WorkerModel w = world.workers.get(name);
+    if (w.alive()) {
+      w.recalled(ms);
+      world.after(ms, () -> take(name));
+    }
+  }
+
   void giveBack(List<String> machines, boolean silent) {
     for (String name : machines) {
       if (kinds.containsKey(name) && gone.add(name)) {
--- a/src/test/java/org/astershift/world/JobDraft.java
+++ b/src/test/java/org/astershift/world/JobDraft.java
@@ -36,6 +36,11 @@
     return d;
   }
 
+  /** All its tasks run at the same time, or none does. */
+  static JobDraft gang(String id, int tasks) {
+    return array(id, tasks).kind(JobKind.GANG);
+  }
+
   public JobDraft kind(JobKind kind) {
     this.kind = kind;
     return this;
--- a/src/test/java/org/astershift/world/NodeModel.java
+++ b/src/test/java/org/astershift/world/NodeModel.java
@@ -572,8 +572,8 @@
             world.objectives,
             world.setup.reportMs() / 1000.0,
             world.setup.leaseMs() / 1000.0,
-            30,
-            4,
+            GangModel.WAIT_MS / 1000.0,
+            GangModel.PEER_MS / 1000.0,
             Checker.CANCEL_MS / 1000.0,
             3);
     // Machines are never given back as idle here, so that each return is for silence.
--- a/src/test/java/org/astershift/world/Swarm.java
+++ b/src/test/java/org/astershift/world/Swarm.java
@@ -49,11 +49,15 @@
   /** Several teams at their limits, sizes, accelerators and priorities. */
   private final boolean teams;
 
+  /** A third of the jobs are gangs. */
+  private final boolean gangs;
+
   private Swarm(long seed) {
     RandomSetup drawn = new RandomSetup(seed);
     world = new World(seed, drawn.setup);
     world.teamLimit = drawn.limited ? 3 * drawn.setup.machines() : 0;
     teams = drawn.teams;
+    gangs = drawn.gangs;
     if (teams) {
       teams();
     }
@@ -85,6 +89,7 @@
     final double kept;
     final double heldBack;
     final boolean teams;
+    final boolean gangs;
 
     RandomSetup(long seed) {
       java.util.SplittableRandom r = new java.util.SplittableRandom(seed);
@@ -97,6 +102,7 @@
       kept = r.nextInt(3) == 0 ? 0.2 : 0;
       heldBack = r.nextInt(3) == 0 ? 0.02 + 0.2 * r.nextDouble() : 0;
       teams = r.nextInt(3) == 0;
+      gangs = r.nextBoolean();
     }
   }
 
@@ -166,9 +172,15 @@
       List<String> zones = world.setup.zones();
       draft = draft.zone(zones.get(world.random.nextInt(zones.size())));
     }
+    if (gangs && id % 3 == 0) {
+      draft = draft.kind(JobKind.GANG).saves(id % 2 == 0 ? 1.5 : 0);
+      draft = id % 4 == 0 && where != 2 ? draft.oneZone() : draft;
+    }
     if (teams) {
-      draft = draft.of("t" + id % 3).takes(1 + id % 2, 0).saves(id % 5 == 0 ? 2 : 0);
-      draft = id % 7 == 0 ? draft.takes(1, 1) : draft;
+      draft = draft.of("t" + id % 3).takes(1 + id % 2, 0);
+      draft = gangs && id % 3 == 0 ? draft : draft.saves(id % 5 == 0 ? 2 : 0);
+      boolean fits = !gangs || id % 3 != 0; // four such tasks at once are beyond the team's limit
+      draft = id % 7 == 0 && fits ? draft.takes(1, 1) : draft;
       draft = id % 4 == 0 ? draft.in("u", Priority.HIGH) : draft;
     }
     JobSpec spec = draft.spec();
--- a/src/test/java/org/astershift/world/Users.java
+++ b/src/test/java/org/astershift/world/Users.java
@@ -254,6 +254,22 @@
     }
   }
 
+  /** The same for a gang, which completes as a whole. */
+  void started(String gang, long endsMs) {
+    if (cancelsAtEnd > 0 && world.random.nextDouble() < cancelsAtEnd) {
+      long aroundMs = world.random.nextBoolean() ? 10 : 600;
+      long atMs = endsMs + world.random.nextLong(2 * aroundMs) - aroundMs;
+      world.after(
+          atMs,
+          () -> {
+            if (!cancelled.contains(gang)) {
+              cancelledAtEnd++;
+              cancel(gang);
+            }
+          });
+    }
+  }
+
   private void cancelLast(String job, int index) {
     Set<Integer> done = new HashSet<>(completed.getOrDefault(job, Set.of()));
     done.add(index);
--- a/src/test/java/org/astershift/world/WorkerModel.java
+++ b/src/test/java/org/astershift/world/WorkerModel.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.astershift.core.JobKind;
 import org.astershift.core.JobSpec;
 import org.astershift.core.Order;
 import org.astershift.core.Report;
@@ -79,15 +80,23 @@
   /** The same of tasks whose user had been told meanwhile that they are cancelled. */
   int wentOnCancelled;
 
+  /** How often it has hung. */
+  private int hangs;
+
+  /** When the cloud takes it back, as it was told; -1: it was told nothing. */
+  private long recalledMs = -1;
+
   /** A task on the machine, exited ones until they are forgotten. */
-  private static final class Task {
+  static final class Task {
+    final WorkerModel worker;
     final String job;
     final int index;
     final long attempt;
     Report.Phase phase = Report.Phase.FETCHING;
     String cause;
 
-    Task(String job, int index, long attempt) {
+    Task(WorkerModel worker, String job, int index, long attempt) {
+      this.worker = worker;
       this.job = job;
       this.index = index;
       this.attempt = attempt;
@@ -96,6 +105,11 @@
     String task() {
       return job + "/" + index;
     }
+
+    boolean ofGang(World world) {
+      JobSpec spec = world.users.spec(job);
+      return spec != null && spec.kind() == JobKind.GANG;
+    }
   }
 
   /** The answer to a report: 200 with a token, or 421 with the leader's name or null. */
@@ -162,8 +176,12 @@
       return;
     }
     world.note(name, "hangs for " + forMs + " ms");
-    hungSinceMs = hung() ? hungSinceMs : world.now();
     hungUntilMs = Math.max(hungUntilMs, world.now() + forMs);
+    if (!hung()) {
+      hungSinceMs = world.now();
+      hangs++;
+      world.gangs.hangs(this);
+    }
     int of = life;
     world.after(forMs, () -> goOn(of));
   }
@@ -177,6 +195,10 @@
     return hungSinceMs >= 0;
   }
 
+  int hangs() {
+    return hangs;
+  }
+
   private void goOn(int of) {
     if (!alive || life != of || !hung() || world.now() < hungUntilMs) {
       return;
@@ -227,8 +249,28 @@
     hangNextMs = 0;
     waiting.clear();
     life++;
-    tasks.values().forEach(t -> world.checker.over(t.task(), name));
+    recalledMs = -1;
+    List<Task> all = tasks();
     tasks.clear();
+    all.forEach(this::gone);
+  }
+
+  private void gone(Task t) {
+    if (t.phase != Report.Phase.EXITED) {
+      world.checker.over(t.task(), name);
+      world.gangs.left(t);
+    }
+  }
+
+  /** The cloud will take it back; its next report says so, as will all after that. */
+  void recalled(long inMs) {
+    world.note(name, "is told that it will be taken back in " + inMs + " ms");
+    recalledMs = world.now() + inMs;
+  }
+
+  /** All tasks here, exited ones too. */
+  List<Task> tasks() {
+    return new ArrayList<>(tasks.values());
   }
 
   private Report says() {
@@ -237,7 +279,22 @@
       items.add(new Report.Item(t.job, t.index, t.attempt, t.phase, t.cause));
     }
     return new Report(
-        name, name, kind.type(), zone, kind.spot(), session, ++seq, token, null, items);
+        name, name, kind.type(), zone, kind.spot(), session, ++seq, token, recall(), items);
+  }
+
+  private Double recall() {
+    return recalledMs < 0 ? null : (Double) (Math.max(0, recalledMs - world.now()) / 1000.0);
+  }
+
+  /** As soon as it is not hung, if the task is still there. */
+  void when(Task t, Runnable body) {
+    here(
+        life,
+        () -> {
+          if (tasks.containsValue(t)) {
+            body.run();
+          }
+        });
   }
 
   private void here(int of, Runnable body) {
@@ -255,7 +312,7 @@
     return world.now() - hungBeforeMs - (hung() ? world.now() - hungSinceMs : 0);
   }
 
-  private void afterWork(long ms, Runnable body) {
+  void afterWork(long ms, Runnable body) {
     whenWorked(life, workedMs() + ms, body);
   }
 
@@ -301,7 +358,7 @@
         r.session(),
         news ? seq + 1 : r.seq(),
         news ? token : shows ? world.latestToken() : r.token(),
-        null,
+        r.noticeS(),
         r.tasks());
   }
 
@@ -372,11 +429,11 @@
     if (world.now() - answeredSentMs <= world.setup.leaseMs()) {
       return;
     }
-    for (Task t : tasks.values()) {
+    for (Task t : tasks()) {
       if (t.phase != Report.Phase.EXITED) {
         world.checker.killedByLease++;
         world.note(name, t.task() + " is killed by the lease");
-        world.checker.over(t.task(), name);
+        gone(t);
       }
     }
     if (hung()) {
@@ -417,11 +474,15 @@
     switch (o.op()) {
       case START -> {
         if (t == null) {
-          Task fresh = new Task(o.job(), o.index(), o.attempt());
+          Task fresh = new Task(this, o.job(), o.index(), o.attempt());
           tasks.put(key, fresh);
           startedMs = world.now();
           startedMute += mute() ? 1 : 0;
           world.checker.started(fresh.task(), name, o.attempt());
+          if (fresh.ofGang(world)) {
+            afterWork(FETCH_MS, () -> when(fresh, () -> fetched(fresh)));
+            return;
+          }
           afterWork(FETCH_MS, () -> phase(fresh, Report.Phase.RUNNING, null));
           Long runMs = world.users.runMsOf(o.job(), o.index());
           if (runMs != null) {
@@ -445,10 +506,20 @@
     }
   }
 
+  private void fetched(Task t) {
+    if (t.phase == Report.Phase.FETCHING) {
+      world.gangs.arrives(t);
+    }
+  }
+
   /** One that may save does so first, if it is given the time for it. */
   private void stop(Task t, double graceS) {
     JobSpec spec = world.users.spec(t.job);
     boolean saves = spec != null && spec.checkpointS() > 0 && graceS >= spec.saveS();
+    if (t.ofGang(world) && (t.phase == Report.Phase.RUNNING || t.phase == Report.Phase.SAVING)) {
+      world.gangs.stop(t, saves);
+      return;
+    }
     if (saves && t.phase == Report.Phase.RUNNING) {
       t.phase = Report.Phase.SAVING;
       long ms = Math.round(spec.saveS() * 1000);
@@ -458,7 +529,8 @@
     }
   }
 
-  private void phase(Task t, Report.Phase phase, String cause) {
+  /** The task moves on, unless it has ended or its lease is over. */
+  void phase(Task t, Report.Phase phase, String cause) {
     boolean here = alive && tasks.containsValue(t) && t.phase != Report.Phase.EXITED;
     if (here && world.now() - answeredSentMs > world.setup.leaseMs()) {
       expire();
@@ -467,13 +539,14 @@
     if (here) {
       t.phase = phase;
       t.cause = cause;
-      if (phase == Report.Phase.RUNNING) {
+      if (phase == (t.ofGang(world) ? Report.Phase.WAITING : Report.Phase.RUNNING)) {
         world.checker.begins(t.task(), name);
       } else if ("done".equals(cause)) {
         world.users.completed(t.job, t.index);
       }
       if (phase == Report.Phase.EXITED) {
         world.checker.over(t.task(), name);
+        world.gangs.left(t);
         if ("done".equals(cause)) {
           world.checker.completed(t.task());
         }
--- a/src/test/java/org/astershift/world/World.java
+++ b/src/test/java/org/astershift/world/World.java
@@ -31,6 +31,7 @@
   final Checker checker;
   final LeftWaiting leftWaiting;
   final Users users;
+  final GangModel gangs = new GangModel(this);
   final LateReports lateReports = new LateReports(this);
   final Set<Mutant> mutants = EnumSet.noneOf(Mutant.class);
   final Map<String, WorkerModel> workers = new LinkedHashMap<>();
