No task is started of a gang's attempt that has begun

Cause: a leader took an attempt to have begun only if it saw a task of it running. One that began while a gang was saving, or had just lost a task, saw saving and exited tasks, gave the attempt's number out again for those that had exited, and these waited for peers that had been there before.

Change: the newest attempt known to have begun is kept by number; running, saving, and an exit with peers or done show it. The attempt's number is that of what the job holds (Job.hold).

--- a/src/main/java/org/astershift/core/Gangs.java
+++ b/src/main/java/org/astershift/core/Gangs.java
@@ -68,7 +68,7 @@
 
   /** The old attempt has to be gone everywhere before the next one starts. */
   private static boolean oldAttemptLeft(Job job) {
-    return !job.runs.isEmpty() && (job.gangRan || anyStopping(job));
+    return !job.runs.isEmpty() && (job.gangRan() || anyStopping(job));
   }
 
   /** Keeping room empty costs others their aims, so it begins late; but nobody waits for ever. */
--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -104,8 +104,14 @@
   /** The zone in which free room is kept for this gang; null while it waits for none. */
   String keptIn;
 
+  /**
+   * Of a gang, the attempt that its tasks have; numbers rise from one to the next, across leaders
+   * too.
+   */
   long gangAttempt;
-  boolean gangRan;
+
+  /** The newest attempt that is known to have begun; 0: none is. */
+  private long begunAttempt;
 
   /** What the largest jobs of its class got is counted by this; set when it is taken in. */
   Served.Fate fate;
@@ -305,6 +311,7 @@
   /** The run now holds its task. */
   void hold(Run run) {
     runs.put(run.index, run);
+    gangAttempt = run.attempt;
     zones.merge(run.machine.zone, 1, Integer::sum);
     running += run.works() ? 1 : 0;
     setWaiting(run.index, false);
@@ -319,12 +326,23 @@
       running -= run.works() ? 1 : 0;
       setWaiting(run.index, !done.get(run.index));
     }
-    if (runs.isEmpty()) {
-      gangRan = false;
-    }
     return held;
   }
 
+  /**
+   * All tasks of this attempt have run, so none may be started again with its number: those that
+   * are left are ending, and a new one would wait for them in vain. It was counted from tasks seen
+   * running only; a leader that began while a gang was saving, or had just lost a task, gave the
+   * number out again, and the gang never ran any more.
+   */
+  void begun(long attempt) {
+    begunAttempt = Math.max(begunAttempt, attempt);
+  }
+
+  boolean gangRan() {
+    return begunAttempt >= gangAttempt;
+  }
+
   /** Moves a run to its reported phase. */
   void phase(Run run, Report.Phase phase) {
     boolean counts = runs.get(run.index) == run;
--- a/src/main/java/org/astershift/core/Report.java
+++ b/src/main/java/org/astershift/core/Report.java
@@ -16,7 +16,16 @@
     List<Item> tasks) {
 
   /** One task on the machine. */
-  public record Item(String job, int index, long attempt, Phase phase, String cause) {}
+  public record Item(String job, int index, long attempt, Phase phase, String cause) {
+
+    /** Whether this shows that the task, and so all of its gang, has run. */
+    boolean begun() {
+      return phase == Phase.RUNNING
+          || phase == Phase.SAVING
+          || "peers".equals(cause)
+          || "done".equals(cause);
+    }
+  }
 
   /** States of a task on its machine. */
   public enum Phase {
--- a/src/main/java/org/astershift/core/Reports.java
+++ b/src/main/java/org/astershift/core/Reports.java
@@ -175,6 +175,9 @@
     Job job = run.job;
     Machine m = run.machine;
     run.ordered = true;
+    if (item.begun()) {
+      job.begun(run.attempt);
+    }
     if (run.phase == null) {
       m.unanswered = 0; // an order of ours has reached it
     }
@@ -185,7 +188,6 @@
       if (item.phase() == Report.Phase.RUNNING && run.runningSinceMs < 0) {
         run.runningSinceMs = nowMs;
         c.served.started(job, nowMs);
-        job.gangRan = true;
         LOG.debug(
             "task {} runs on {}, {} ms after it was placed",
             run.name(),
@@ -249,6 +251,9 @@
     run.cause = item.cause();
     run.shownSeq = seq;
     c.adopt(run);
+    if (item.begun()) {
+      job.begun(run.attempt);
+    }
     if (run.exited()) {
       exited(run, nowMs);
       return;
@@ -286,10 +291,6 @@
     if (item.phase() == Report.Phase.RUNNING) {
       c.served.started(job, nowMs);
     }
-    if (job.spec.kind() == JobKind.GANG) {
-      job.gangAttempt = run.attempt;
-      job.gangRan |= item.phase() == Report.Phase.RUNNING;
-    }
   }
 
   /** Stands for a job this leader does not look after (any more): its tasks are only stopped. */
