The simulation takes spot machines back, and has faulty ones

Cause: notices and spot machines that are taken were left out, as were machines that are drained since what runs there fails; both meet changes of leaders.

Change: the cloud takes machines back at once or after a notice, at half to one and a half times what was told; workers report what they were told. On a faulty machine tasks fail.

--- a/src/test/java/org/astershift/world/CloudModel.java
+++ b/src/test/java/org/astershift/world/CloudModel.java
@@ -36,6 +36,11 @@
 
   int busyBeforeAnswer;
 
+  /** Machines that it took back, and those of them that had tasks. */
+  int taken;
+
+  int takenWithTasks;
+
   private final World world;
   private final Map<String, List<String>> answered = new HashMap<>();
   private final Map<String, Long> diedMs = new HashMap<>();
@@ -142,17 +147,21 @@
   void take(String name) {
     if (gone.add(name)) {
       world.note(name, "is taken back by the cloud");
+      taken++;
+      takenWithTasks += world.workers.get(name).holds().isEmpty() ? 0 : 1;
       world.workers.get(name).die();
     }
   }
 
-  /** It takes one back after a notice, which may be half or one and a half times as long. */
-  void recall(String name, long noticeMs) {
-    long ms = Math.round(noticeMs * (0.5 + world.random.nextDouble()));
+  /**
+   * It takes one back after a notice, that much later times half to one and a half: what its worker
+   * says is the time that was told.
+   */
+  void recall(String name, long noticeMs, double times) {
     WorkerModel w = world.workers.get(name);
     if (w.alive()) {
-      w.recalled(ms);
-      world.after(ms, () -> take(name));
+      w.recalled(noticeMs);
+      world.after(Math.round(noticeMs * times), () -> take(name));
     }
   }
 
--- a/src/test/java/org/astershift/world/GangModel.java
+++ b/src/test/java/org/astershift/world/GangModel.java
@@ -156,6 +156,7 @@
     world.note("gang", a.job + " begins");
     List<Task> all = new ArrayList<>(a.members.values());
     all.forEach(t -> t.worker.phase(t, Report.Phase.RUNNING, null));
+    all.forEach(t -> t.worker.fails(t, WorkerModel.FAILS_MS));
     all.stream().map(t -> t.worker).filter(WorkerModel::hung).forEach(this::hangs);
     Long runMs = world.users.runMsOf(a.job, 0);
     if (runMs != null) {
--- a/src/test/java/org/astershift/world/Swarm.java
+++ b/src/test/java/org/astershift/world/Swarm.java
@@ -36,6 +36,9 @@
   private static final int STREAM = 60;
 
   private static final int FIRST_OF_STREAM = 100;
+  private static final String SPOT_TYPE = "brief";
+  private static final int SPOT_MACHINES = 9;
+  private static final long NOTICE_MS = 20_000;
   final World world;
   private final int kinds;
   private final int userKinds;
@@ -52,12 +55,28 @@
   /** A third of the jobs are gangs. */
   private final boolean gangs;
 
+  /**
+   * Beside the others there are spot machines, which are taken back, and jobs that may use them.
+   */
+  private final boolean spot;
+
+  /** What runs on some machines fails, so that they are drained and given back. */
+  private final boolean faulty;
+
+  private int replicas;
+
   private Swarm(long seed) {
     RandomSetup drawn = new RandomSetup(seed);
     world = new World(seed, drawn.setup);
     world.teamLimit = drawn.limited ? 3 * drawn.setup.machines() : 0;
     teams = drawn.teams;
     gangs = drawn.gangs;
+    spot = drawn.spot;
+    faulty = drawn.faulty;
+    replicas = 2 * drawn.setup.machines();
+    if (spot) {
+      spotMachines();
+    }
     if (teams) {
       teams();
     }
@@ -80,6 +99,45 @@
     world.objectives.add(new Objective("wait", "u", 2, 0.9, 1));
   }
 
+  private void spotMachines() {
+    List<String> zones = world.setup.zones();
+    world.cloud.offer(new MachineType(SPOT_TYPE, 4, 0, 16, 50, 0.5, 2, 0.1, 10, zones));
+    for (int i = 0; i < SPOT_MACHINES; i++) {
+      String zone = zones.get(i % zones.size());
+      world.cloud.add("vm-spot" + i, new CloudModel.Kind(SPOT_TYPE, zone, true), true);
+    }
+  }
+
+  /** The cloud takes some or all spot machines of a zone back, with a notice or without. */
+  private void takeBack() {
+    List<String> zones = world.setup.zones();
+    String zone = zones.get(world.random.nextInt(zones.size()));
+    boolean all = world.random.nextBoolean();
+    for (WorkerModel m : List.copyOf(world.workers.values())) {
+      boolean there = m.alive() && m.kind.spot() && (all || m.zone.equals(zone));
+      if (there && world.random.nextInt(3) > 0) {
+        boolean told = world.random.nextInt(4) > 0;
+        long inMs = world.random.nextLong(2000);
+        double times = 0.5 + world.random.nextDouble();
+        world.after(
+            inMs,
+            () -> {
+              if (told) {
+                world.cloud.recall(m.name, NOTICE_MS, times);
+              } else {
+                world.cloud.take(m.name);
+              }
+            });
+      }
+    }
+  }
+
+  private void spoil() {
+    WorkerModel m = world.workers.get(machine());
+    world.note(m.name, "is faulty");
+    m.faulty = true;
+  }
+
   /** Drawn apart from the world's own numbers, so that both may change by themselves. */
   private static final class RandomSetup {
     final Setup setup;
@@ -90,6 +148,8 @@
     final double heldBack;
     final boolean teams;
     final boolean gangs;
+    final boolean spot;
+    final boolean faulty;
 
     RandomSetup(long seed) {
       java.util.SplittableRandom r = new java.util.SplittableRandom(seed);
@@ -103,6 +163,8 @@
       heldBack = r.nextInt(3) == 0 ? 0.02 + 0.2 * r.nextDouble() : 0;
       teams = r.nextInt(3) == 0;
       gangs = r.nextBoolean();
+      spot = r.nextInt(3) == 0;
+      faulty = r.nextInt(4) == 0;
     }
   }
 
@@ -112,7 +174,12 @@
     World w = s.world;
     w.mutants.addAll(List.of(mutants));
     w.runTo(4);
-    w.submit(WorldTest.job("wk-0", JobKind.SERVICE, 2 * w.setup.machines()), null);
+    w.submit(WorldTest.job("wk-0", JobKind.SERVICE, s.replicas), null);
+    if (s.spot) {
+      JobDraft d = JobDraft.array("wk-spot", SPOT_MACHINES).kind(JobKind.SERVICE).spot();
+      w.submit(d.only(SPOT_TYPE).spec(), null);
+      s.replicas += SPOT_MACHINES;
+    }
     for (int i = 1; i <= JOBS; i++) {
       int id = i;
       w.after(w.random.nextLong(110_000), () -> s.job(id));
@@ -136,8 +203,17 @@
         w.after(w.random.nextLong((HEALED_S - FAULTS_FROM_S) * 1000L), () -> s.users(k));
       }
     }
+    for (int i = 0; s.spot && i < 1 + w.random.nextInt(4); i++) {
+      // All that was told of has come when the troubles are over.
+      long mostMs = (HEALED_S - FAULTS_FROM_S) * 1000L - 3 * NOTICE_MS / 2 - 2000;
+      w.after(w.random.nextLong(mostMs), s::takeBack);
+    }
+    for (int i = 0; s.faulty && i < 1 + w.random.nextInt(3); i++) {
+      w.after(w.random.nextLong((HEALED_S - FAULTS_FROM_S) * 1000L), s::spoil);
+    }
     w.after(ASKED_FROM_S * 1000L - w.now(), w::askAll);
     w.runTo(HEALED_S);
+    w.workers.values().forEach(m -> m.faulty = false);
     w.healAll();
     w.store.lateShare = 0;
     w.store.unheardShare = 0;
@@ -172,6 +248,7 @@
       List<String> zones = world.setup.zones();
       draft = draft.zone(zones.get(world.random.nextInt(zones.size())));
     }
+    draft = spot && id % 2 == 0 ? draft.spot() : draft;
     if (gangs && id % 3 == 0) {
       draft = draft.kind(JobKind.GANG).saves(id % 2 == 0 ? 1.5 : 0);
       draft = id % 4 == 0 && where != 2 ? draft.oneZone() : draft;
@@ -418,7 +495,7 @@
     long leaders = world.nodes.stream().filter(n -> n.up() && n.leads()).count();
     int running = world.workers.values().stream().mapToInt(WorkerModel::running).sum();
     String out = leaders == 1 ? "" : leaders + " lead; ";
-    out += running >= 2 * world.setup.machines() ? "" : running + " replicas run; ";
+    out += running >= replicas ? "" : running + " replicas run; ";
     int ended = world.checker.ended();
     int late = jobs - ended - atLimit();
     return out + (late == 0 ? "" : ended + " of " + jobs + " arrays are done; " + unfinished());
--- a/src/test/java/org/astershift/world/WorkerModel.java
+++ b/src/test/java/org/astershift/world/WorkerModel.java
@@ -23,6 +23,7 @@
   private static final long ANSWER_MS = 4000;
   private static final long NEXT_MS = 1000;
   private static final long FETCH_MS = 800;
+  static final long FAILS_MS = 300;
   final String name;
   final String zone;
   final CloudModel.Kind kind;
@@ -80,6 +81,12 @@
   /** The same of tasks whose user had been told meanwhile that they are cancelled. */
   int wentOnCancelled;
 
+  /** Whatever runs on it fails. */
+  boolean faulty;
+
+  /** Tasks started while it was known here that the cloud will take it back. */
+  int startedRecalled;
+
   /** How often it has hung. */
   private int hangs;
 
@@ -478,12 +485,14 @@
           tasks.put(key, fresh);
           startedMs = world.now();
           startedMute += mute() ? 1 : 0;
+          startedRecalled += recalledMs < 0 ? 0 : 1;
           world.checker.started(fresh.task(), name, o.attempt());
           if (fresh.ofGang(world)) {
             afterWork(FETCH_MS, () -> when(fresh, () -> fetched(fresh)));
             return;
           }
           afterWork(FETCH_MS, () -> phase(fresh, Report.Phase.RUNNING, null));
+          fails(fresh, FETCH_MS + FAILS_MS);
           Long runMs = world.users.runMsOf(o.job(), o.index());
           if (runMs != null) {
             world.users.started(o.job(), o.index(), FETCH_MS + runMs);
@@ -506,6 +515,13 @@
     }
   }
 
+  /** On a faulty machine the task fails so long from now. */
+  void fails(Task t, long ms) {
+    if (faulty) {
+      afterWork(ms, () -> phase(t, Report.Phase.EXITED, "error"));
+    }
+  }
+
   private void fetched(Task t) {
     if (t.phase == Report.Phase.FETCHING) {
       world.gangs.arrives(t);
--- a/src/test/java/org/astershift/world/WorldTest.java
+++ b/src/test/java/org/astershift/world/WorldTest.java
@@ -79,11 +79,18 @@
 
   @Test
   void whateverHappensNoRuleBreaksAndInTheEndAllIsServed() {
-    for (long seed = 1; seed <= Integer.getInteger("world.seeds", 150); seed++) {
+    int seeds = Integer.getInteger("world.seeds", 150);
+    int gangs = 0;
+    int taken = 0;
+    for (long seed = 1; seed <= seeds; seed++) {
       Swarm s = Swarm.play(seed);
       sound(s.world);
       assertEquals("", s.unserved(), s.world.story());
+      gangs += s.world.gangs.began;
+      taken += s.world.cloud.takenWithTasks;
     }
+    assertTrue(gangs >= seeds / 2, gangs + " gangs ran");
+    assertTrue(taken >= seeds / 2, taken + " machines with tasks were taken back");
   }
 
   /** The checker can fail: each of these fences taken away is missed within so many seeds. */
