--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -667,6 +667,11 @@
     return c.looks;
   }
 
+  /** For tests, which sum its books up anew. */
+  Cluster cluster() {
+    return c;
+  }
+
   /** For traces: a job as it stands. */
   Job job(String id) {
     return c.jobs.get(id);
--- /dev/null
+++ b/src/test/java/org/astershift/core/Books.java
@@ -0,0 +1,154 @@
+package org.astershift.core;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Sums up anew what a term keeps up event by event, and says where the two differ. */
+final class Books {
+  private static final double TOLERANCE = 1e-6;
+
+  private Books() {}
+
+  static List<String> differences(Cluster c) {
+    List<String> out = new ArrayList<>();
+    Map<String, double[]> teams = new HashMap<>();
+    Map<Job, Set<Run>> byJob = new HashMap<>();
+    int unheard = 0;
+    double dark = 0;
+    double darkGpus = 0;
+    boolean unbounded = false;
+    for (Machine m : c.all()) {
+      double cpus = 0;
+      double gpus = 0;
+      double memory = 0;
+      double replicas = 0;
+      double plain = 0;
+      int held = 0;
+      boolean strangers = false;
+      for (Run run : m.runs.values()) {
+        check(out, run.machine == m, run.name() + " is in the books of another machine");
+        check(out, m.runs.get(run.key) == run, run.name() + " under another key");
+        if (run.exited()) {
+          check(out, !run.job.extras.contains(run), run.name() + " exited and extra");
+          check(out, run.job.runs.get(run.index) != run, run.name() + " exited and held");
+          continue;
+        }
+        JobSpec s = run.job.spec;
+        held++;
+        cpus += s.cpus();
+        gpus += s.gpus();
+        memory += s.memoryGb();
+        replicas += s.kind() == JobKind.SERVICE ? s.cpus() : 0;
+        plain += s.gpus() == 0 ? s.cpus() : 0;
+        strangers |= run.job.stranger;
+        double[] u = teams.computeIfAbsent(s.team(), t -> new double[2]);
+        u[0] += s.cpus();
+        u[1] += s.gpus();
+        byJob.computeIfAbsent(run.job, j -> new HashSet<>()).add(run);
+        boolean known =
+            run.job.runs.get(run.index) == run
+                || run.job.extras.contains(run)
+                || (run.unwanted() && run.job.runs.get(run.index) == null);
+        check(out, known, run.name() + " on " + m.name + " is nobody's");
+        check(
+            out,
+            run.job.state != Job.State.LIVE || c.jobs.get(s.id()) == run.job,
+            run.name() + " is of a job that is live and not known");
+        boolean counts =
+            run.job.state != Job.State.LIVE
+                || run.job.done.get(run.index)
+                || !run.job.waiting.get(run.index);
+        check(out, counts, run.name() + " on " + m.name + " is held and waits");
+      }
+      check(out, held == m.heldCount(), m.name + " holds " + held + ", not " + m.heldCount());
+      same(out, m.name + " cpus", cpus, m.usedCpus());
+      same(out, m.name + " gpus", gpus, m.usedGpus());
+      same(out, m.name + " memory", memory, m.usedMemory());
+      same(out, m.name + " replicas", replicas, m.replicaCpus());
+      same(out, m.name + " plain", plain, m.plainCpus());
+      boolean hidden = (m.inherited && !m.claimed) || strangers;
+      check(out, hidden == m.inTheDark(), m.name + " in the dark: " + hidden);
+      if (hidden) {
+        unbounded |= m.kind == null;
+        dark += m.kind == null ? 0 : m.kind.cpus();
+        darkGpus += m.kind == null ? 0 : m.kind.gpus();
+      }
+      unheard += m.inherited && !m.claimed ? 1 : 0;
+      boolean unrecorded = m.state == Machine.State.LIVE && !m.enrolled;
+      check(out, unrecorded == c.unrecorded.contains(m), m.name + " unrecorded: " + unrecorded);
+    }
+    check(out, c.unheard() == unheard > 0, unheard + " machines are unheard");
+    for (Team team : c.facts.teams().values()) {
+      double[] u = teams.getOrDefault(team.name(), new double[2]);
+      double[] use = c.teamUse(team.name());
+      same(out, team.name() + " cpus", u[0], use[0]);
+      same(out, team.name() + " gpus", u[1], use[1]);
+      double[] left = c.teamLeft(team.name());
+      if (team.cpusMax() > 0 && !unbounded) {
+        same(out, team.name() + " cpus left", team.cpusMax() - u[0] - dark, left[0]);
+      }
+      if (team.gpusMax() > 0 && !unbounded) {
+        same(out, team.name() + " gpus left", team.gpusMax() - u[1] - darkGpus, left[1]);
+      }
+      check(out, !unbounded || !team.limited() || left[0] < 0 || left[1] < 0, "unbounded");
+    }
+    for (Job job : c.jobs.values()) {
+      job(c, out, job, byJob.getOrDefault(job, Set.of()));
+    }
+    for (Job job : c.waiting) {
+      check(out, c.jobs.get(job.spec.id()) == job, job.spec.id() + " is over and waits");
+    }
+    for (Job job : c.unopened) {
+      check(out, c.jobs.get(job.spec.id()) == job, job.spec.id() + " is over and to be opened");
+    }
+    return out;
+  }
+
+  private static void job(Cluster c, List<String> out, Job job, Set<Run> runs) {
+    String id = job.spec.id();
+    int waiting = 0;
+    int running = 0;
+    Map<String, Integer> zones = new HashMap<>();
+    for (int i = 0; i < job.spec.tasks(); i++) {
+      Run run = job.runs.get(i);
+      boolean waits = run == null && !job.done.get(i);
+      waiting += waits ? 1 : 0;
+      check(out, waits == job.waiting.get(i), id + "/" + i + " waits: " + waits);
+      if (run != null) {
+        check(out, runs.contains(run), run.name() + " is on no machine");
+        running += run.works() ? 1 : 0;
+        zones.merge(run.machine.zone, 1, Integer::sum);
+      }
+    }
+    for (Run extra : job.extras) {
+      check(out, runs.contains(extra), extra.name() + ", extra, is on no machine");
+      check(out, job.runs.get(extra.index) != extra, extra.name() + " is extra and held");
+      check(out, job.runs.containsKey(extra.index), extra.name() + " is extra beside nothing");
+    }
+    check(out, waiting == job.waitingCount(), id + " waiting " + waiting);
+    check(out, job.done.cardinality() == job.doneCount(), id + " done");
+    check(out, running == job.running(), id + " running " + running + ", not " + job.running());
+    for (String zone : List.of("a", "b")) {
+      check(out, zones.getOrDefault(zone, 0) == job.inZone(zone), id + " in zone " + zone);
+    }
+    check(out, waiting > 0 == c.waiting.contains(job), id + " among the waiting: " + waiting);
+    check(out, c.unfinished(job.spec.team()).contains(job), id + " not among its team's");
+    boolean unopened = !job.opened && !job.runs.isEmpty();
+    check(out, !unopened || c.unopened.contains(job), id + " is not to be opened");
+    check(out, !job.complete() || c.completing.contains(job), id + " is complete");
+  }
+
+  private static void same(List<String> out, String what, double expected, double kept) {
+    check(out, Math.abs(expected - kept) < TOLERANCE, what + ": " + expected + ", not " + kept);
+  }
+
+  private static void check(List<String> out, boolean ok, String what) {
+    if (!ok) {
+      out.add(what);
+    }
+  }
+}
--- a/src/test/java/org/astershift/core/TracePlayer.java
+++ b/src/test/java/org/astershift/core/TracePlayer.java
@@ -20,6 +20,10 @@
   private final Map<String, MachineType> types = new LinkedHashMap<>();
   private Policy policy = Operator.defaults();
   private final Map<String, Report> last = new HashMap<>();
+
+  /** The direct order to each machine that was decided last. */
+  private final Map<String, Decision.Direct> directs = new HashMap<>();
+
   private Scheduler scheduler;
 
   /** There are other controllers, and the trace says what they answer. */
@@ -157,10 +161,19 @@
               continue;
             }
           }
+          if (d instanceof Decision.Direct o) {
+            directs.put(o.machine(), o);
+          }
           out.add(words(d));
         }
         return out;
       }
+      case "turn" -> {
+        // The turn of a direct order that a pass decided, to be sent now.
+        Decision.Direct d = directs.get(p.get(2));
+        boolean sole = now < (long) (w.num("sole", 1e9) * 1000);
+        return s.stillDue(d, now) ? orders(s.stillWanted(d, sole)) : List.of("not due");
+      }
       case "resumed" -> s.resumed(now);
       case "opened" -> s.opened(p.get(2));
       case "remembered" -> s.remembered(p.get(2), p.subList(3, p.size()));
