--- a/src/test/java/org/astershift/leader/FencesTest.java
+++ b/src/test/java/org/astershift/leader/FencesTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.astershift.config.Constants;
 import org.astershift.config.Settings;
 import org.astershift.core.Decision;
 import org.astershift.core.Order;
@@ -242,6 +243,34 @@
     assertTrue(term.over());
   }
 
+  /** A cancellation is refused and repeated: its user waits from the first time on. */
+  @Test
+  void aCancellationIsTimedFromItsFirstArrival() throws Exception {
+    node.start();
+    final Term term = node.leads();
+    accept();
+    door.watched(
+        (r, done) -> {
+          if (!done && says(r, "\"set\":\"" + OVER)) {
+            throw new IllegalStateException("refused");
+          }
+        });
+    final long beganMs = Term.nowMs();
+    assertEquals(503, node.desk.cancel(ID, true).status());
+    assertTrue(term.cancellationTimes().contains(" 0 confirmed; 1 wait, the longest for "));
+    door.watched((r, done) -> {});
+    String line;
+    synchronized (term) { // or its own summary might tell it first
+      assertEquals("withdrawn", node.desk.cancel(ID, true).phase());
+      line = term.cancellationTimes();
+    }
+    final long tookMs = Term.nowMs() - beganMs;
+    long saidMs = Long.parseLong(line.replaceAll(".* worst ([0-9]+) ms", "$1"));
+    assertTrue(line.contains(" 1 confirmed, median " + saidMs + " ms"), line);
+    assertTrue(saidMs >= Constants.CANCEL_PATIENCE_MS && saidMs <= tookMs, line);
+    assertNull(term.cancellationTimes());
+  }
+
   /** Nothing of a job whose end is on its way in a cancellation is told from memory. */
   @Test
   void whileACancellationIsWrittenNothingOlderIsTold() throws Exception {
@@ -450,15 +479,20 @@
     final Term term = node.leads();
     accept();
     Await.until("a machine", () -> !cloud.everRented().isEmpty());
-    long[] tick = {0};
+    long[] tick = {2};
+    reported(term, 1);
+    reported(
+        term, 2); // with the token; the start follows directly, once what it needs is on record
     Await.until(
-        "the job to be started there",
-        () -> {
-          reported(term, ++tick[0]);
-          synchronized (term) {
-            return term.scheduler.mayStart(ID);
-          }
-        });
+        "what the start needs to be on record",
+        () -> notes(Records.NOTES + "o0") == 1 && !fresh(Records.NOTES + "m0"));
+    long untilNs = System.nanoTime() + LOOK_NS;
+    boolean underWay;
+    do {
+      synchronized (term) {
+        underWay = term.scheduler.mayStart(ID);
+      }
+    } while (!underWay && System.nanoTime() < untilNs); // it is settled as soon as it has failed
     Await.until(
         "the cancellation to be confirmed",
         () -> {
@@ -467,6 +501,16 @@
         });
   }
 
+  private boolean fresh(String page) throws Exception {
+    StoreClient.Row row = read(page);
+    for (Map.Entry<String, Object> e : row.data().entrySet()) {
+      if (!Records.machine(e.getKey(), e.getValue()).fresh()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /** A report of the machine, empty, under an address that is none. */
   private void reported(Term term, long tick) {
     String machine = cloud.everRented().get(0).name();
@@ -508,6 +552,37 @@
     loop.join();
   }
 
+  /**
+   * A start goes with its stop so that a machine remembers the attempt, which a cancellation waits
+   * for; without the stop it is not sent, nor once the user was told.
+   */
+  @Test
+  void aStartOfACancelledJobIsSentOnlyWithItsStopAndBeforeThatIsTold() throws Exception {
+    node.listens(ports.ports(1).get(0)).start();
+    final Term term = node.leads();
+    accept();
+    Await.until("the job to run", () -> started().contains(ID + "/0"));
+    StandInWorker worker = cloud.everRented().get(0);
+    String addr = worker.said().get(0).replaceAll(".*\"addr\":\"([^\"]+)\".*", "$1");
+    synchronized (term) {
+      term.scheduler.cancelWanted(ID);
+    }
+    Order start = new Order(Order.Op.START, ID, 0, 77, 0);
+    Order stop = new Order(Order.Op.STOP, ID, 0, 77, 0);
+    List<Order> later =
+        List.of(new Order(Order.Op.START, ID, 0, 78, 0), new Order(Order.Op.STOP, ID, 0, 78, 0));
+    Decision.Direct again = new Decision.Direct(worker.name(), addr, 1, later, 5000);
+    Decision.Direct alone = new Decision.Direct(worker.name(), addr, 1, List.of(start), 5000);
+    Decision.Direct both = new Decision.Direct(worker.name(), addr, 1, List.of(start, stop), 5000);
+    node.director.direct(term, alone);
+    assertEquals(List.of(ID + "/0"), started());
+    node.director.direct(term, both);
+    assertEquals(List.of(ID + "/0", ID + "/0"), started());
+    Await.until("it to be cancelled", () -> node.desk.cancel(ID, true).status() == 200);
+    node.director.direct(term, again);
+    assertEquals(List.of(ID + "/0", ID + "/0"), started());
+  }
+
   private List<String> started() {
     return cloud.everRented().stream().flatMap(w -> w.started().stream()).toList();
   }
