A direct start is noted as under way in one place

Cause: urgent orders and the starts that questions repeat each set the same three notes on an attempt (ordered, under way, for which session); whoever forgot one would take an attempt for gone while it may still start. Change: Commands.directStart serves both; behaviour as before.

--- a/src/main/java/org/astershift/core/Commands.java
+++ b/src/main/java/org/astershift/core/Commands.java
@@ -149,10 +149,7 @@
         orders.add(Order.stop(run, run.graceS()));
         run.stopSent = true;
       } else if (sole && startDue(run) && !c.mute(m, nowMs)) {
-        orders.add(Order.start(run));
-        run.ordered = true;
-        run.inFlight = true;
-        run.orderedIn = Math.max(1, m.session);
+        orders.add(directStart(run));
       }
     }
     if (orders.isEmpty()) {
@@ -196,10 +193,7 @@
     for (Run run : m.runs.values()) {
       if (starts && run.phase == null && run.doubtful && run.job.state == Job.State.LIVE) {
         if (run.unwanted() || (run.job.opened && !c.mute(m, nowMs))) {
-          orders.add(Order.start(run));
-          run.ordered = true;
-          run.inFlight = true;
-          run.orderedIn = Math.max(1, m.session);
+          orders.add(directStart(run));
           if (run.unwanted()) {
             orders.add(Order.stop(run, run.graceS()));
           }
@@ -229,6 +223,17 @@
     return claimDue(m, nowMs) || m.older || m.deaf() || (m.claimed && c.overdue(m, nowMs));
   }
 
+  /**
+   * A start in a direct order, which is under way from now on, and meant for the present session:
+   * whoever sends one without noting both takes the attempt for gone while it may still start.
+   */
+  private static Order directStart(Run run) {
+    run.ordered = true;
+    run.inFlight = true;
+    run.orderedIn = Math.max(1, run.machine.session);
+    return Order.start(run);
+  }
+
   private static Decision.Direct direct(Machine m, List<Order> orders, int timeoutMs, long nowMs) {
     m.orderInFlight = true;
     m.lastDirectMs = nowMs;
