KNOWN-RED.txt may list any test case, with five fields each

The list held three traces at most, and TraceTest alone read it. A JUnit extension now plays every listed case, method or dynamic test, prints and passes over its failure, and fails it once it passes. A line lacks no field, is not repeated and names a test that exists; KnownFailureTest proves each refusal.

--- /dev/null
+++ b/src/test/java/org/astershift/knownred/KnownFailure.java
@@ -0,0 +1,101 @@
+package org.astershift.knownred;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Stream;
+
+/**
+ * One line of KNOWN-RED.txt: a test case that fails because of a fault of the product which is not
+ * mended yet.
+ *
+ * @param test the case as {@code Class#method}, or {@code Class/display name} for a dynamic test
+ * @param reproduction command and seed that show the failure
+ * @param seen what was observed
+ * @param cause the cause, or "suspected: ..." while no evidence names it
+ * @param issue the open issue
+ */
+record KnownFailure(String test, String reproduction, String seen, String cause, String issue) {
+  static final Path FILE = Path.of("KNOWN-RED.txt");
+  private static final Path TEST_CLASSES = Path.of("target/test-classes");
+  private static final Path TRACES = Path.of("src/test/resources/traces");
+  private static final int FIELDS = 5;
+  private static final char METHOD = '#';
+  private static final char DYNAMIC = '/';
+
+  /** Reads the file; a missing file lists nothing. */
+  static List<KnownFailure> read() {
+    try {
+      return Files.exists(FILE) ? parse(Files.readAllLines(FILE)) : List.of();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Parses the lines; one that lacks a field or repeats a test is refused. */
+  static List<KnownFailure> parse(List<String> lines) {
+    List<KnownFailure> out = new ArrayList<>();
+    Set<String> tests = new HashSet<>();
+    for (String line : lines) {
+      KnownFailure entry = parse(line);
+      if (!tests.add(entry.test)) {
+        throw new IllegalArgumentException("KNOWN-RED.txt lists a test twice: " + line);
+      }
+      out.add(entry);
+    }
+    return out;
+  }
+
+  private static KnownFailure parse(String line) {
+    String[] fields = line.split(" \\| ", -1);
+    boolean blank = Stream.of(fields).anyMatch(String::isBlank);
+    if (fields.length != FIELDS || blank) {
+      throw new IllegalArgumentException(
+          "KNOWN-RED.txt: not \"test | command and seed | seen | cause | issue\": " + line);
+    }
+    return new KnownFailure(fields[0], fields[1], fields[2], fields[3], fields[4]);
+  }
+
+  /** Whether the entry names a test method, or a dynamic test's trace file, that exists. */
+  boolean namesATest() {
+    int method = test.indexOf(METHOD);
+    int dynamic = test.indexOf(DYNAMIC);
+    if (method > 0) {
+      return hasMethod(test.substring(0, method), test.substring(method + 1));
+    }
+    return dynamic > 0
+        && classFile(test.substring(0, dynamic)) != null
+        && Files.exists(TRACES.resolve(test.substring(dynamic + 1)));
+  }
+
+  private static boolean hasMethod(String simpleClass, String method) {
+    Path file = classFile(simpleClass);
+    if (file == null) {
+      return false;
+    }
+    String path = TEST_CLASSES.relativize(file).toString();
+    String name = path.substring(0, path.length() - ".class".length()).replace('/', '.');
+    try {
+      return Stream.of(Class.forName(name).getDeclaredMethods())
+          .anyMatch(m -> m.getName().equals(method));
+    } catch (ClassNotFoundException e) {
+      return false;
+    }
+  }
+
+  private static Path classFile(String simpleClass) {
+    try (Stream<Path> files = Files.walk(TEST_CLASSES)) {
+      return files
+          .filter(p -> p.getFileName().toString().equals(simpleClass + ".class"))
+          .findFirst()
+          .orElse(null);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/astershift/knownred/KnownFailureExtension.java
@@ -0,0 +1,72 @@
+package org.astershift.knownred;
+
+import java.lang.reflect.Method;
+import java.util.List;
+import org.junit.jupiter.api.extension.DynamicTestInvocationContext;
+import org.junit.jupiter.api.extension.ExtensionContext;
+import org.junit.jupiter.api.extension.InvocationInterceptor;
+import org.junit.jupiter.api.extension.ReflectiveInvocationContext;
+
+/**
+ * Plays the test cases that KNOWN-RED.txt lists, prints and passes over their failure, and fails
+ * them as soon as they pass. Every other case is left as it is. Registered for all tests by
+ * META-INF/services.
+ */
+public final class KnownFailureExtension implements InvocationInterceptor {
+  private final List<KnownFailure> listed = KnownFailure.read();
+
+  @Override
+  public void interceptTestMethod(
+      Invocation<Void> invocation,
+      ReflectiveInvocationContext<Method> invocationContext,
+      ExtensionContext context)
+      throws Throwable {
+    play(
+        listed, className(context) + "#" + invocationContext.getExecutable().getName(), invocation);
+  }
+
+  @Override
+  public void interceptTestTemplateMethod(
+      Invocation<Void> invocation,
+      ReflectiveInvocationContext<Method> invocationContext,
+      ExtensionContext context)
+      throws Throwable {
+    interceptTestMethod(invocation, invocationContext, context);
+  }
+
+  @Override
+  public void interceptDynamicTest(
+      Invocation<Void> invocation,
+      DynamicTestInvocationContext invocationContext,
+      ExtensionContext context)
+      throws Throwable {
+    play(listed, className(context) + "/" + context.getDisplayName(), invocation);
+  }
+
+  /** The context of a dynamic test has no class of its own: that of its factory counts. */
+  private static String className(ExtensionContext context) {
+    ExtensionContext with = context;
+    while (with.getTestClass().isEmpty()) {
+      with = with.getParent().orElseThrow();
+    }
+    return with.getRequiredTestClass().getSimpleName();
+  }
+
+  /** Runs the case; the failure of a listed one is printed, its success is a failure. */
+  static void play(List<KnownFailure> listed, String test, Invocation<Void> invocation)
+      throws Throwable {
+    KnownFailure entry =
+        listed.stream().filter(f -> f.test().equals(test)).findFirst().orElse(null);
+    if (entry == null) {
+      invocation.proceed();
+      return;
+    }
+    try {
+      invocation.proceed();
+    } catch (Exception | AssertionError e) {
+      System.out.println("KNOWN RED, passed over: " + entry);
+      return;
+    }
+    throw new AssertionError("red no more: strike its line from KNOWN-RED.txt: " + entry);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/astershift/knownred/KnownFailureTest.java
@@ -0,0 +1,73 @@
+package org.astershift.knownred;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What KNOWN-RED.txt may list, and what the build does with it. */
+class KnownFailureTest {
+  private static final String REST =
+      " | mvn -Dtest=X, no seed | ran_twice | suspected: x | issue 1";
+  private static final List<KnownFailure> LISTED = KnownFailure.parse(List.of("X#a" + REST));
+
+  @Test
+  void eachLineNamesATestThatThereIs() {
+    for (KnownFailure entry : KnownFailure.read()) {
+      assertTrue(entry.namesATest(), entry.toString());
+    }
+  }
+
+  @Test
+  void aLineThatLacksAFieldIsRefused() {
+    for (String line :
+        List.of("", "X#a", "X#a | c | s | c", "X#a | c |  | c | i", "a" + REST + " | x")) {
+      assertThrows(IllegalArgumentException.class, () -> KnownFailure.parse(List.of(line)), line);
+    }
+  }
+
+  @Test
+  void aTestThatIsListedTwiceIsRefused() {
+    List<String> twice = List.of("X#a" + REST, "X#a" + REST);
+    assertThrows(IllegalArgumentException.class, () -> KnownFailure.parse(twice));
+  }
+
+  @Test
+  void aLineThatNamesNoTestIsSeen() {
+    List<String> none = List.of("X#a", "KnownFailureTest#b", "TraceTest/no.trace", "TraceTest", "");
+    for (String test : none) {
+      assertFalse(new KnownFailure(test, "c", "s", "c", "i").namesATest(), test);
+    }
+    String own = "KnownFailureTest#aLineThatNamesNoTestIsSeen";
+    assertTrue(new KnownFailure(own, "c", "s", "c", "i").namesATest());
+  }
+
+  @Test
+  void aListedTestThatFailsIsPassedOver() throws Throwable {
+    KnownFailureExtension.play(LISTED, "X#a", KnownFailureTest::fails);
+  }
+
+  @Test
+  void aListedTestThatPassesFails() {
+    AssertionError e =
+        assertThrows(
+            AssertionError.class, () -> KnownFailureExtension.play(LISTED, "X#a", () -> null));
+    assertTrue(e.getMessage().startsWith("red no more"), e.getMessage());
+  }
+
+  @Test
+  void aTestThatIsNotListedFails() {
+    AssertionError e =
+        assertThrows(
+            AssertionError.class,
+            () -> KnownFailureExtension.play(LISTED, "X#b", KnownFailureTest::fails));
+    assertEquals("it fails", e.getMessage());
+  }
+
+  private static Void fails() {
+    throw new AssertionError("it fails");
+  }
+}
