--- a/src/test/java/org/astershift/world/NodeModel.java
+++ b/src/test/java/org/astershift/world/NodeModel.java
@@ -983,23 +983,31 @@
         when,
         List.of(new Write(key, value, 0)),
         o -> {
-          if (t != term) {
-            return;
-          }
-          n.busy = false;
-          if (o != null && o.revision() > 0) {
-            n.revision = value == null ? 0 : o.revision();
-            durable.run();
-            push(t, key, n);
-          } else if (o != null && o.failed().contains(StoreModel.LEADER)) {
-            ended(election.stepDown(t.token, "a write found another leader"));
+          if (world.slowRecordsMs > 0) {
+            later(world.slowRecordsMs, () -> written(t, key, n, value, durable, o));
           } else {
-            n.dirty = true;
-            later(Constants.RETRY_MS, () -> reread(t, key, n, o));
+            written(t, key, n, value, durable, o);
           }
         });
   }
 
+  private void written(Term t, String key, Note n, Object value, Runnable durable, Outcome o) {
+    if (t != term) {
+      return;
+    }
+    n.busy = false;
+    if (o != null && o.revision() > 0) {
+      n.revision = value == null ? 0 : o.revision();
+      durable.run();
+      push(t, key, n);
+    } else if (o != null && o.failed().contains(StoreModel.LEADER)) {
+      ended(election.stepDown(t.token, "a write found another leader"));
+    } else {
+      n.dirty = true;
+      later(Constants.RETRY_MS, () -> reread(t, key, n, o));
+    }
+  }
+
   /** An earlier try without an answer was applied after all: its revision is news. */
   private void reread(Term t, String key, Note n, Outcome o) {
     if (o == null || !o.failed().contains(key)) {
--- a/src/test/java/org/astershift/world/World.java
+++ b/src/test/java/org/astershift/world/World.java
@@ -59,6 +59,9 @@
   /** Threads that have read something for a user go on up to so long later. */
   long stuckMs;
 
+  /** The thread that writes records handles the answer to a write so long after it came. */
+  long slowRecordsMs;
+
   private final PriorityQueue<Event> queue = new PriorityQueue<>();
   private final Set<Link> cut = new HashSet<>();
   private final Map<Link, List<Runnable>> held = new HashMap<>();
