Each incarnation of a machine is told apart; a leader whose lease is uncertain uses what was there before

Cause, from the debug line that now tells of each incarnation: a machine that restarts has the first session and no token again, and what one incarnation showed was counted for the next: a first report heard while the lease was uncertain; the answer to the write of a record asked for the incarnation before; an answer with a higher sequence number, since the new incarnation had sent more by then. Change: core.MachineIncarnation keeps what is known of one incarnation, core.Incarnations decides in one place whether this leader may use it: while the lease is certain what is on record, after that only what was seen before. A message that came since is of the known incarnation if it shows a task that only that has, if it has sent more messages than one that began since could, or if it is a report with this token and no order is on its way that might have told another one the token. The answer to the write of a record counts for the incarnation for which it was asked. A machine whose report showed a lower token than before counts as restarted unless its answer shows that it did not; starts on their way to it stay held. Director tells the scheduler before each report up to when it is certain.

--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -54,6 +54,7 @@
   final Set<Job> unsaved = new LinkedHashSet<>();
 
   final Served served = new Served();
+  final Incarnations incarnations;
   final Floor floor = new Floor(this);
   private final Hidden hidden = new Hidden();
 
@@ -91,6 +92,7 @@
     this.facts = facts;
     this.policy = policy;
     this.token = token;
+    this.incarnations = new Incarnations(token);
   }
 
   // ---- what a pass has to look at ----
@@ -362,6 +364,35 @@
     return unheard <= Math.max(Constants.SILENT_FEW, machines.size() * Constants.UNHEARD_SHARE);
   }
 
+  /**
+   * The machine may have restarted, and nothing shows whether: what it had shown is taken from its
+   * next message, and what is on its way to it stays held.
+   */
+  void mayHaveRestarted(Machine m, long nowMs) {
+    for (Run run : m.runs.values()) {
+      if (run.phase == null && run.answered) {
+        run.doubtful = true;
+        run.orderedIn = Math.max(1, m.session);
+      }
+    }
+    reborn(m, nowMs);
+  }
+
+  /**
+   * A message may be of an incarnation that began while the lease was uncertain. Where none was
+   * known in this term, the record is of an earlier one, too: it is written anew.
+   */
+  void incarnationUnproven(Machine m) {
+    if (m.incarnation.isKnown()) {
+      LOG.debug("machine {} may have restarted while the lease is uncertain", m.name);
+      m.incarnation = new MachineIncarnation();
+    } else {
+      LOG.debug("machine {} is first heard while the lease is uncertain", m.name);
+      m.enrolled = false;
+      enter(m, m.state);
+    }
+  }
+
   /** The machine began anew: what it held is gone, and it has to be heard as any other. */
   void reborn(Machine m, long nowMs) {
     LOG.info("machine {} began anew: its {} tasks are gone", m.name, m.heldCount());
@@ -425,7 +456,10 @@
 
   /** Whether new tasks may go there: not to a machine whose report is overdue. */
   boolean usable(Machine m, long nowMs) {
-    return m.usable(nowMs) && !overdue(m, nowMs) && !mute(m, nowMs);
+    return m.usable(nowMs)
+        && incarnations.usable(m, nowMs)
+        && !overdue(m, nowMs)
+        && !mute(m, nowMs);
   }
 
   /**
--- a/src/main/java/org/astershift/core/Commands.java
+++ b/src/main/java/org/astershift/core/Commands.java
@@ -17,13 +17,14 @@
   }
 
   /** What to say in the answer to the newest report: everything wanted and not yet so. */
-  List<Order> answer(Machine m) {
+  List<Order> answer(Machine m, long nowMs) {
     List<Order> orders = new ArrayList<>(4);
     for (Run run : m.runs.values()) {
       // One report is under way at a time: the answer to the one before arrived or never will.
       run.answered = false;
     }
     dropNeverStarted(m);
+    boolean usable = c.incarnations.usable(m, nowMs);
     for (Run run : m.runs.values()) {
       if (run.exited()) {
         // Forgetting an attempt whose start may still arrive would let that start run it again.
@@ -31,13 +32,13 @@
           orders.add(Order.forget(run));
         }
       } else if (run.unwanted()) {
-        if (run.phase == null) {
+        if (run.phase == null && usable) {
           // Make the worker remember the attempt, so that the late start has no effect.
           run.answered = true;
           orders.add(Order.start(run));
         }
         orders.add(Order.stop(run, run.graceS()));
-      } else if (run.phase == null && run.job.opened && m.enrolled) {
+      } else if (run.phase == null && run.job.opened && m.enrolled && usable) {
         run.ordered = true;
         run.answered = true;
         orders.add(Order.start(run));
@@ -234,8 +235,9 @@
     return Order.start(run);
   }
 
-  private static Decision.Direct direct(Machine m, List<Order> orders, int timeoutMs, long nowMs) {
+  private Decision.Direct direct(Machine m, List<Order> orders, int timeoutMs, long nowMs) {
     m.orderInFlight = true;
+    m.askedWhileSilent = m.state == Machine.State.UNHEARD || c.overdue(m, nowMs);
     m.lastDirectMs = nowMs;
     m.askedSession = m.session;
     m.askedSeq = m.seq;
--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -69,6 +69,12 @@
 
   int directFailures;
 
+  /** The direct order under way was sent while its report was overdue, or it was never heard. */
+  boolean askedWhileSilent;
+
+  /** Such an order got no answer, and nothing was heard since. */
+  boolean askedInVain;
+
   /**
    * Direct orders and questions in a row that it left unanswered, whatever it reported meanwhile;
    * none once something shows that it receives.
@@ -92,6 +98,18 @@
 
   long reportSeq;
 
+  /** What is known of its present incarnation. */
+  MachineIncarnation incarnation = new MachineIncarnation();
+
+  /** The incarnation for which the record was asked that is being written; null: none was. */
+  MachineIncarnation recordAskedFor;
+
+  /** A report showed a lower token than it had: it may have restarted, or this is an old copy. */
+  boolean restartSuspected;
+
+  /** A direct order got no answer in this term, so it may reach a later incarnation. */
+  boolean directLost;
+
   /** It began anew in this term: of which life a report is nobody can tell any more. */
   boolean begunAnew;
 
@@ -218,6 +236,7 @@
    */
   void reborn() {
     begunAnew = true;
+    incarnation = new MachineIncarnation();
     session = 0;
     seq = 0;
     reportSession = 0;
--- a/src/main/java/org/astershift/core/Reports.java
+++ b/src/main/java/org/astershift/core/Reports.java
@@ -73,6 +73,7 @@
   Worth worth(Machine m, Report r) {
     boolean lostToken = m.claimed && r.token() < c.token;
     boolean lostSession = m.claimed && r.session() > m.session && m.session > 0 && m.holdsAny();
+    m.restartSuspected |= lostToken;
     if (lostToken || lostSession) {
       return Worth.DOUBT;
     }
@@ -82,6 +83,18 @@
     return m.begunAnew ? Worth.LIFE : Worth.ALL;
   }
 
+  /** Notes of which incarnation a message is; {@code answer}: to a direct order of this leader. */
+  void identify(Machine m, Report r, boolean answer, long nowMs) {
+    if (!r.newerThan(m.session, m.seq)) {
+      return;
+    }
+    boolean uncertain = c.incarnations.leaseUncertain(nowMs);
+    if (uncertain && !c.incarnations.continues(m, r, answer, nowMs)) {
+      c.incarnationUnproven(m);
+    }
+    c.incarnations.seen(m, r, answer, nowMs);
+  }
+
   /**
    * Notes that the machine spoke. A copy of an old report may come any time later, from before its
    * return, its loss or a change of leaders: what is not newer moves no clock and revives nothing.
@@ -135,6 +148,7 @@
     m.session = r.session();
     m.seq = r.seq();
     m.directFailures = m.deafAnew() ? m.directFailures : 0;
+    m.askedInVain &= m.deafAnew();
     if (r.noticeS() != null && m.noticeS == null) {
       LOG.info("machine {} will be taken back in {} s", m.name, r.noticeS());
       c.stir();
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -126,15 +126,19 @@
     }
   }
 
-  /** From now on the machine may get tasks. */
+  /** The machine's record is durable: the incarnation for which it was asked may get tasks. */
   public void enrolled(String name) {
     asked.remove("enrol " + name);
     Machine m = c.machines.get(name);
-    if (m != null) {
-      m.enrolled = true;
-      c.unrecorded.remove(m);
-      c.stir();
+    if (m == null) {
+      return;
+    }
+    c.stir();
+    if (m.recordAskedFor != null && m.recordAskedFor != m.incarnation) {
+      return; // it restarted while the write was under way, and is asked for anew
     }
+    m.enrolled = true;
+    c.unrecorded.remove(m);
   }
 
   /** A decision could not be carried out; a later pass repeats it. */
@@ -253,6 +257,14 @@
 
   // ---- workers ----
 
+  /**
+   * Up to then no other node can lead beside this one, as far as is known now: what workers say is
+   * judged by it.
+   */
+  public void certainUntil(long soleUntilMs) {
+    c.incarnations.certainUntil(soleUntilMs);
+  }
+
   /**
    * A report that is being answered under this token; gives the commands for the answer, or null if
    * it must not be answered, since that would renew a lease of which nothing is known.
@@ -285,6 +297,7 @@
     m.inVain += !m.claimed && m.reportSession > 0 && r.token() < c.token ? 1 : 0;
     m.reportSession = r.session();
     m.reportSeq = r.seq();
+    reports.identify(m, r, false, nowMs);
     reports.heard(m, r, nowMs);
     boolean wasAnswered = nowMs - m.heardMs < c.facts.leaseS() * 500;
     m.heardMs = nowMs;
@@ -297,7 +310,7 @@
     if (m.heldCount() < before && placement.gangWaits(m)) {
       c.stir();
     }
-    return commands.answer(m);
+    return commands.answer(m, nowMs);
   }
 
   /** Whether a direct order whose turn has come should still go out; if not it is settled. */
@@ -364,13 +377,19 @@
         // What it says now is younger than all that was known when it was asked.
         if (!report.newerThan(m.askedSession, m.askedSeq)) {
           c.reborn(m, nowMs);
+        } else if (m.restartSuspected && !c.incarnations.provenToContinue(m, report, nowMs)) {
+          c.mayHaveRestarted(m, nowMs);
         }
+        m.restartSuspected = false;
+        reports.identify(m, report, true, nowMs);
         reports.heard(m, report, nowMs);
         reports.absorb(m, report, false, nowMs);
         commands.dropNeverStarted(m);
       }
     } else if (m.session > 0 || m.state == Machine.State.UNHEARD) {
+      m.directLost |= unknown;
       m.directFailures++;
+      m.askedInVain |= m.askedWhileSilent;
       m.unanswered++;
       if (m.unanswered == Constants.DEAF_TRIES && !c.overdue(m, nowMs)) {
         LOG.info("machine {} reports and answers nothing: nothing new goes there", m.name);
@@ -460,6 +479,7 @@
    */
   public List<Decision> pass(long nowMs, long soleUntilMs) {
     c.calm();
+    c.incarnations.certainUntil(soleUntilMs);
     List<Decision> out = new ArrayList<>();
     boolean sweep = nowMs - lastSweepMs >= Constants.SWEEP_MS;
     if (sweep) {
@@ -500,8 +520,9 @@
       }
     }
     for (Machine m : c.unrecorded) {
-      if (!m.hearsay) {
-        ask(out, new Decision.Enrol(m.name, m.addr, m.type, m.zone, m.spot, false));
+      Decision.Enrol enrol = new Decision.Enrol(m.name, m.addr, m.type, m.zone, m.spot, false);
+      if (!m.hearsay && ask(out, enrol)) {
+        m.recordAskedFor = m.incarnation;
       }
     }
     for (Job job : c.unopened) {
@@ -538,10 +559,12 @@
     }
   }
 
-  private void ask(List<Decision> out, Decision d) {
-    if (asked.add(key(d))) {
+  private boolean ask(List<Decision> out, Decision d) {
+    boolean added = asked.add(key(d));
+    if (added) {
       out.add(d);
     }
+    return added;
   }
 
   private static String key(Decision d) {
--- a/src/main/java/org/astershift/core/Silence.java
+++ b/src/main/java/org/astershift/core/Silence.java
@@ -137,7 +137,16 @@
     // thousand were given back after a takeover for nothing else.
     return m.state != Machine.State.BOOTING
         && c.silenceMs(m, nowMs) > c.patienceMs()
-        && (m.directFailures > 0 || m.addr == null);
+        && (asked(m, nowMs) || m.addr == null);
+  }
+
+  /**
+   * Whether it was asked in vain. Where another may lead and hear it by now, an order that got no
+   * answer while its reports still came is no such question: one was lost as its machine restarted,
+   * and a leader that was cut off gave back a healthy machine.
+   */
+  private boolean asked(Machine m, long nowMs) {
+    return c.incarnations.leaseUncertain(nowMs) ? m.askedInVain : m.directFailures > 0;
   }
 
   // ---- does this leader hear its fleet ----
--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -399,6 +399,7 @@
       if (t.over()) {
         return null;
       }
+      t.scheduler.certainUntil(leadership.soleUntilMs());
       orders = t.scheduler.report(r, Term.nowMs());
       deposed = t.scheduler.deposed();
       restless = t.scheduler.restless();
@@ -438,6 +439,7 @@
       // Whatever came of it: an order that is under way for ever holds its task's place, and the
       // job's cancellation.
       synchronized (t) {
+        t.scheduler.certainUntil(leadership.soleUntilMs());
         t.scheduler.directResult(d.machine(), result.unknown(), result.report(), Term.nowMs());
         deposed = t.scheduler.deposed();
         restless = t.scheduler.restless();
--- a/src/test/java/org/astershift/world/IncarnationMeetingsTest.java
+++ b/src/test/java/org/astershift/world/IncarnationMeetingsTest.java
@@ -42,6 +42,7 @@
   @Test
   void aMachineIsFirstHeardWhileTheLeaseIsUncertain() {
     assertNothingRunsTwice(Known.NEVER_HEARD);
+    assertMissed(Known.NEVER_HEARD);
   }
 
   /**
@@ -51,6 +52,7 @@
   @Test
   void aRestartGoesUnnoticedWhileTheLeaseIsUncertain() {
     assertNothingRunsTwice(Known.YOUNG);
+    assertMissed(Known.YOUNG);
   }
 
   /**
@@ -74,8 +76,19 @@
     assertTrue(heard >= SEEDS - 1, "the new incarnation was heard in " + heard + " seeds");
   }
 
-  private static Restart restart(long seed, Known known) {
+  /** Without the proof that an incarnation was there in time, a task runs twice. */
+  private static void assertMissed(Known known) {
+    Mutant unproven = Mutant.USES_UNPROVEN_INCARNATIONS;
+    boolean missed = false;
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      missed |= !restart(seed, known, unproven).world.checker.broken.isEmpty();
+    }
+    assertTrue(missed, unproven + " taken away is not missed");
+  }
+
+  private static Restart restart(long seed, Known known, Mutant... mutants) {
     World w = new World(seed, Setup.of(3, MACHINES));
+    w.mutants.addAll(List.of(mutants));
     w.runTo(5);
     w.nodes.forEach(n -> w.cutBoth(n.name, "cloud")); // nothing is rented: some tasks have to wait
     w.submit(WorldTest.job("wk-1", JobKind.SERVICE, MACHINES), null);
--- a/src/test/java/org/astershift/world/Mutant.java
+++ b/src/test/java/org/astershift/world/Mutant.java
@@ -48,6 +48,8 @@
   WHAT_IS_OVER_GOES_ON,
   /** A machine gets tasks before it is on record that it may. */
   TASKS_BEFORE_THE_RECORD,
+  /** A leader whose lease is uncertain uses whatever incarnation of a machine it hears. */
+  USES_UNPROVEN_INCARNATIONS,
   /** A start decided before its connection goes out whoever may lead by then. */
   STARTS_WHOEVER_LEADS
 }
--- a/src/test/java/org/astershift/world/NodeModel.java
+++ b/src/test/java/org/astershift/world/NodeModel.java
@@ -814,7 +814,7 @@
             return;
           }
           Report r = e == null ? null : e.report();
-          t.scheduler.directResult(d.machine(), e == null, r, clock());
+          judged(t).directResult(d.machine(), e == null, r, clock());
           if (r != null && has(Mutant.ANSWERS_RENEW_LEASES)) {
             t.scheduler.report(r, clock());
           }
@@ -830,6 +830,13 @@
         .toList();
   }
 
+  /** The scheduler, told up to when no other node can lead. */
+  private Scheduler judged(Term t) {
+    boolean unproven = has(Mutant.USES_UNPROVEN_INCARNATIONS);
+    t.scheduler.certainUntil(unproven ? Long.MAX_VALUE : election.soleUntilMs());
+    return t.scheduler;
+  }
+
   private void deposed(Term t, String machine) {
     if (t.scheduler.deposed()) {
       ended(election.stepDown(t.token, machine + " has seen a higher token"));
@@ -847,7 +854,7 @@
         () -> {
           Term t = term;
           if (t != null) {
-            List<Order> orders = t.scheduler.report(r, clock());
+            List<Order> orders = judged(t).report(r, clock());
             deposed(t, r.machine());
             if (t == term && full) {
               return;
