--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -22,6 +22,12 @@
    */
   public static final long LEADER_LEASE_MS = 2000;
 
+  /**
+   * Milliseconds after which a renewal of the lease is given up and tried again: answers normally
+   * take under 10 ms, now and then a few hundred, and a busy node reads them late.
+   */
+  public static final int LEASE_TIMEOUT_MS = 1500;
+
   /** How often the lease is renewed: several tries fit into its life. */
   public static final long LEADER_RENEW_MS = 500;
 
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -690,6 +690,11 @@
     return c.looks;
   }
 
+  /** For tests: decisions asked for once that have not been carried out yet. */
+  int outstanding() {
+    return asked.size();
+  }
+
   /** For tests, which sum its books up anew. */
   Cluster cluster() {
     return c;
--- /dev/null
+++ b/src/test/java/org/astershift/core/OutstandingDecisionsTest.java
@@ -0,0 +1,70 @@
+package org.astershift.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.BitSet;
+import java.util.List;
+import java.util.Map;
+import org.astershift.config.Operator;
+import org.junit.jupiter.api.Test;
+
+/** What was asked to be put on record is forgotten with what it was about. */
+class OutstandingDecisionsTest {
+  private static final int JOBS = 100;
+  private final Team team = new Team("team", 0, 0, 0, 0);
+  private final MachineType small =
+      new MachineType("small", 4, 0, 16, 50, 0.5, 1, 0.3, 20, List.of("a"));
+  private final Scheduler scheduler =
+      new Scheduler(
+          new Facts(Map.of("team", team), List.of(), 2, 14, 30, 4, 40, 3), Operator.defaults(), 7);
+
+  private static JobSpec job(String id) {
+    return new JobSpec(
+        id,
+        "c",
+        "team",
+        JobKind.ARRAY,
+        Priority.NORMAL,
+        1,
+        0.01,
+        0,
+        0.01,
+        "i",
+        1,
+        null,
+        null,
+        false,
+        false,
+        false,
+        20,
+        0,
+        0,
+        null);
+  }
+
+  /** Jobs are cancelled while the write that opens them is under way, and machines go. */
+  @Test
+  void nothingIsLeftOfJobsThatAreOverAndMachinesThatAreGone() {
+    scheduler.types(Map.of("small", small));
+    Decision.Rent rent = new Decision.Rent("small", "a", false, 1);
+    scheduler.rented("r", List.of("vm-1"), rent, 0);
+    scheduler.enrolled("vm-1");
+    scheduler.rented("s", List.of("vm-2"), rent, 0);
+    for (String machine : List.of("vm-1", "vm-2")) {
+      scheduler.report(new Report(machine, "x", "small", "a", false, 1, 1, 7, null, List.of()), 0);
+    }
+    for (int i = 0; i < JOBS; i++) {
+      scheduler.addJob(job("wk-" + i), false, new BitSet(), 0);
+    }
+    for (int pass = 1; pass <= 4; pass++) { // so many starts a pass go to one machine
+      scheduler.pass(pass, Long.MAX_VALUE);
+    }
+    assertEquals(JOBS + 1, scheduler.outstanding(), "records of jobs, and of a machine");
+    for (int i = 0; i < JOBS; i++) {
+      scheduler.ended("wk-" + i, true, 5);
+    }
+    scheduler.returned(List.of("vm-1", "vm-2"), 5);
+    scheduler.pass(6, Long.MAX_VALUE);
+    assertEquals(0, scheduler.outstanding());
+  }
+}
--- a/src/test/java/org/astershift/standin/StandInCloud.java
+++ b/src/test/java/org/astershift/standin/StandInCloud.java
@@ -3,9 +3,11 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.astershift.http.HttpServer;
@@ -21,6 +23,8 @@
   private final List<StandInWorker> ever = new ArrayList<>();
   private final long taskMs;
   private int made;
+  private int refusal;
+  private final Set<String> refused = new HashSet<>();
   private Consumer<String> beforeAnswer = name -> {};
   private final HttpServer http;
 
@@ -92,8 +96,22 @@
     }
   }
 
+  /** From now on rentals are refused with this status; 0: they are carried out. */
+  public synchronized void refuseRentals(int status) {
+    refusal = status;
+  }
+
+  /** Names of the rentals that were refused so. */
+  public synchronized Set<String> rentalsRefused() {
+    return new HashSet<>(refused);
+  }
+
   private Response rent(Map<String, Object> m) throws Exception {
     String rental = Json.text(m, "charter");
+    if (refusal != 0) {
+      refused.add(rental);
+      return Response.error(refusal, "malformed");
+    }
     List<String> names = rentals.get(rental);
     if (names == null) {
       names = new ArrayList<>();
