Requests over the limit, renewals without an answer, rentals that can never be carried out, decisions about what is gone

429 to any request makes its node stand back, as it did for transactions. A renewal of the leader's lease waits 0.7 s for its answer and is then tried again at once, so two tries fit into the lease (the second went out after 2.3 s of a lease that counts for 1.7 s). A rental that the cloud calls malformed is given up, as one without capacity: two of them held both threads that rent. What was asked to be recorded of a job or a machine is forgotten with it.

--- a/src/main/java/org/astershift/cloud/CloudClient.java
+++ b/src/main/java/org/astershift/cloud/CloudClient.java
@@ -16,6 +16,10 @@
 
 /** Speaks the cloud's protocol, within its limit of calls. */
 public final class CloudClient {
+  private static final int MALFORMED_STATUS = 400;
+  private static final int UNAVAILABLE_STATUS = 503;
+  private static final String NO_CAPACITY = "no capacity";
+
   private final HttpClient http;
   private final RateBudget calls;
 
@@ -28,15 +32,32 @@
   /** The cloud refused: nothing was done. {@code noCapacity}: there is none of what was asked. */
   public static final class Refused extends IOException {
     private static final long serialVersionUID = 1L;
-    private final boolean noCapacity;
 
-    Refused(String message, boolean noCapacity) {
+    /** Why a request was refused. */
+    public enum Reason {
+      /** The cloud has no such machines now. */
+      NO_CAPACITY,
+      /** The cloud will never carry it out as it is. */
+      MALFORMED,
+      /** It may be carried out if it is sent again. */
+      TROUBLE;
+
+      /** Whether the same request is not to be sent again. */
+      public boolean isFinal() {
+        return this != TROUBLE;
+      }
+    }
+
+    private final Reason reason;
+
+    Refused(String message, Reason reason) {
       super(message);
-      this.noCapacity = noCapacity;
+      this.reason = reason;
     }
 
-    public boolean noCapacity() {
-      return noCapacity;
+    /** Why it was refused. */
+    public Reason reason() {
+      return reason;
     }
   }
 
@@ -134,11 +155,11 @@
       throws IOException {
     try {
       if (!calls.acquire(use, 1, Constants.CLOUD_TIMEOUT_MS)) {
-        throw new Refused("over the limit of calls", false);
+        throw new Refused("over the limit of calls", Refused.Reason.TROUBLE);
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
-      throw new Refused("interrupted", false);
+      throw new Refused("interrupted", Refused.Reason.TROUBLE);
     }
     HttpClient.Answer a;
     try {
@@ -146,19 +167,25 @@
           http.call(
               method, path, body == null ? null : Json.bytes(body), Constants.CLOUD_TIMEOUT_MS);
     } catch (HttpClient.NotSent e) {
-      throw new Refused(e.getMessage(), false);
+      throw new Refused(e.getMessage(), Refused.Reason.TROUBLE);
     }
     if (a.status() == 200) {
       return a.body();
     }
-    boolean noCapacity = false;
-    if (a.status() == 503) {
-      try {
-        noCapacity = "no capacity".equals(Json.object(a.body()).get("error"));
-      } catch (Json.Bad e) {
-        noCapacity = false;
-      }
+    throw new Refused("status " + a.status(), reason(a));
+  }
+
+  private static Refused.Reason reason(HttpClient.Answer a) {
+    if (a.status() == MALFORMED_STATUS) {
+      return Refused.Reason.MALFORMED;
+    }
+    try {
+      boolean full =
+          a.status() == UNAVAILABLE_STATUS
+              && NO_CAPACITY.equals(Json.object(a.body()).get("error"));
+      return full ? Refused.Reason.NO_CAPACITY : Refused.Reason.TROUBLE;
+    } catch (Json.Bad e) {
+      return Refused.Reason.TROUBLE;
     }
-    throw new Refused("status " + a.status(), noCapacity);
   }
 }
--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -26,7 +26,7 @@
    * Milliseconds after which a renewal of the lease is given up and tried again: answers normally
    * take under 10 ms, now and then a few hundred, and a busy node reads them late.
    */
-  public static final int LEASE_TIMEOUT_MS = 1500;
+  public static final int LEASE_TIMEOUT_MS = 700;
 
   /** How often the lease is renewed: several tries fit into its life. */
   public static final long LEADER_RENEW_MS = 500;
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -150,6 +150,7 @@
   /** The job's end is durable. */
   public void ended(String id, boolean cancelled, long nowMs) {
     asked.remove("finish " + id);
+    asked.remove("open " + id);
     Job job = c.jobs.get(id);
     if (job != null) {
       LOG.info("job {} is {}: {}", id, cancelled ? "cancelled" : "done", job.story(nowMs));
@@ -545,7 +546,9 @@
       lastPlanMs = nowMs;
       plan(out, nowMs, nowMs < soleUntilMs);
     }
-    out.addAll(c.struck());
+    List<Decision.Strike> struck = c.struck();
+    struck.forEach(s -> asked.remove("enrol " + s.machine()));
+    out.addAll(struck);
     return out;
   }
 
--- a/src/main/java/org/astershift/leader/Leadership.java
+++ b/src/main/java/org/astershift/leader/Leadership.java
@@ -184,19 +184,29 @@
     } else if (act instanceof Act.Begin b) {
       begin(b.token());
     } else if (act instanceof Act.Renew r) {
-      try {
-        election.renewed(store.renew(r.lease()));
-      } catch (IOException e) {
-        election.renewed(null);
-        throw e;
-      }
-      return token() != 0; // what ends a term does not wait
+      return renew(r.lease());
     } else {
       ended(List.of(act));
     }
     return true;
   }
 
+  /** True if a rest follows: not after what ends a term, nor after a try that got no answer. */
+  private boolean renew(long lease) throws IOException {
+    long sentMs = Term.nowMs();
+    try {
+      election.renewed(store.renew(lease));
+      return token() != 0;
+    } catch (IOException e) {
+      election.renewed(null);
+      if (Term.nowMs() - sentMs < Constants.LEASE_TIMEOUT_MS) {
+        throw e;
+      }
+      LOG.debug("renewal of the lease: {}", e.toString());
+      return false;
+    }
+  }
+
   private void claim(long lease) throws InterruptedException {
     StoreClient.Txn txn =
         new StoreClient.Txn()
--- a/src/main/java/org/astershift/leader/Machines.java
+++ b/src/main/java/org/astershift/leader/Machines.java
@@ -165,8 +165,13 @@
         }
         break;
       } catch (CloudClient.Refused e) {
-        if (e.noCapacity()) {
+        if (e.reason() == CloudClient.Refused.Reason.NO_CAPACITY) {
           LOG.info("no capacity for {} in {}{}", r.type(), r.zone(), r.spot() ? ", spot" : "");
+        } else if (e.reason() == CloudClient.Refused.Reason.MALFORMED) {
+          // Repeated for ever, two of them held all threads that rent.
+          LOG.error("rental {} of {} {} is malformed for the cloud", name, r.count(), r.type());
+        }
+        if (e.reason().isFinal()) {
           synchronized (t) {
             t.scheduler.notRented(name, r, true, Term.nowMs());
           }
--- a/src/main/java/org/astershift/store/StoreClient.java
+++ b/src/main/java/org/astershift/store/StoreClient.java
@@ -14,7 +14,8 @@
 
 /** Speaks the state service's protocol, within this node's share of its limits. */
 public final class StoreClient {
-  private static final String OVER_LIMIT = "status 429";
+  private static final int OVER_LIMIT_STATUS = 429;
+  private static final String OVER_LIMIT = "status " + OVER_LIMIT_STATUS;
   private final HttpClient http;
   private final HttpClient watching;
   private final RateBudget requests;
@@ -196,6 +197,7 @@
         noted(
             watching.call(
                 "GET", path, null, Constants.WATCH_BLOCK_MS + Constants.STORE_TIMEOUT_MS));
+    standBack(a);
     if (a.status() == 410) {
       return new Changes(List.of(), after, true);
     }
@@ -275,7 +277,8 @@
   /** False if the lease is over. */
   public boolean renew(long lease) throws IOException {
     String path = "/grants/" + lease + "/renew";
-    HttpClient.Answer a = call(RateBudget.Use.VITAL, "POST", path, new byte[0]);
+    HttpClient.Answer a =
+        call(RateBudget.Use.VITAL, "POST", path, new byte[0], Constants.LEASE_TIMEOUT_MS);
     if (a.status() == 404) {
       return false;
     }
@@ -293,8 +296,23 @@
 
   private HttpClient.Answer call(RateBudget.Use use, String method, String path, byte[] body)
       throws IOException {
+    return call(use, method, path, body, Constants.STORE_TIMEOUT_MS);
+  }
+
+  private HttpClient.Answer call(
+      RateBudget.Use use, String method, String path, byte[] body, int timeoutMs)
+      throws IOException {
     acquire(requests, use);
-    return noted(http.call(method, path, body, Constants.STORE_TIMEOUT_MS));
+    HttpClient.Answer a = noted(http.call(method, path, body, timeoutMs));
+    standBack(a);
+    return a;
+  }
+
+  /** The nodes' shares were spent at once: this one waits a little before its next request. */
+  private void standBack(HttpClient.Answer a) {
+    if (a.status() == OVER_LIMIT_STATUS) {
+      requests.exhausted();
+    }
   }
 
   private static void acquire(RateBudget budget, RateBudget.Use use) throws IOException {
--- a/src/test/java/org/astershift/world/NodeModel.java
+++ b/src/test/java/org/astershift/world/NodeModel.java
@@ -373,6 +373,7 @@
       rest(restMs);
     } else if (act instanceof Act.Renew r) {
       state(
+          Constants.LEASE_TIMEOUT_MS,
           () -> world.store.renew(r.lease()),
           ok -> {
             election.renewed(ok);
