--- /dev/null
+++ b/src/test/java/org/astershift/leader/ProgressRecordsTest.java
@@ -0,0 +1,97 @@
+package org.astershift.leader;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.astershift.config.Settings;
+import org.astershift.standin.Await;
+import org.astershift.standin.StandInStore;
+import org.astershift.standin.StandIns;
+import org.astershift.store.RateBudget;
+import org.astershift.store.Records;
+import org.astershift.store.StoreClient;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Progress is put on record though users and starts use up the limit of changes. Until it is, a
+ * machine keeps its done tasks in its reports, which name four hundred at most.
+ */
+@Timeout(60)
+class ProgressRecordsTest {
+  private static final double CHANGES_A_SECOND = 40;
+  private static final int WRITERS = 80;
+  private static final String JOB = "wk-000001";
+
+  @TempDir Path dir;
+
+  @Test
+  void progressIsRecordedWhereTheLimitOfChangesIsUsedUp() throws Exception {
+    try (StandInStore service = new StandInStore(0)) {
+      Settings settings = StandIns.settings(dir, service.port(), 1, CHANGES_A_SECOND);
+      StoreClient store = new StoreClient(settings);
+      long token = lead(store);
+      AtomicBoolean over = new AtomicBoolean();
+      List<Thread> writers = writers(store, over);
+      try {
+        AtomicBoolean durable = new AtomicBoolean();
+        Notes notes =
+            new Notes(
+                token, store, settings.storeLimits(), (kind, key, value) -> durable.set(true));
+        Thread loop = new Thread(() -> run(notes));
+        loop.start();
+        BitSet done = new BitSet();
+        done.set(0);
+        notes.put(Notes.Kind.PROGRESS, Records.progress(JOB, 0), Records.segment(done, 0), 0);
+        Await.until("the progress to be on record", durable::get);
+        notes.end();
+        loop.join();
+      } finally {
+        over.set(true);
+      }
+      for (Thread t : writers) {
+        t.join();
+      }
+    }
+  }
+
+  private static long lead(StoreClient store) throws Exception {
+    StoreClient.Txn txn = new StoreClient.Txn().put(Records.LEADER, Records.leader("n"));
+    StoreClient.Outcome o = store.commit(txn, RateBudget.Use.VITAL, 10_000);
+    return ((StoreClient.Outcome.Applied) o).revision();
+  }
+
+  /** Each waits for its turn all the time, so that what can wait never finds the line empty. */
+  private static List<Thread> writers(StoreClient store, AtomicBoolean over) {
+    List<Thread> writers = new ArrayList<>();
+    for (int i = 0; i < WRITERS; i++) {
+      String key = "x/" + i;
+      Thread t = new Thread(() -> write(store, key, over));
+      writers.add(t);
+      t.start();
+    }
+    return writers;
+  }
+
+  private static void write(StoreClient store, String key, AtomicBoolean over) {
+    try {
+      while (!over.get()) {
+        store.commit(new StoreClient.Txn().put(key, Map.of()), RateBudget.Use.URGENT, 10_000);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static void run(Notes notes) {
+    try {
+      notes.loop(null);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
