Progress that has waited for ten seconds is recorded as what somebody waits for

Cause: progress took what others left of the limit of changes, and where they left nothing it was never on record, so machines kept their done tasks in reports that name four hundred at most. ProgressRecordsTest passes (60 s without a record before).

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -546,6 +546,12 @@
   /** Seconds that a 503 asks its caller to wait. */
   public static final int RETRY_AFTER_S = 1;
 
+  /**
+   * Milliseconds after which progress that is not on record yet is written as what somebody waits
+   * for: up to then machines keep done tasks in their reports, which name only so many.
+   */
+  public static final long PROGRESS_LATEST_MS = 10_000;
+
   /** How long a write may wait for its share of the limits. */
   public static final long STORE_PATIENCE_MS = 3000;
 
--- a/src/main/java/org/astershift/leader/Notes.java
+++ b/src/main/java/org/astershift/leader/Notes.java
@@ -58,6 +58,9 @@
     int bytes;
     long dueMs = CLEAN;
 
+    /** Since when it holds changes that are not on record. */
+    long changedMs = CLEAN;
+
     Page(Kind kind, int number) {
       this.kind = kind;
       this.key = Records.NOTES + kind.letter + number;
@@ -197,6 +200,7 @@
   private void touch(Page page, String key, long delayMs) {
     page.changed.add(key);
     page.dueMs = Math.min(page.dueMs, Term.nowMs() + delayMs);
+    page.changedMs = Math.min(page.changedMs, Term.nowMs());
     notifyAll();
   }
 
@@ -316,16 +320,25 @@
       } else if (d.page().revision > 0) {
         txn.delete(d.page().key);
       }
-      if (d.page().kind != Kind.PROGRESS) {
+      if (!mayWait(d.page())) {
         use = RateBudget.Use.URGENT;
       }
     }
     return store.commit(txn, use, Constants.STORE_PATIENCE_MS);
   }
 
+  /** Progress may wait until there is time for it, but not for ever. */
+  private synchronized boolean mayWait(Page page) {
+    boolean late = Term.nowMs() - page.changedMs > Constants.PROGRESS_LATEST_MS;
+    return page.kind == Kind.PROGRESS && !late;
+  }
+
   private void written(List<Draft> drafts, long revision) {
     synchronized (this) {
       pagesAtOnce = mostPages;
+      for (Draft d : drafts) {
+        d.page().changedMs = d.page().changed.isEmpty() ? CLEAN : Term.nowMs();
+      }
     }
     for (Draft d : drafts) {
       d.page().revision = d.entries().isEmpty() ? 0 : revision;
