Room is kept from others for a minute at most; a gang's task that gave up waiting ends the attempt

Room: once a pass has kept room, what would fit there and was kept from it for a minute gets it, in one pass for all with the same place and need, as what nobody aims at already did (Placement.placeBesideReserved). Gang: "incomplete" shows that the attempt's number is spent, as "peers" does; its other tasks, which wait in vain, are stopped, and all begin under a new number.

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -105,8 +105,8 @@
   public static final double LONG_START_S = 60;
 
   /**
-   * Milliseconds for which room is kept from jobs at which nobody aims while aimed work waits: the
-   * operators' page lets no job wait for 90 s beside room.
+   * Milliseconds for which room is kept from jobs that would find some, for aimed, large or gang
+   * work that waits: the operators' page lets no job wait for 90 s beside room.
    */
   public static final long HELD_BACK_MS = 60_000;
 
--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -681,6 +681,16 @@
     }
   }
 
+  /** The attempt will never be complete: what waits under its number waits in vain. */
+  void stopAttempt(Job job, long attempt) {
+    for (Run run : job.runs.values()) {
+      if (run.attempt == attempt) {
+        mark(run);
+      }
+    }
+    stir();
+  }
+
   private void mark(Run run) {
     run.stopping = true;
     run.machine.stoppable = null;
--- a/src/main/java/org/astershift/core/Gangs.java
+++ b/src/main/java/org/astershift/core/Gangs.java
@@ -62,6 +62,13 @@
     }
   }
 
+  /** Seats this gang if it finds room as it is. */
+  void placeNow(Job job, List<Machine> usable, long nowMs) {
+    if (mayStart(job) && withinLimit(job)) {
+      place(job, parts(job, usable, nowMs), nowMs);
+    }
+  }
+
   private static boolean mayStart(Job job) {
     return job.spec.kind() == JobKind.GANG && !job.waiting.isEmpty() && !oldAttemptLeft(job);
   }
--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -167,11 +167,7 @@
   final LinkedHashMap<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
 
   /** Within a pass: room made for tasks that wait for it. */
-  private double reservedCpus;
-
-  private double reservedGpus;
-  private double reservedMemory;
-  private int reservedTasks;
+  private Reservation reserved = Reservation.NONE;
 
   /** Within a pass: what it could give up, as far as that was asked; null once that changes. */
   Preemption.Stoppable stoppable;
@@ -377,41 +373,43 @@
     return (int) n;
   }
 
-  void clearReserved() {
+  /** Nothing is kept from anybody any more; gives what was, for {@link #reserve(Reservation)}. */
+  Reservation clearReserved() {
     stoppable = null;
-    reservedCpus = 0;
-    reservedGpus = 0;
-    reservedMemory = 0;
-    reservedTasks = 0;
+    Reservation before = reserved;
+    reserved = Reservation.NONE;
+    return before;
   }
 
   boolean reserved() {
-    return reservedTasks > 0;
+    return reserved.tasks() > 0;
   }
 
   double freeCpus() {
-    return kind.cpus() - usedCpus - reservedCpus;
+    return kind.cpus() - usedCpus - reserved.cpus();
   }
 
   double freeGpus() {
-    return kind.gpus() - usedGpus - reservedGpus;
+    return kind.gpus() - usedGpus - reserved.gpus();
   }
 
   double freeMemory() {
-    return kind.memoryGb() - usedMemory - reservedMemory;
+    return kind.memoryGb() - usedMemory - reserved.memoryGb();
   }
 
   /** How many more tasks its reports can name. */
   int freeTasks() {
-    return Constants.TASKS_A_MACHINE - runs.size() - reservedTasks;
+    return Constants.TASKS_A_MACHINE - runs.size() - reserved.tasks();
   }
 
   /** Keeps room for so many tasks from others, until the next pass. */
   void reserve(JobSpec s, int tasks) {
-    reservedCpus += tasks * s.cpus();
-    reservedGpus += tasks * s.gpus();
-    reservedMemory += tasks * s.memoryGb();
-    reservedTasks += tasks;
+    reserved = reserved.plus(s, tasks);
+  }
+
+  /** Keeps this room from others, until the next pass. */
+  void reserve(Reservation room) {
+    reserved = room;
   }
 
   boolean holdsAny() {
--- a/src/main/java/org/astershift/core/Placement.java
+++ b/src/main/java/org/astershift/core/Placement.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -28,7 +29,7 @@
   private final Gangs gangs;
   private final Preemption preemption;
 
-  /** Since when jobs at which nobody aims have been kept from room, by what they need. */
+  /** Since when jobs have been kept from room that others wait for, by what they need. */
   private final Map<Job.Place, Long> heldBackMs = new HashMap<>();
 
   /** Those of them that found room since the last pass began, and those that may have it. */
@@ -69,9 +70,60 @@
         c.floor.starved().forEach(g -> starved(g, usable, nowMs));
       }
     }
+    placeBesideReserved(usable, nowMs);
     passing = false;
   }
 
+  /**
+   * Lets those have reserved room who waited beside it for too long. What it is kept for cannot
+   * start yet, maybe for minutes, since something else on the machine runs on.
+   */
+  private void placeBesideReserved(List<Machine> usable, long nowMs) {
+    Map<Machine, Reservation> reserved = new LinkedHashMap<>();
+    for (Machine m : usable) {
+      if (m.reserved()) {
+        reserved.put(m, m.clearReserved());
+      }
+    }
+    if (reserved.isEmpty()) {
+      return;
+    }
+    List<Machine> machines = new ArrayList<>(reserved.keySet());
+    Map<Job.Place, Boolean> room = new HashMap<>();
+    for (Priority priority : Priority.values()) {
+      for (Job job : queue.tier(priority)) {
+        if (!job.waiting.isEmpty()
+            && !job.suspect()
+            && room.computeIfAbsent(job.place, p -> fitsAny(machines, job))
+            && heldBackForLong(job, nowMs)) {
+          placeOn(machines, usable, job, nowMs);
+        }
+      }
+    }
+    reserved.forEach(Machine::reserve);
+  }
+
+  private boolean fitsAny(List<Machine> machines, Job job) {
+    for (Machine m : machines) {
+      if (fits(m, job)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void placeOn(List<Machine> machines, List<Machine> usable, Job job, long nowMs) {
+    if (job.spec.kind() == JobKind.GANG) {
+      gangs.placeNow(job, usable, nowMs);
+      return;
+    }
+    for (double least : BY_SCORE) {
+      for (Machine m : machines) {
+        fill(m, job, least, false, null, nowMs);
+      }
+    }
+  }
+
   private void pass(List<Job> jobs, List<Machine> usable, long nowMs) {
     if (jobs.isEmpty()) {
       return;
@@ -280,14 +332,21 @@
     if (!job.spare || !queue.aimedWaits(m)) {
       return false;
     }
+    return !heldBackForLong(job, nowMs);
+  }
+
+  /**
+   * Notes that room is kept from the job; true once that lasted for so long that it may have it.
+   */
+  private boolean heldBackForLong(Job job, long nowMs) {
     heldBackNow.add(job.place);
     long sinceMs = heldBackMs.computeIfAbsent(job.place, p -> nowMs);
     // Between passes there is one machine to be had, and with it the turn would be over.
     if (!passing || nowMs - sinceMs < Constants.HELD_BACK_MS) {
-      return true;
+      return false;
     }
     letThrough.add(job.place);
-    return false;
+    return true;
   }
 
   /** What found no room in the pass before, or was let through there, waits anew. */
--- a/src/main/java/org/astershift/core/Report.java
+++ b/src/main/java/org/astershift/core/Report.java
@@ -18,11 +18,15 @@
   /** One task on the machine. */
   public record Item(String job, int index, long attempt, Phase phase, String cause) {
 
-    /** Whether this shows that the task, and so all of its gang, has run. */
+    /**
+     * Whether this shows that the attempt can take no more tasks: the task, and so all of its gang,
+     * has run, or it gave up waiting for the others.
+     */
     boolean begun() {
       return phase == Phase.RUNNING
           || phase == Phase.SAVING
           || "peers".equals(cause)
+          || "incomplete".equals(cause)
           || "done".equals(cause);
     }
   }
--- a/src/main/java/org/astershift/core/Reports.java
+++ b/src/main/java/org/astershift/core/Reports.java
@@ -247,6 +247,10 @@
           job.pausedUntilMs = nowMs + Constants.UNKNOWN_PAUSE_MS;
         }
       }
+      case "incomplete" -> {
+        LOG.info("gang task {} on {} gave up waiting for the others", run.name(), m.name);
+        c.stopAttempt(job, run.attempt);
+      }
       default -> {
         LOG.debug("task {} on {} exited: {}", run.name(), m.name, cause);
         c.stir();
--- /dev/null
+++ b/src/main/java/org/astershift/core/Reservation.java
@@ -0,0 +1,15 @@
+package org.astershift.core;
+
+/** Room of a machine that a pass keeps for tasks which do not fit yet. */
+record Reservation(double cpus, double gpus, double memoryGb, int tasks) {
+  static final Reservation NONE = new Reservation(0, 0, 0, 0);
+
+  /** The same with room for so many tasks of this kind more. */
+  Reservation plus(JobSpec spec, int more) {
+    return new Reservation(
+        cpus + more * spec.cpus(),
+        gpus + more * spec.gpus(),
+        memoryGb + more * spec.memoryGb(),
+        tasks + more);
+  }
+}
