A test known to be red: a machine that restarts is given away for one question in vain; postmortems

Not mended: a second question before each return would hold the tasks of dead machines for about a second more; that has to be measured first.

--- /dev/null
+++ b/src/test/java/org/astershift/world/HealthyMachinesTest.java
@@ -0,0 +1,58 @@
+package org.astershift.world;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.astershift.core.JobKind;
+import org.astershift.world.World.Setup;
+import org.junit.jupiter.api.Test;
+
+/** Machines that other controllers reach are not given away, since work runs there. */
+class HealthyMachinesTest {
+  private static final int MACHINES = 24;
+  private static final int RESTARTED = 5;
+  private static final double CUT_AFTER_S = 1.3;
+  private static final int SEEDS = 3;
+  private static final long RESTART_MS = 900;
+  private static final long REPORT_MS = Setup.of(3, MACHINES).reportMs();
+  private static final long STEP_MS = 100;
+
+  /**
+   * A machine restarts within a second, at whatever moment between two of its reports, and then
+   * does not reach the leader any more, while it reaches the other controllers. The leader and the
+   * others may have asked it in vain while it restarted; that is once, and it is there.
+   */
+  @Test
+  void aMachineThatRestartsIsNotGivenAwayForOneQuestionInVain() {
+    List<String> givenAway = new ArrayList<>();
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      for (long atMs = 0; atMs < 2 * REPORT_MS; atMs += STEP_MS) {
+        World w = restart(seed, atMs);
+        assertEquals(List.of(), w.checker.broken, w.wholeStory());
+        for (String machine : w.checker.healthyReturned) {
+          givenAway.add("seed " + seed + ", at " + atMs + " ms: " + machine);
+        }
+      }
+    }
+    assertEquals(List.of(), givenAway);
+  }
+
+  private static World restart(long seed, long atMs) {
+    World w = new World(seed, Setup.of(3, MACHINES));
+    w.runTo(4);
+    w.submit(WorldTest.job("wk-1", JobKind.SERVICE, 2 * MACHINES), null);
+    w.runTo(20);
+    NodeModel leader = w.nodes.stream().filter(n -> n.up() && n.leads()).findFirst().orElseThrow();
+    w.runTo(20 + atMs / 1000.0);
+    for (int i = 0; i < RESTARTED; i++) {
+      w.workers.get("vm-" + (seed + 3 * i) % MACHINES).beginAnew(RESTART_MS - 150 * i);
+    }
+    w.runTo(20 + atMs / 1000.0 + CUT_AFTER_S);
+    w.workers.keySet().forEach(m -> w.cut(m, leader.name));
+    w.runTo(20 + atMs / 1000.0 + 6);
+    w.healAll();
+    w.runTo(40);
+    return w;
+  }
+}
