--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -375,7 +375,7 @@
         run.orderedIn = Math.max(1, m.session);
       }
     }
-    reborn(m, nowMs);
+    restarted(m, nowMs);
   }
 
   /**
@@ -394,7 +394,7 @@
   }
 
   /** The machine began anew: what it held is gone, and it has to be heard as any other. */
-  void reborn(Machine m, long nowMs) {
+  void restarted(Machine m, long nowMs) {
     LOG.info("machine {} began anew: its {} tasks are gone", m.name, m.heldCount());
     dropShown(m);
     for (Run run : m.runs.values()) {
@@ -403,7 +403,7 @@
       run.answered = false; // an answer ends with the connection of the life before
     }
     boolean counted = m.inherited && !m.claimed;
-    m.reborn();
+    m.restarted();
     m.heardMs = nowMs;
     m.unheardMs = nowMs;
     unheard += counted ? 0 : 1;
--- a/src/main/java/org/astershift/core/Commands.java
+++ b/src/main/java/org/astershift/core/Commands.java
@@ -190,7 +190,7 @@
    */
   private List<Order> repeated(Machine m, boolean sole, long nowMs) {
     List<Order> orders = new ArrayList<>(0);
-    boolean starts = sole && m.begunAnew && m.enrolled && m.state == Machine.State.LIVE;
+    boolean starts = sole && m.restartedInTerm && m.enrolled && m.state == Machine.State.LIVE;
     for (Run run : m.runs.values()) {
       if (starts && run.phase == null && run.doubtful && run.job.state == Job.State.LIVE) {
         if (run.unwanted() || (run.job.opened && !c.mute(m, nowMs))) {
--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -111,7 +111,7 @@
   boolean directLost;
 
   /** It began anew in this term: of which life a report is nobody can tell any more. */
-  boolean begunAnew;
+  boolean restartedInTerm;
 
   /** What was known of it when the question under way was decided: its answer is younger. */
   long askedSession;
@@ -230,8 +230,8 @@
    * heard, and not to be used before this is on record, so that no leader it may have listened to
    * meanwhile can take it for its own.
    */
-  void reborn() {
-    begunAnew = true;
+  void restarted() {
+    restartedInTerm = true;
     incarnation = new MachineIncarnation();
     session = 0;
     seq = 0;
--- /dev/null
+++ b/src/main/java/org/astershift/core/OutstandingDecisions.java
@@ -0,0 +1,53 @@
+package org.astershift.core;
+
+import java.util.HashSet;
+import java.util.Set;
+
+/**
+ * Decisions that were given to the loops around the scheduler and whose outcome is not known yet:
+ * each is given once, until it is carried out, has failed, or what it is about is gone.
+ */
+final class OutstandingDecisions {
+  /** What a decision asks for. */
+  enum Kind {
+    OPEN_JOB,
+    FINISH_JOB,
+    RECORD_MACHINE
+  }
+
+  /** A decision by what it asks for and the job or machine that it is about. */
+  private record Key(Kind kind, String subject) {}
+
+  private final Set<Key> outstanding = new HashSet<>();
+
+  /** Notes the decision; false if the same one is outstanding already. */
+  boolean add(Kind kind, String subject) {
+    return outstanding.add(new Key(kind, subject));
+  }
+
+  /** The decision was carried out, has failed, or is about what is gone. */
+  void settled(Kind kind, String subject) {
+    outstanding.remove(new Key(kind, subject));
+  }
+
+  /** The same for a decision as it was given; one that is never noted here is ignored. */
+  void failed(Decision decision) {
+    if (decision instanceof Decision.OpenJob o) {
+      settled(Kind.OPEN_JOB, o.job());
+    } else if (decision instanceof Decision.FinishJob f) {
+      settled(Kind.FINISH_JOB, f.job());
+    } else if (decision instanceof Decision.Enrol e) {
+      settled(Kind.RECORD_MACHINE, e.machine());
+    }
+  }
+
+  /** The job is over. */
+  void jobEnded(String job) {
+    settled(Kind.OPEN_JOB, job);
+    settled(Kind.FINISH_JOB, job);
+  }
+
+  int size() {
+    return outstanding.size();
+  }
+}
--- a/src/main/java/org/astershift/core/Reports.java
+++ b/src/main/java/org/astershift/core/Reports.java
@@ -80,7 +80,7 @@
     if (!r.newerThan(m.reportSession, m.reportSeq) || r.session() < m.session) {
       return Worth.NOTHING;
     }
-    return m.begunAnew ? Worth.LIFE : Worth.ALL;
+    return m.restartedInTerm ? Worth.LIFE : Worth.ALL;
   }
 
   /** Notes of which incarnation a message is; {@code answer}: to a direct order of this leader. */
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.astershift.config.Constants;
+import org.astershift.core.OutstandingDecisions.Kind;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -29,7 +30,7 @@
   private final Returning returning;
   private final Renting renting;
   private final Spending spending = new Spending();
-  private final Set<String> asked = new HashSet<>();
+  private final OutstandingDecisions outstanding = new OutstandingDecisions();
   private long lastSweepMs = Long.MIN_VALUE / 2;
   private long lastPlanMs = Long.MIN_VALUE / 2;
   private long firstPlanMs = -1;
@@ -114,7 +115,7 @@
 
   /** From now on commands for the job may go out. */
   public void opened(String id) {
-    asked.remove("open " + id);
+    outstanding.settled(Kind.OPEN_JOB, id);
     Job job = c.jobs.get(id);
     if (job != null) {
       job.opened = true;
@@ -128,7 +129,7 @@
 
   /** The machine's record is durable: the incarnation for which it was asked may get tasks. */
   public void enrolled(String name) {
-    asked.remove("enrol " + name);
+    outstanding.settled(Kind.RECORD_MACHINE, name);
     Machine m = c.machines.get(name);
     if (m == null) {
       return;
@@ -143,14 +144,13 @@
 
   /** A decision could not be carried out; a later pass repeats it. */
   public void failed(Decision decision) {
-    asked.remove(key(decision));
+    outstanding.failed(decision);
     c.stir();
   }
 
   /** The job's end is durable. */
   public void ended(String id, boolean cancelled, long nowMs) {
-    asked.remove("finish " + id);
-    asked.remove("open " + id);
+    outstanding.jobEnded(id);
     Job job = c.jobs.get(id);
     if (job != null) {
       LOG.info("job {} is {}: {}", id, cancelled ? "cancelled" : "done", job.story(nowMs));
@@ -377,7 +377,7 @@
         m.older = false;
         // What it says now is younger than all that was known when it was asked.
         if (!report.newerThan(m.askedSession, m.askedSeq)) {
-          c.reborn(m, nowMs);
+          c.restarted(m, nowMs);
         } else if (m.restartSuspected && !c.incarnations.provenToContinue(m, report, nowMs)) {
           c.mayHaveRestarted(m, nowMs);
         }
@@ -521,14 +521,16 @@
       }
     }
     for (Machine m : c.unrecorded) {
-      Decision.Enrol enrol = new Decision.Enrol(m.name, m.addr, m.type, m.zone, m.spot, false);
-      if (!m.hearsay && ask(out, enrol)) {
+      if (!m.hearsay && outstanding.add(Kind.RECORD_MACHINE, m.name)) {
+        out.add(new Decision.Enrol(m.name, m.addr, m.type, m.zone, m.spot, false));
         m.recordAskedFor = m.incarnation;
       }
     }
     for (Job job : c.unopened) {
-      if (!job.cancelWanted && !job.runs.isEmpty()) {
-        ask(out, new Decision.OpenJob(job.spec.id(), job.machines()));
+      if (!job.cancelWanted
+          && !job.runs.isEmpty()
+          && outstanding.add(Kind.OPEN_JOB, job.spec.id())) {
+        out.add(new Decision.OpenJob(job.spec.id(), job.machines()));
       }
     }
     for (Job job : c.moved) {
@@ -539,7 +541,9 @@
     c.moved.clear();
     c.completing.removeIf(job -> !job.complete());
     for (Job job : c.completing) {
-      ask(out, new Decision.FinishJob(job.spec.id()));
+      if (outstanding.add(Kind.FINISH_JOB, job.spec.id())) {
+        out.add(new Decision.FinishJob(job.spec.id()));
+      }
     }
     boolean planDue = nowMs - lastPlanMs >= Constants.RENT_PLAN_MS || renting.ready();
     if (planDue && !c.types().isEmpty()) {
@@ -547,7 +551,7 @@
       plan(out, nowMs, nowMs < soleUntilMs);
     }
     List<Decision.Strike> struck = c.struck();
-    struck.forEach(s -> asked.remove("enrol " + s.machine()));
+    struck.forEach(s -> outstanding.settled(Kind.RECORD_MACHINE, s.machine()));
     out.addAll(struck);
     return out;
   }
@@ -562,25 +566,6 @@
     }
   }
 
-  private boolean ask(List<Decision> out, Decision d) {
-    boolean added = asked.add(key(d));
-    if (added) {
-      out.add(d);
-    }
-    return added;
-  }
-
-  private static String key(Decision d) {
-    if (d instanceof Decision.OpenJob o) {
-      return "open " + o.job();
-    } else if (d instanceof Decision.FinishJob f) {
-      return "finish " + f.job();
-    } else if (d instanceof Decision.Enrol e) {
-      return "enrol " + e.machine();
-    }
-    return d.toString();
-  }
-
   /**
    * A lease that has run out proves that the machine's tasks are gone, but only for the time in
    * which this node alone can have answered its reports: a leader that was cut off or stood still
@@ -695,7 +680,7 @@
 
   /** For tests: decisions asked for once that have not been carried out yet. */
   int outstanding() {
-    return asked.size();
+    return outstanding.size();
   }
 
   /** For tests, which sum its books up anew. */
--- a/src/test/java/org/astershift/core/Adversary.java
+++ b/src/test/java/org/astershift/core/Adversary.java
@@ -194,13 +194,13 @@
     for (Run run : job.runs.values()) {
       Machine m = run.machine;
       sb.append("; ").append(run.key).append(" on ").append(m.name).append(' ').append(m.state);
-      sb.append(" anew=").append(m.begunAnew).append(" claimed=").append(m.claimed);
+      sb.append(" anew=").append(m.restartedInTerm).append(" claimed=").append(m.claimed);
       sb.append(" phase=").append(run.phase).append(" ordered=").append(run.ordered);
       sb.append(" doubtful=").append(run.doubtful).append(" stopping=").append(run.stopping);
     }
     for (Machine m : store.holder.scheduler.cluster().all()) {
       sb.append("; ").append(m.name).append(' ').append(m.type).append(m.zone).append(m.state);
-      sb.append(" anew=").append(m.begunAnew).append(" enrolled=").append(m.enrolled);
+      sb.append(" anew=").append(m.restartedInTerm).append(" enrolled=").append(m.enrolled);
       sb.append(" usable=")
           .append(m.usable(store.holder.clock()))
           .append(" deaf=")
