--- a/src/test/java/org/astershift/core/Adversary.java
+++ b/src/test/java/org/astershift/core/Adversary.java
@@ -12,6 +12,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import org.astershift.SeedArguments;
 import org.astershift.config.Constants;
 import org.astershift.config.Operator;
 import org.astershift.office.Cancellation;
@@ -1568,10 +1569,11 @@
 
   /** Plays seeds FIRST to LAST, and prints what failed; with a third word, the story of each. */
   public static void main(String[] args) {
-    boolean story = args.length > 2;
+    SeedArguments arguments = SeedArguments.parseOrExit(args, Set.of("story"));
+    boolean story = !arguments.options().isEmpty();
     Map<String, Integer> all = new TreeMap<>();
     int[] failed = {0};
-    java.util.stream.LongStream.rangeClosed(Long.parseLong(args[0]), Long.parseLong(args[1]))
+    java.util.stream.LongStream.rangeClosed(arguments.first(), arguments.last())
         .parallel()
         .forEach(
             seed -> {
--- a/src/test/java/org/astershift/world/Seeds.java
+++ b/src/test/java/org/astershift/world/Seeds.java
@@ -1,11 +1,11 @@
 package org.astershift.world;
 
-import java.util.Arrays;
-import java.util.List;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 import java.util.stream.LongStream;
+import java.util.stream.Stream;
+import org.astershift.SeedArguments;
 
 /**
  * Plays many seeds of the swarm on all processors, for a search longer than the tests are: {@code
@@ -13,16 +13,27 @@
  * log of all hosts where {@code story} is asked for; exit 1 if any did.
  */
 public final class Seeds {
+  private static final String STORY = "story";
+
   private Seeds() {}
 
+  private static Set<String> options() {
+    Set<String> options = Stream.of(Mutant.values()).map(Mutant::name).collect(Collectors.toSet());
+    options.add(STORY);
+    return options;
+  }
+
   /** Plays the seeds and says which fail. */
   public static void main(String[] args) {
-    long first = Long.parseLong(args[0]);
-    long last = Long.parseLong(args[1]);
-    List<String> rest = Arrays.asList(args).subList(2, args.length);
-    boolean story = rest.contains("story");
+    SeedArguments arguments = SeedArguments.parseOrExit(args, options());
+    long first = arguments.first();
+    long last = arguments.last();
+    boolean story = arguments.options().contains(STORY);
     Mutant[] mutants =
-        rest.stream().filter(a -> !a.equals("story")).map(Mutant::valueOf).toArray(Mutant[]::new);
+        arguments.options().stream()
+            .filter(a -> !a.equals(STORY))
+            .map(Mutant::valueOf)
+            .toArray(Mutant[]::new);
     TreeMap<Long, String> failed =
         LongStream.rangeClosed(first, last)
             .parallel()
