A report that lacks a task of its machine's session is of another incarnation, and proves nothing

Cause: a report held back from the life before a restart may be newer by its number than what the new life has sent; it lacked a task that ran, which was dropped and started a second time. Within a session a task stays in its machine's reports until it is cleared, so such a report is not answered and the machine is asked, as for a lower token.

--- a/src/main/java/org/astershift/core/Report.java
+++ b/src/main/java/org/astershift/core/Report.java
@@ -40,6 +40,18 @@
     EXITED
   }
 
+  /** Whether it names this attempt, in whatever state. */
+  boolean shows(Run.Key key) {
+    for (Item item : tasks) {
+      if (item.index() == key.index()
+          && item.attempt() == key.attempt()
+          && item.job().equals(key.job())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Whether this report is newer than the given position. */
   public boolean newerThan(long otherSession, long otherSeq) {
     return session > otherSession || (session == otherSession && seq > otherSeq);
--- a/src/main/java/org/astershift/core/Reports.java
+++ b/src/main/java/org/astershift/core/Reports.java
@@ -73,8 +73,9 @@
   Worth worth(Machine m, Report r) {
     boolean lostToken = m.claimed && r.token() < c.token;
     boolean lostSession = m.claimed && r.session() > m.session && m.session > 0 && m.holdsAny();
-    m.restartSuspected |= lostToken;
-    if (lostToken || lostSession) {
+    boolean lostTask = !m.restartedInTerm && r.session() == m.session && lacksTask(m, r);
+    m.restartSuspected |= lostToken || lostTask;
+    if (lostToken || lostSession || lostTask) {
       return Worth.DOUBT;
     }
     if (!r.newerThan(m.reportSession, m.reportSeq) || r.session() < m.session) {
@@ -95,6 +96,23 @@
     c.incarnations.seen(m, r, answer, nowMs);
   }
 
+  /**
+   * Whether the report lacks a task that was shown and has not ended. Within a session a task stays
+   * in its machine's reports until it is cleared, so this one is of another incarnation: it was
+   * held back on its way, or the machine restarted and has sent more by now than before.
+   */
+  private static boolean lacksTask(Machine m, Report r) {
+    if (!r.newerThan(m.session, m.seq)) {
+      return false;
+    }
+    for (Run run : m.runs.values()) {
+      if (run.phase != null && !run.exited() && !r.shows(run.key)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /**
    * Notes that the machine spoke. A copy of an old report may come any time later, from before its
    * return, its loss or a change of leaders: what is not newer moves no clock and revives nothing.
--- a/src/test/java/org/astershift/world/LateReports.java
+++ b/src/test/java/org/astershift/world/LateReports.java
@@ -118,7 +118,7 @@
       ofEarlierSessions +=
           c.life == c.worker.life() && c.report.session() < c.worker.session() ? 1 : 0;
     }
-    to.report(c.worker.aged(c.report), a -> {});
+    to.copy(c.worker.aged(c.report));
   }
 
   private void arrives(Held h) {
--- a/src/test/java/org/astershift/world/NodeModel.java
+++ b/src/test/java/org/astershift/world/NodeModel.java
@@ -843,6 +843,24 @@
     }
   }
 
+  /**
+   * A copy of an old report; a leader that takes copies for news believes it as it believes the
+   * answer to a question, whatever else speaks against it.
+   */
+  void copy(Report r) {
+    if (!has(Mutant.COPIES_ARE_NEWS)) {
+      report(r, a -> {});
+      return;
+    }
+    here(
+        incarnation,
+        () -> {
+          if (!crashed && term != null) {
+            judged(term).directResult(r.machine(), false, r, clock());
+          }
+        });
+  }
+
   /** A worker's report. */
   void report(Report r, Consumer<WorkerModel.Answer> answer) {
     boolean full = world.now() < fullUntilMs;
--- a/src/test/java/org/astershift/world/WorkerModel.java
+++ b/src/test/java/org/astershift/world/WorkerModel.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.astershift.core.JobKind;
 import org.astershift.core.JobSpec;
 import org.astershift.core.Order;
@@ -348,7 +349,7 @@
     if (world.random.nextDouble() < world.copied) {
       NodeModel to = world.nodes.get(world.random.nextInt(world.nodes.size()));
       long ms = 1000 + world.random.nextLong(3 * world.setup.leaseMs());
-      world.after(ms, () -> to.report(aged(r), a -> {}));
+      world.after(ms, () -> to.copy(aged(r)));
     }
   }
 
@@ -386,7 +387,7 @@
         name,
         to.name,
         ANSWER_MS,
-        world.lateReports.way(to, answer -> to.report(seq > r.seq() ? aged(r) : r, answer)),
+        world.lateReports.way(to, answer -> arrives(to, r, answer)),
         (Answer a) -> here(of, () -> answered(a, sentMs, sentIn)));
     if (hangNextMs > 0) {
       hang(hangNextMs);
@@ -394,6 +395,15 @@
     }
   }
 
+  /** A report that arrives after newer ones is as a copy of it. */
+  private void arrives(NodeModel to, Report r, Consumer<Answer> answer) {
+    if (seq > r.seq() && world.mutants.contains(Mutant.COPIES_ARE_NEWS)) {
+      to.copy(aged(r));
+    } else {
+      to.report(seq > r.seq() ? aged(r) : r, answer);
+    }
+  }
+
   /** It is refused at once, or waits in vain for a connection. */
   private void noWay(Report r, NodeModel to) {
     if (keptLast) {
