--- a/src/test/java/org/astershift/core/Adversary.java
+++ b/src/test/java/org/astershift/core/Adversary.java
@@ -1366,8 +1366,8 @@
 
   /** A gang that still runs, undisturbed, completes as a whole. */
   private void together(Gang g) {
-    for (Map.Entry<Task, Worker> e : g.members.entrySet()) {
-      e.getValue().expire();
+    for (Worker member : List.copyOf(g.members.values())) {
+      member.expire(); // takes what its lease no longer covers out of the gang
     }
     boolean fine = !g.broken;
     for (Map.Entry<Task, Worker> e : g.members.entrySet()) {
