--- a/src/test/java/org/astershift/world/Swarm.java
+++ b/src/test/java/org/astershift/world/Swarm.java
@@ -525,8 +525,12 @@
       }
       double[] use = world.checker.use(spec.team());
       boolean waits = !world.checker.waiting(spec).isEmpty();
+      int atOnce = spec.kind() == JobKind.GANG ? spec.tasks() : 1;
       boolean full =
-          !world.teams().get(spec.team()).allows(use[0] + spec.cpus(), use[1] + spec.gpus());
+          !world
+              .teams()
+              .get(spec.team())
+              .allows(use[0] + atOnce * spec.cpus(), use[1] + atOnce * spec.gpus());
       boolean atWork = world.now() - world.checker.lastStart(job) < AT_WORK_MS;
       n += (waits ? full : atWork) ? 1 : 0;
     }
