--- a/src/main/java/org/astershift/cloud/CloudClient.java
+++ b/src/main/java/org/astershift/cloud/CloudClient.java
@@ -29,7 +29,7 @@
     this.calls.share(Constants.CLOUD_BUDGET, 1);
   }
 
-  /** The cloud refused: nothing was done. {@code noCapacity}: there is none of what was asked. */
+  /** The cloud refused: nothing was done. */
   public static final class Refused extends IOException {
     private static final long serialVersionUID = 1L;
 
--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -253,19 +253,19 @@
   /** Milliseconds after a report was due before the machine is asked directly. */
   public static final long SUSPECT_MS = 400;
 
+  /** Milliseconds after that until a machine that does not answer is given back. */
+  public static final long SILENT_MS = 1200;
+
   /**
-   * Messages that a machine sends in a second at the most, and at once after its start: reports
-   * half a second apart, and answers to orders and questions of all controllers. One that has sent
-   * more since some moment began before it.
+   * Messages that a machine sends in a second at the most: reports half a second apart, and answers
+   * to orders and questions of all controllers. An incarnation that has sent more since some moment
+   * began before it.
    */
   public static final double MESSAGES_PER_S = 10;
 
   /** Messages that may come on top of these, see {@link #MESSAGES_PER_S}. */
   public static final double MESSAGES_AT_ONCE = 10;
 
-  /** Milliseconds after that until a machine that does not answer is given back. */
-  public static final long SILENT_MS = 1200;
-
   /**
    * Direct orders in a row without an answer after which nothing new goes to a machine, though its
    * reports arrive: what is said to it may not.
--- a/src/main/java/org/astershift/core/Incarnations.java
+++ b/src/main/java/org/astershift/core/Incarnations.java
@@ -12,8 +12,8 @@
  * uses must have been there before the lease became uncertain: then the successor either makes it
  * show the later token, after which it executes nothing of this leader, or hears a later
  * incarnation, with which this one is gone. One that may have begun since then proves nothing: the
- * successor may have claimed the one before it. It waits until the lease is certain again, and for
- * a record of its own.
+ * successor may have claimed the one before it. It waits until the lease is certain again, and
+ * where the machine was not heard before in this term also for a record of its own.
  */
 final class Incarnations {
   private static final Logger LOG = LoggerFactory.getLogger(Incarnations.class);
--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -104,7 +104,10 @@
   /** The incarnation for which the record was asked that is being written; null: none was. */
   MachineIncarnation recordAskedFor;
 
-  /** A report showed a lower token than it had: it may have restarted, or this is an old copy. */
+  /**
+   * A report showed a lower token than it had, or lacked a task that was there: it may have
+   * restarted, or this is an old copy.
+   */
   boolean restartSuspected;
 
   /** A direct order got no answer in this term, so it may reach a later incarnation. */
