A failing test: a worker of the stand-in cloud outlives its test

Seen: the last build on another machine failed in all five cases of FencesTest in which a worker runs something, each after waiting 100 s, and in one of CloseLooksTest. All test classes share a process and take the first free block of ports, so a worker that one test leaves behind reports to the controllers of the next one, under the name of one of their machines.

--- /dev/null
+++ b/src/test/java/org/astershift/standin/StandInCloudTest.java
@@ -0,0 +1,56 @@
+package org.astershift.standin;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import org.astershift.http.HttpClient;
+import org.astershift.http.Json;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What a test leaves behind must not take part in the next one. */
+@Timeout(200)
+class StandInCloudTest {
+
+  /** A rental is on its way as the test that began it ends: no worker outlives its cloud. */
+  @Test
+  void aRentalThatArrivesAsTheCloudClosesBringsNoMachine() throws Exception {
+    StandInCloud cloud = new StandInCloud(0, List.of(1), 0);
+    int port = cloud.port();
+    Thread renter = new Thread(() -> rent(port));
+    synchronized (cloud) {
+      renter.start();
+      Await.until("the rental to wait for the cloud", StandInCloudTest::aRequestWaits);
+      cloud.close();
+    }
+    renter.join();
+    Await.until("the rental to be over", () -> !aRequestWaits());
+    synchronized (cloud) {
+      assertEquals(List.of(), cloud.everRented());
+    }
+  }
+
+  private static void rent(int port) {
+    byte[] order = Json.bytes(Map.of("charter", "r", "hull", "small", "harbor", "a", "number", 1L));
+    try (HttpClient client = new HttpClient("127.0.0.1", port, 1)) {
+      client.call("POST", "/hosts", order, 10_000);
+    } catch (IOException e) {
+      // its connection is closed with the cloud: only what the cloud makes of it matters
+    }
+  }
+
+  /** Whether a thread is in the cloud's handler of requests. */
+  private static boolean aRequestWaits() {
+    return Thread.getAllStackTraces().values().stream()
+        .flatMap(Arrays::stream)
+        .anyMatch(StandInCloudTest::isHandler);
+  }
+
+  private static boolean isHandler(StackTraceElement frame) {
+    return frame.getClassName().equals(StandInCloud.class.getName())
+        && frame.getMethodName().equals("handle");
+  }
+}
