Workers of the stand-in cloud end with it; tests take ports in turn

Cause: a rental that arrived as the cloud closed was carried out after that, and its worker went on reporting to the next test's ports.

Change: a closed cloud refuses requests, closes all workers it ever had and waits for their last report; blocks of ports are taken in turn.

--- a/src/test/java/org/astershift/standin/PortBlock.java
+++ b/src/test/java/org/astershift/standin/PortBlock.java
@@ -19,15 +19,21 @@
   private static final int FIRST = 22_000;
   private static final int PAST_LAST = 32_000;
   private static final int SIZE = 10;
+
+  /** Where this process looks next: what an earlier test left behind finds nobody. */
+  private static int next = FIRST;
+
   private final ServerSocket held;
 
   private PortBlock(ServerSocket held) {
     this.held = held;
   }
 
-  /** The first block of which all ports are free. */
-  public static PortBlock take() throws IOException {
-    for (int first = FIRST; first < PAST_LAST; first += SIZE) {
+  /** The next block of which all ports are free, each once before any comes a second time. */
+  public static synchronized PortBlock take() throws IOException {
+    for (int tries = (PAST_LAST - FIRST) / SIZE; tries > 0; tries--) {
+      int first = next;
+      next = first + SIZE < PAST_LAST ? first + SIZE : FIRST;
       ServerSocket held = bound(first);
       if (held != null) {
         if (othersFree(first)) {
--- a/src/test/java/org/astershift/standin/StandInCloud.java
+++ b/src/test/java/org/astershift/standin/StandInCloud.java
@@ -24,6 +24,7 @@
   private final long taskMs;
   private int made;
   private int refusal;
+  private boolean closed;
   private final Set<String> refused = new HashSet<>();
   private Consumer<String> beforeAnswer = name -> {};
   private final HttpServer http;
@@ -54,15 +55,27 @@
     return new ArrayList<>(ever);
   }
 
+  /** Ends it with all workers that it ever had: none of them sends anything afterwards. */
   @Override
-  public synchronized void close() throws IOException {
-    http.close();
-    for (StandInWorker w : machines.values()) {
-      w.close();
+  public void close() throws IOException {
+    for (StandInWorker worker : closeToRequests()) {
+      worker.close();
+    }
+    for (StandInWorker worker : everRented()) {
+      worker.awaitEnd();
     }
   }
 
+  private synchronized List<StandInWorker> closeToRequests() throws IOException {
+    closed = true;
+    http.close();
+    return everRented();
+  }
+
   private synchronized Response handle(Request r) throws Exception {
+    if (closed) {
+      return Response.error(503, "closed");
+    }
     switch (r.path()) {
       case "/flavors" -> {
         Map<String, Object> t = new LinkedHashMap<>();
--- a/src/test/java/org/astershift/standin/StandInWorker.java
+++ b/src/test/java/org/astershift/standin/StandInWorker.java
@@ -27,6 +27,7 @@
   private long seq;
   private long token;
   private volatile boolean closed;
+  private final Thread reports;
   private int at;
 
   private final List<Integer> answeredBy = new ArrayList<>();
@@ -51,9 +52,9 @@
     this.taskMs = taskMs;
     this.http = new HttpServer("127.0.0.1", 0, 20, this::handle);
     http.start();
-    Thread t = new Thread(this::loop, "worker " + name);
-    t.setDaemon(true);
-    t.start();
+    reports = new Thread(this::loop, "worker " + name);
+    reports.setDaemon(true);
+    reports.start();
   }
 
   public String name() {
@@ -132,6 +133,15 @@
     http.close();
   }
 
+  /** Waits, once it is closed, for the report that may still be on its way. */
+  void awaitEnd() {
+    try {
+      reports.join();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private synchronized Map<String, Object> report() {
     long now = System.nanoTime() / 1_000_000;
     tasks.forEach(
