gangsGatherAsTheLeaderEnds loses machines on which gangs gather

Cause: the case says that a machine is lost on which a task waits for the others, and took any that holds a gang's task.

Change: it takes one of a gang that gathers, and any only if none does. Bounds, plays and the check of every rule stay as they were, so the case is stricter.

--- a/src/test/java/org/astershift/world/GangMeetingsTest.java
+++ b/src/test/java/org/astershift/world/GangMeetingsTest.java
@@ -98,6 +98,12 @@
     return on.stream().sorted().toList();
   }
 
+  /** Machines that hold tasks of gangs that gather; where none does, of any of the gangs. */
+  private static List<String> machinesThatGather(World w) {
+    List<String> gathering = GANGS.stream().filter(w.gangs::gathers).toList();
+    return machinesOf(w, gathering.isEmpty() ? GANGS : gathering);
+  }
+
   private static List<String> some(World w, List<String> machines, int most) {
     List<String> left = new ArrayList<>(machines);
     List<String> out = new ArrayList<>();
@@ -150,7 +156,7 @@
           suffer(w, old, fate);
           if (seed % 2 == 0) {
             w.runTo(w.now() / 1000.0 + w.random.nextDouble());
-            some(w, machinesOf(w, GANGS), 1).forEach(m -> w.workers.get(m).beginAnew(500));
+            some(w, machinesThatGather(w), 1).forEach(m -> w.workers.get(m).beginAnew(500));
           }
           w.runTo(60);
           assertSound(w, 110);
