A question in vain counts only once no restart explains the silence

Cause: that other controllers failed once to reach a machine was taken for proof that it is gone, however short it had been silent when they were asked; so was the leader's own question. Both fell into a restart of 0.9 s, and the machine was then cut off from the leader.

Change: a question in vain counts if it was asked when the machine had been silent for longer than the latest time to its next report and a second; the others are asked once more then, before patience ends. What other controllers found is a value of its own (PeerFindings).

--- a/src/main/java/org/astershift/config/Constants.java
+++ b/src/main/java/org/astershift/config/Constants.java
@@ -256,6 +256,13 @@
   /** Milliseconds after that until a machine that does not answer is given back. */
   public static final long SILENT_MS = 1200;
 
+  /**
+   * Milliseconds within which a machine that restarts is there again. Until it was silent for so
+   * long after its latest report can have been due, that nobody reaches it does not show that it is
+   * gone.
+   */
+  public static final long RESTART_MS = 1000;
+
   /**
    * Messages that a machine sends in a second at the most: reports half a second apart, and answers
    * to orders and questions of all controllers. An incarnation that has sent more since some moment
--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -486,7 +486,17 @@
 
   /** Silence after which a machine is asked directly: its report is overdue. */
   private long suspectMs() {
-    return (long) (facts.reportS() * 1000 * Constants.REPORT_LATEST) + Constants.SUSPECT_MS;
+    return latestReportMs() + Constants.SUSPECT_MS;
+  }
+
+  /** Milliseconds from one report of a machine to the next, at most. */
+  private long latestReportMs() {
+    return (long) (facts.reportS() * 1000 * Constants.REPORT_LATEST);
+  }
+
+  /** From when on a restart that began after its last report does not explain its silence. */
+  long noRestartFromMs(Machine m) {
+    return Math.max(resumedMs, m.saidMs()) + latestReportMs() + Constants.RESTART_MS;
   }
 
   /** Silence after which a machine that does not answer either is given back. */
--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -130,14 +130,8 @@
    */
   boolean hearsay;
 
-  /** When another controller was last asked to reach it and all that could tell failed. */
-  long unreachedMs = Long.MIN_VALUE / 2;
-
-  /** The same where none of them could tell. */
-  long untoldMs = Long.MIN_VALUE / 2;
-
-  /** The same where one of them had an answer. */
-  long reachedMs = Long.MIN_VALUE / 2;
+  /** What other controllers found when they were asked to reach it. */
+  final PeerFindings peerFindings = new PeerFindings();
 
   /**
    * When it was last known to exist for the cloud: listed, rented, reported, or on record when the
--- a/src/main/java/org/astershift/core/Silence.java
+++ b/src/main/java/org/astershift/core/Silence.java
@@ -115,14 +115,16 @@
     return out;
   }
 
-  /** What another controller found counts while the machine says nothing, and not for long. */
   private static boolean reached(Machine m, long nowMs) {
-    return m.reachedMs > m.saidMs() && nowMs - m.reachedMs <= Constants.REACHED_FRESH_MS;
+    return m.peerFindings.isReached(m.saidMs(), nowMs);
   }
 
-  /** The same of a machine that none of them reached: shorter, since a cut may just have ended. */
-  private static boolean unreached(Machine m, long nowMs) {
-    return m.unreachedMs > m.saidMs() && nowMs - m.unreachedMs <= Constants.UNREACHED_FRESH_MS;
+  /**
+   * Not before no restart explains it: a machine that restarted when both this leader and the
+   * others asked it, and was then cut off from this leader, was given back.
+   */
+  private boolean unreached(Machine m, long nowMs) {
+    return m.peerFindings.isUnreached(c.noRestartFromMs(m), nowMs);
   }
 
   /** Whether the machine says nothing for longer than it may, though it was asked. */
@@ -260,7 +262,7 @@
     return m.addr == null
         || unreached(m, nowMs)
         || nowMs - noneMs <= Constants.REACHED_FRESH_MS
-        || (m.untoldMs > m.saidMs() && nowMs - m.untoldMs <= Constants.REACHED_FRESH_MS)
+        || m.peerFindings.isUntold(m.saidMs(), nowMs)
         || (nowMs - answeredMs > Constants.REACHED_FRESH_MS
             && c.silenceMs(m, nowMs) > c.patienceMs() + Constants.WITNESS_WAIT_MS);
   }
@@ -337,12 +339,7 @@
     List<Machine> sample = new ArrayList<>();
     List<Machine> rest = new ArrayList<>();
     for (Machine m : c.all()) {
-      boolean due = m.addr != null && suspect(m, nowMs);
-      // Asked again before what is known grows old: where one of the others was slow to answer
-      // healthy machines were given back between the one answer and the next.
-      boolean soonOld =
-          nowMs - m.reachedMs > Constants.REACHED_FRESH_MS - Constants.WITNESS_WAIT_MS;
-      if (!due || (reached(m, nowMs) && !soonOld) || unreached(m, nowMs)) {
+      if (m.addr == null || !suspect(m, nowMs) || known(m, nowMs)) {
         continue;
       }
       Zone zone = zones.get(m.zone);
@@ -367,6 +364,18 @@
     return new Decision.Witness(suspects, named(heard, Constants.WITNESS_CONTROLS), nowMs);
   }
 
+  /**
+   * Whether the others can tell nothing new of it. They are asked again before what is known grows
+   * old: where one of them was slow to answer healthy machines were given back between the one
+   * answer and the next. And once more when a restart does not explain any more that they failed.
+   */
+  private boolean known(Machine m, long nowMs) {
+    boolean askedTooEarly = m.peerFindings.isUnreached(m.saidMs(), nowMs);
+    return unreached(m, nowMs)
+        || (askedTooEarly && nowMs < c.noRestartFromMs(m))
+        || m.peerFindings.isReachedForLong(m.saidMs(), nowMs);
+  }
+
   private static List<Decision.Named> named(List<Machine> machines, int most) {
     List<Decision.Named> out = new ArrayList<>();
     for (Machine m : machines.subList(0, Math.min(machines.size(), most))) {
@@ -402,15 +411,14 @@
         continue;
       }
       if (reached.contains(s.machine())) {
-        m.reachedMs = w.askedMs();
-        m.unreachedMs = Long.MIN_VALUE / 2;
+        m.peerFindings.reached(w.askedMs());
         answering++;
       } else if (unreached.contains(s.machine())) {
-        m.unreachedMs = w.askedMs();
+        m.peerFindings.unreached(w.askedMs());
       } else if (able == 0 && !told.isEmpty()) {
         // Nobody could tell of this one. Of those that were not among the asked they may: one was
         // given back a moment before its turn came to be asked.
-        m.untoldMs = w.askedMs();
+        m.peerFindings.untold(w.askedMs());
       }
     }
     LOG.debug(
