Machines that the leader hears only by others, or by their answers, are asked twice

Cause: where none of a machine's reports was to be expected, its silence says nothing of a restart; that others reached it counts for 10 s, and the question that renews this met the restart.

Change: there the others must fail twice, 1.8 s apart (their deadline and a second), before it counts.

--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -494,8 +494,17 @@
     return (long) (facts.reportS() * 1000 * Constants.REPORT_LATEST);
   }
 
-  /** From when on a restart that began after its last report does not explain its silence. */
+  /**
+   * From when on a question in vain cannot have met a restart: one that began after its last word.
+   * Where no report was to be expected after that, since this leader is cut off from the machine or
+   * hears its answers alone, it may also have begun until the others first failed to reach it.
+   */
   long noRestartFromMs(Machine m) {
+    if (m.saidMs() - m.renewedMs > latestReportMs() || m.peerFindings.reachedSince(m.saidMs())) {
+      return m.peerFindings.firstUnreachedMs()
+          + Constants.WITNESS_TIMEOUT_MS
+          + Constants.RESTART_MS;
+    }
     return Math.max(resumedMs, m.saidMs()) + latestReportMs() + Constants.RESTART_MS;
   }
 
--- a/src/main/java/org/astershift/core/PeerFindings.java
+++ b/src/main/java/org/astershift/core/PeerFindings.java
@@ -15,6 +15,9 @@
   /** When they were last asked and all that could tell failed. */
   private long unreachedMs = NEVER;
 
+  /** The same for the first time since the machine said anything or was reached. */
+  private long firstUnreachedMs = NEVER;
+
   /** When they were last asked and none of them could tell. */
   private long untoldMs = NEVER;
 
@@ -24,8 +27,11 @@
     unreachedMs = NEVER;
   }
 
-  /** All that could tell failed. */
-  void unreached(long askedMs) {
+  /** All that could tell failed; {@code saidMs}: when the machine last said anything. */
+  void unreached(long askedMs, long saidMs) {
+    if (unreachedMs <= saidMs) {
+      firstUnreachedMs = askedMs;
+    }
     unreachedMs = askedMs;
   }
 
@@ -39,6 +45,11 @@
     return reachedMs > saidMs && nowMs - reachedMs <= Constants.REACHED_FRESH_MS;
   }
 
+  /** Whether one of them reached it after it last said anything here, however long ago. */
+  boolean reachedSince(long saidMs) {
+    return reachedMs > saidMs;
+  }
+
   /** Whether that counts for longer than another answer may take. */
   boolean isReachedForLong(long saidMs, long nowMs) {
     return isReached(saidMs, nowMs + Constants.WITNESS_WAIT_MS);
@@ -52,6 +63,11 @@
     return unreachedMs > sinceMs && nowMs - unreachedMs <= Constants.UNREACHED_FRESH_MS;
   }
 
+  /** When none reached it for the first time in a row. */
+  long firstUnreachedMs() {
+    return firstUnreachedMs;
+  }
+
   /** Whether it counts that none of them could tell. */
   boolean isUntold(long saidMs, long nowMs) {
     return untoldMs > saidMs && nowMs - untoldMs <= Constants.REACHED_FRESH_MS;
--- a/src/main/java/org/astershift/core/Silence.java
+++ b/src/main/java/org/astershift/core/Silence.java
@@ -414,7 +414,7 @@
         m.peerFindings.reached(w.askedMs());
         answering++;
       } else if (unreached.contains(s.machine())) {
-        m.peerFindings.unreached(w.askedMs());
+        m.peerFindings.unreached(w.askedMs(), m.saidMs());
       } else if (able == 0 && !told.isEmpty()) {
         // Nobody could tell of this one. Of those that were not among the asked they may: one was
         // given back a moment before its turn came to be asked.
