Simulation: a pass that something stirred notices a standstill, too

In the program every pass looks for that first; in the model only those by the clock did, and a stirred one came first.

--- a/src/test/java/org/astershift/world/NodeModel.java
+++ b/src/test/java/org/astershift/world/NodeModel.java
@@ -639,15 +639,16 @@
     if (t != term) {
       return;
     }
-    if (clock() - t.dueMs > Constants.STOOD_STILL_MS) {
-      t.scheduler.resumed(clock());
-    }
     decide(t);
     t.dueMs = clock() + Constants.PASS_MS;
     later(Constants.PASS_MS, () -> pass(t));
   }
 
+  /** As in the program, whatever brought the pass about: it may come after a standstill. */
   private void decide(Term t) {
+    if (clock() - t.dueMs > Constants.STOOD_STILL_MS) {
+      t.scheduler.resumed(clock());
+    }
     long soleMs = has(Mutant.LEASES_PROVE_IN_DOUBT) ? Long.MAX_VALUE : election.soleUntilMs();
     for (Decision d : t.scheduler.pass(clock(), soleMs)) {
       carryOut(t, d);
