The next leader completes a gang's stop that an earlier one began

Cause: of a task that saves a new leader concluded nothing about the rest of its gang, so those not told went on, and the save failed.

Change: seeing one save it tells the others of that attempt to stop.

--- a/src/main/java/org/astershift/core/Reports.java
+++ b/src/main/java/org/astershift/core/Reports.java
@@ -229,6 +229,7 @@
     }
     if (item.phase() != Report.Phase.EXITED) {
       job.phase(run, item.phase());
+      completeStop(run);
       return;
     }
     c.release(run);
@@ -323,12 +324,35 @@
       return;
     }
     c.recognise(run);
+    completeStop(run);
     job.opened = true;
     if (item.phase() == Report.Phase.RUNNING) {
       c.served.started(job, nowMs);
     }
   }
 
+  /**
+   * An earlier leader began to stop this gang. Tasks that are not told within {@code gang_peer_s}
+   * of the first fail its save, and those told end all the same: so the others are told at once.
+   */
+  private void completeStop(Run run) {
+    Job job = run.job;
+    if (job.spec.kind() != JobKind.GANG || job.state != Job.State.LIVE) {
+      return;
+    }
+    boolean begun = false;
+    boolean left = false;
+    for (Run other : job.runs.values()) {
+      boolean same = other.attempt == run.attempt && !other.exited();
+      begun |= same && other.phase == Report.Phase.SAVING;
+      left |= same && !other.stopping;
+    }
+    if (begun && left) {
+      c.stop(run);
+      c.stir();
+    }
+  }
+
   /** Stands for a job this leader does not look after (any more): its tasks are only stopped. */
   private static Job stub(Report.Item item) {
     Job job =
