--- a/src/main/java/org/astershift/cloud/CloudClient.java
+++ b/src/main/java/org/astershift/cloud/CloudClient.java
@@ -61,6 +61,7 @@
     }
   }
 
+  /** The machine types that can be rented, by name. */
   public Map<String, MachineType> types() throws IOException {
     try {
       Map<String, MachineType> out = new LinkedHashMap<>();
--- a/src/main/java/org/astershift/core/Job.java
+++ b/src/main/java/org/astershift/core/Job.java
@@ -10,6 +10,7 @@
 
 /** A job the leader looks after, with where its tasks are. */
 final class Job {
+  /** What is known of its end. */
   enum State {
     LIVE,
     DONE,
--- a/src/main/java/org/astershift/core/Machine.java
+++ b/src/main/java/org/astershift/core/Machine.java
@@ -11,6 +11,7 @@
 
 /** A machine as the leader knows it. */
 final class Machine {
+  /** What this leader may do with it. */
   enum State {
     /** Rented, its worker has not reported yet, and it was never given a task. */
     BOOTING,
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -36,6 +36,7 @@
   private long firstPlanMs = -1;
   private Silence.Hearing hearing = new Silence.Hearing(0, 0, false, false);
 
+  /** The scheduler of one term, whose token this is. */
   public Scheduler(Facts facts, Policy policy, long token) {
     this.c = new Cluster(facts, policy, token);
     this.reports = new Reports(c);
--- a/src/main/java/org/astershift/http/Json.java
+++ b/src/main/java/org/astershift/http/Json.java
@@ -31,6 +31,7 @@
     }
   }
 
+  /** The value as JSON text in UTF-8. */
   public static byte[] bytes(Object value) {
     try {
       return JR.asBytes(value);
@@ -68,6 +69,7 @@
     throw new Bad("not an object");
   }
 
+  /** The value as an object; {@code what} names it in the error. */
   @SuppressWarnings("unchecked")
   public static Map<String, Object> object(Object value, String what) throws Bad {
     if (value instanceof Map<?, ?> m) {
@@ -76,6 +78,7 @@
     throw new Bad(what + " is not an object");
   }
 
+  /** The list under a name; an empty one if there is none. */
   public static List<?> list(Map<String, Object> m, String name) throws Bad {
     Object v = m.get(name);
     if (v == null) {
@@ -87,6 +90,7 @@
     throw new Bad(name + " is not a list");
   }
 
+  /** The text under a name, which must be there. */
   public static String text(Map<String, Object> m, String name) throws Bad {
     if (m.get(name) instanceof String s) {
       return s;
@@ -98,6 +102,7 @@
     return m.get(name) == null ? null : text(m, name);
   }
 
+  /** The finite number under a name, which must be there. */
   public static double number(Map<String, Object> m, String name) throws Bad {
     if (m.get(name) instanceof Number n && Double.isFinite(n.doubleValue())) {
       return n.doubleValue();
@@ -109,6 +114,7 @@
     return m.get(name) == null ? null : number(m, name);
   }
 
+  /** The whole number under a name, which must be there. */
   public static long whole(Map<String, Object> m, String name) throws Bad {
     Object v = m.get(name);
     if (v instanceof Integer || v instanceof Long) {
@@ -120,6 +126,7 @@
     throw new Bad(name + " is missing or not a whole number");
   }
 
+  /** The truth value under a name, which must be there. */
   public static boolean flag(Map<String, Object> m, String name) throws Bad {
     if (m.get(name) instanceof Boolean b) {
       return b;
--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -72,6 +72,7 @@
     this.reach = new Reach(store, askers, this, candidacy);
   }
 
+  /** Starts the threads of this node: from now on it may lead. */
   public void start() {
     if (!Scheduler.leaseWithin(settings.facts())) {
       LOG.warn("cancel_s is shorter than a lease: cancellations wait until all tasks are gone");
--- a/src/main/java/org/astershift/leader/UserDesk.java
+++ b/src/main/java/org/astershift/leader/UserDesk.java
@@ -34,6 +34,7 @@
     JobAnswer ask(String op, String job, int timeoutMs) throws IOException;
   }
 
+  /** {@code askers}: the other controllers, by name. */
   public UserDesk(Director director, StoreClient store, Map<String, Asker> askers) {
     this.director = director;
     this.store = store;
--- a/src/main/java/org/astershift/office/Cancellation.java
+++ b/src/main/java/org/astershift/office/Cancellation.java
@@ -54,6 +54,7 @@
       boolean complete,
       boolean late) {}
 
+  /** What to do next about a cancellation that stands so. */
   public static Act next(View v) {
     if (v.over()) {
       return Act.TELL;
--- a/src/main/java/org/astershift/office/Election.java
+++ b/src/main/java/org/astershift/office/Election.java
@@ -131,6 +131,7 @@
 
   // ---- what to do next ----
 
+  /** What to do next, as things stand. */
   public synchronized Act next(View v) {
     if (!pending.isEmpty()) {
       return pending.poll();
--- a/src/main/java/org/astershift/office/JobQuery.java
+++ b/src/main/java/org/astershift/office/JobQuery.java
@@ -29,6 +29,7 @@
    */
   public record View(boolean over, boolean leads, boolean live, boolean sole, boolean forward) {}
 
+  /** Where the answer to a question about a job comes from. */
   public static Source source(View v) {
     if (v.over()) {
       return Source.END;
--- a/src/main/java/org/astershift/office/WorkerReach.java
+++ b/src/main/java/org/astershift/office/WorkerReach.java
@@ -51,6 +51,7 @@
     }
   }
 
+  /** How many of its machines this node reached lately. */
   public synchronized Seen seen(long nowMs) {
     Sample last = samples.peekLast();
     if (last != null && last.answered == 0 && last.asked >= Constants.REACH_LEAST) {
--- a/src/main/java/org/astershift/store/Records.java
+++ b/src/main/java/org/astershift/store/Records.java
@@ -40,6 +40,7 @@
   /** A job's record; {@code submittedMs} is the time of day of its acceptance. */
   public record JobRecord(JobSpec spec, long submittedMs) {}
 
+  /** A job as its record holds it. */
   public static Map<String, Object> job(JobRecord r) {
     JobSpec s = r.spec();
     Map<String, Object> m = new LinkedHashMap<>();
@@ -72,6 +73,7 @@
     return m;
   }
 
+  /** The job in a record; {@code key} is the key of the record. */
   public static JobRecord job(String key, Map<String, Object> m) throws Json.Bad {
     List<String> types = null;
     if (m.get("types") != null) {
@@ -149,6 +151,7 @@
 
   // ---- machines and rentals: short, since many share a record ----
 
+  /** A machine as a page of machines holds it. */
   public static List<Object> machine(Decision.Enrol e) {
     List<Object> l = new ArrayList<>(List.of(e.type(), e.zone(), e.spot(), e.fresh()));
     if (e.addr() != null) {
@@ -157,6 +160,7 @@
     return l;
   }
 
+  /** The machine in an entry of a page of machines. */
   public static Decision.Enrol machine(String name, Object value) throws Json.Bad {
     if (value instanceof List<?> l
         && l.size() >= 4
@@ -173,6 +177,7 @@
     return List.of(r.type(), r.zone(), r.spot(), r.count());
   }
 
+  /** The rental in an entry of a page of rentals. */
   public static Decision.Rent rental(Object value) throws Json.Bad {
     if (value instanceof List<?> l
         && l.size() >= 4
@@ -186,6 +191,7 @@
 
   // ---- machine types ----
 
+  /** Machine types as their record holds them. */
   public static Map<String, Object> types(Map<String, MachineType> types) {
     List<Object> rows = new ArrayList<>();
     for (MachineType t : types.values()) {
@@ -208,6 +214,7 @@
     return Map.of("types", rows);
   }
 
+  /** The machine types in their record, by name. */
   public static Map<String, MachineType> readTypes(Map<String, Object> value) throws Json.Bad {
     Map<String, MachineType> out = new LinkedHashMap<>();
     for (Object o : Json.list(value, "types")) {
--- a/src/main/java/org/astershift/store/StoreClient.java
+++ b/src/main/java/org/astershift/store/StoreClient.java
@@ -23,6 +23,7 @@
   private final int others;
   private volatile long answeredNs = System.nanoTime();
 
+  /** A client of the state service that the settings name. */
   public StoreClient(Settings settings) {
     String host = settings.store().host();
     int port = settings.store().port();
@@ -108,6 +109,7 @@
     private final List<Map<String, Object>> conditions = new ArrayList<>();
     private final List<Map<String, Object>> changes = new ArrayList<>();
 
+    /** Applied only if the key has this revision. */
     public Txn when(String key, long revision) {
       Map<String, Object> c = new LinkedHashMap<>();
       c.put("k", key);
@@ -142,6 +144,7 @@
     }
   }
 
+  /** Reads a key; its row has no data if there is none. */
   public Row get(String key) throws IOException {
     HttpClient.Answer a = call("GET", "/store/" + key, null);
     if (a.status() == 404) {
@@ -170,6 +173,7 @@
     }
   }
 
+  /** One page of the rows below a prefix, after a key or from the first. */
   public Page list(String prefix, String after) throws IOException {
     String path = "/store?starts=" + prefix + "&limit=" + Constants.LIST_ROWS;
     if (after != null) {
@@ -189,6 +193,7 @@
     }
   }
 
+  /** Waits a while for changes below a prefix after a revision. */
   public Changes watch(String prefix, long after) throws IOException {
     String path =
         "/watch?starts=" + prefix + "&from=" + after + "&block_ms=" + Constants.WATCH_BLOCK_MS;
--- a/src/test/java/org/astershift/Controllers.java
+++ b/src/test/java/org/astershift/Controllers.java
@@ -110,9 +110,9 @@
   }
 
   @Override
-  public void close() throws Exception {
+  public void close() throws IOException {
     for (Process p : nodes) {
-      p.destroyForcibly().waitFor();
+      p.destroyForcibly().onExit().join();
     }
     cloud.close();
     for (StandInStore.Door door : doors) {
--- a/src/test/java/org/astershift/standin/StandInCloud.java
+++ b/src/test/java/org/astershift/standin/StandInCloud.java
@@ -29,6 +29,7 @@
   private Consumer<String> beforeAnswer = name -> {};
   private final HttpServer http;
 
+  /** Workers report to the controllers at these ports, and their tasks take so long. */
   public StandInCloud(int port, List<Integer> controllers, long taskMs) throws IOException {
     this.controllers = controllers;
     this.taskMs = taskMs;
--- a/src/test/java/org/astershift/world/JobDraft.java
+++ b/src/test/java/org/astershift/world/JobDraft.java
@@ -123,6 +123,7 @@
     return this;
   }
 
+  /** The job as drafted. */
   public JobSpec spec() {
     double checkpointS = saveS > 0 ? 5 : 0;
     return new JobSpec(
--- a/src/test/java/org/astershift/world/Swarm.java
+++ b/src/test/java/org/astershift/world/Swarm.java
@@ -379,7 +379,12 @@
       case 0 -> {
         users.closeLooks = 0.2 + 0.8 * world.random.nextDouble();
         users.cancelsAtOnce = 0.3;
-        world.after(forMs, () -> users.closeLooks = users.cancelsAtOnce = 0);
+        world.after(
+            forMs,
+            () -> {
+              users.closeLooks = 0;
+              users.cancelsAtOnce = 0;
+            });
       }
       case 1 -> {
         world.store.unheardShare = 0.05 + 0.4 * world.random.nextDouble();
