--- a/src/main/java/org/astershift/core/Cluster.java
+++ b/src/main/java/org/astershift/core/Cluster.java
@@ -7,7 +7,6 @@
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
@@ -56,6 +55,8 @@
   final Served served = new Served();
   final Incarnations incarnations;
   final Floor floor = new Floor(this);
+  final MachineTypes machineTypes = new MachineTypes();
+  final Utilization utilization = new Utilization();
   private final Hidden hidden = new Hidden();
 
   /** Looks at a job for a machine, so that tests can count what a pass and a report cost. */
@@ -66,12 +67,8 @@
   private static final Comparator<Job> EARLIER =
       Comparator.comparingLong((Job j) -> j.submittedMs).thenComparing(j -> j.spec.id());
   private final Map<String, TreeSet<Job>> teamJobs = new HashMap<>();
-  private Map<String, MachineType> types = Map.of();
-  private final Map<String, Spare> spare = new HashMap<>();
   private final Map<String, double[]> teamUse = new HashMap<>();
   private final List<Decision.Strike> struck = new ArrayList<>();
-  private final Pool plain = new Pool();
-  private final Pool accelerated = new Pool();
   private final Map<String, Decaying> reuse = new HashMap<>();
   private final Map<String, Long> goneMs = new LinkedHashMap<>();
   private final Map<String, Long> cutZones = new HashMap<>();
@@ -80,14 +77,6 @@
   private int unheard;
   private boolean restless;
 
-  /** Busy and allocated processors of machines that can stand in for each other. */
-  private static final class Pool {
-    double used;
-    double all;
-    double booting;
-    double gpus;
-  }
-
   Cluster(Facts facts, Policy policy, long token) {
     this.facts = facts;
     this.policy = policy;
@@ -127,105 +116,23 @@
 
   // ---- machine types ----
 
-  Map<String, MachineType> types() {
-    return types;
-  }
-
   void types(Map<String, MachineType> known) {
-    types = known;
+    machineTypes.become(known);
     for (Machine m : machines.values()) {
       m.kind = known.get(m.type);
     }
     hidden.recount();
-    spare.clear();
     for (Job job : jobs.values()) {
-      fit(job);
+      machineTypes.fit(job);
     }
     recount();
     stir();
   }
 
-  /** Finds the types for the job, and what it leaves over on those with accelerators. */
-  private void fit(Job job) {
-    JobSpec spec = job.spec;
-    job.usableTypes = usableTypes(spec);
-    job.place =
-        new Job.Place(
-            job.usableTypes, spec.zone(), spec.spot(), spec.cpus(), spec.gpus(), spec.memoryGb());
-    job.spareTypes = new LinkedHashSet<>();
-    for (MachineType t : types.values()) {
-      if (t.gpus() > 0 && job.spec.fits(t)) {
-        if (job.spec.gpus() > 0) {
-          spare.computeIfAbsent(t.name(), n -> new Spare(t)).leave(t, job.spec);
-        } else if (job.spec.kind() == JobKind.ARRAY && !job.usableTypes.contains(t.name())) {
-          job.spareTypes.add(t.name());
-        }
-      }
-    }
-  }
-
-  /**
-   * Whether a task without accelerators fits beside those with, on what these cannot use anyway: it
-   * never keeps one of them from the machine. Only while one is there, so that it may go when idle.
-   */
-  boolean spareHolds(Machine m, Job job) {
-    Spare s = spare.get(m.type);
-    return s != null
-        && m.usedGpus() > 0
-        && job.spareTypes.contains(m.type)
-        && m.plainCpus() + job.spec.cpus() <= s.cpus + TOLERANCE
-        && m.plainMemory() + job.spec.memoryGb() <= s.memory + TOLERANCE;
-  }
-
-  /** What is left of a machine with accelerators by the work that needs these. */
-  private static final class Spare {
-    private double cpus;
-    private double memory;
-
-    Spare(MachineType t) {
-      cpus = t.cpus();
-      memory = t.memoryGb();
-    }
-
-    void leave(MachineType t, JobSpec s) {
-      int n = t.capacity(s);
-      cpus = Math.min(cpus, t.cpus() - n * s.cpus());
-      memory = Math.min(memory, t.memoryGb() - n * s.memoryGb());
-    }
-  }
-
-  /** Zones in which the cloud has machines. */
-  Set<String> zones() {
-    Set<String> zones = new TreeSet<>();
-    for (MachineType t : types.values()) {
-      zones.addAll(t.zones());
-    }
-    return zones;
-  }
-
-  /** Types that a task of the job may go to; those with accelerators only if it needs them. */
-  private Set<String> usableTypes(JobSpec spec) {
-    Set<String> fitting = new LinkedHashSet<>();
-    List<MachineType> plain = new ArrayList<>();
-    for (MachineType t : types.values()) {
-      if (spec.fits(t)) {
-        fitting.add(t.name());
-        if (t.gpus() == 0) {
-          plain.add(t);
-        }
-      }
-    }
-    // Work without accelerators stays off machines with them, where others are enough for it.
-    if (spec.gpus() == 0 && Eligibility.noPlace(spec, plain) == null) {
-      fitting.retainAll(plain.stream().map(MachineType::name).toList());
-    }
-    return fitting;
-  }
-
   // ---- jobs ----
 
   void addJob(Job job) {
-    fit(job);
+    machineTypes.fit(job);
     job.group = floor.group(job.spec);
     jobs.put(job.spec.id(), job);
     if (!job.waiting.isEmpty()) {
@@ -304,7 +211,7 @@
   // ---- machines ----
 
   void addMachine(Machine m) {
-    m.kind = types.get(m.type);
+    m.kind = machineTypes.all().get(m.type);
     machines.put(m.name, m);
     unheard += m.inherited && !m.claimed ? 1 : 0;
     hidden.look(m, true);
@@ -596,7 +503,7 @@
       run.machine.strangers(sign);
       hidden.look(run.machine, machines.get(run.machine.name) == run.machine);
     }
-    pool(run.machine).used += sign * s.cpus();
+    utilization.use(run.machine, sign * s.cpus());
     double[] u = teamUse.computeIfAbsent(s.team(), t -> new double[2]);
     u[0] += sign * s.cpus();
     u[1] += sign * s.gpus();
@@ -717,62 +624,9 @@
     stale.add(run.machine);
   }
 
-  // ---- utilization ----
-
-  private Pool pool(Machine m) {
-    return m.kind != null && m.kind.gpus() > 0 ? accelerated : plain;
-  }
-
-  /** Sums up anew what the pools hold; in between, holding and releasing keep them up. */
+  /** Sums up what is used anew; in between, holding and releasing keep it up. */
   void recount() {
-    for (Pool p : List.of(plain, accelerated)) {
-      p.used = 0;
-      p.all = 0;
-      p.booting = 0;
-      p.gpus = 0;
-    }
-    for (Machine m : machines.values()) {
-      if (m.state == Machine.State.LIVE && m.kind != null) {
-        Pool p = pool(m);
-        p.used += m.usedCpus();
-        p.all += m.kind.cpus();
-        p.gpus += m.kind.gpus();
-      } else if (m.state == Machine.State.BOOTING && m.kind != null) {
-        pool(m).booting += m.kind.cpus();
-      }
-    }
-  }
-
-  /** Processors of machines without accelerators, there or on their way. */
-  double plainProcessors() {
-    return plain.all + plain.booting;
-  }
-
-  /** Accelerators of live machines. */
-  double accelerators() {
-    return accelerated.gpus;
-  }
-
-  /** Processors of live machines for work without accelerators. */
-  double processors() {
-    return plain.all > 0 ? plain.all : accelerated.all;
-  }
-
-  /** Busy over allocated processors, of the machines that can stand in for this one. */
-  double utilization(Machine m) {
-    Pool p = pool(m);
-    return p.all == 0 ? 0 : p.used / p.all;
-  }
-
-  /** For the log: what is used of machines without and with accelerators. */
-  String use() {
-    return String.format(
-        Locale.ROOT,
-        "%.0f of %.0f processors used, beside accelerators %.0f of %.0f",
-        plain.used,
-        plain.all,
-        accelerated.used,
-        accelerated.all);
+    utilization.recount(machines.values());
   }
 
   Collection<Machine> all() {
--- a/src/main/java/org/astershift/core/Floor.java
+++ b/src/main/java/org/astershift/core/Floor.java
@@ -184,7 +184,10 @@
     for (Group g : groups.values()) {
       // A class that several teams share has one floor: with one each, classes that were served
       // well in sum had late jobs served before those that could still be in time.
-      g.floor = share * (g.accelerated ? c.accelerators() : c.processors()) / g.present();
+      g.floor =
+          share
+              * (g.accelerated ? c.utilization.accelerators() : c.utilization.processors())
+              / g.present();
       g.left = g.lacks();
       if (g.left > 0) {
         g.old.sort(Comparator.comparingLong(j -> j.submittedMs));
--- a/src/main/java/org/astershift/core/Gangs.java
+++ b/src/main/java/org/astershift/core/Gangs.java
@@ -115,7 +115,7 @@
       int fits = m.room(job.spec, job.waitingCount());
       if (fits > 0) {
         part.free.add(m);
-        if (old || m.score(job.spec.image()) > 0 || c.utilization(m) < c.policy.utilization()) {
+        if (old || m.score(job.spec.image()) > 0 || c.utilization.of(m) < c.policy.utilization()) {
           part.candidates.add(m);
           part.room += fits;
         }
--- a/src/main/java/org/astershift/core/Placement.java
+++ b/src/main/java/org/astershift/core/Placement.java
@@ -304,7 +304,7 @@
         && m.taken < (m.doubted() ? 1 : c.policy.batch())
         && !job.beingProbed()
         && fits(m, job)) {
-      if (score == 0 && !pastAge(job, nowMs) && c.utilization(m) >= c.policy.utilization()) {
+      if (score == 0 && !pastAge(job, nowMs) && c.utilization.of(m) >= c.policy.utilization()) {
         return;
       }
       if (!job.zoneAllowed(m.zone) || !c.teamAllows(job)) {
@@ -378,7 +378,8 @@
 
   /** Whether there is room for one more task of the job on a machine that it may use. */
   private boolean fits(Machine m, Job job) {
-    return m.hasRoom(job.spec) && (job.usableTypes.contains(m.type) || c.spareHolds(m, job));
+    return m.hasRoom(job.spec)
+        && (job.usableTypes.contains(m.type) || c.machineTypes.spareHolds(m, job));
   }
 
   boolean pastAge(Job job, long nowMs) {
--- a/src/main/java/org/astershift/core/Renting.java
+++ b/src/main/java/org/astershift/core/Renting.java
@@ -149,7 +149,7 @@
     String best = "";
     String fallback = "";
     double bestCost = Double.MAX_VALUE;
-    for (String zone : c.zones()) {
+    for (String zone : c.machineTypes.zones()) {
       int most = need.allowed(zone);
       // Of an array that is spread as well a part runs there after the other.
       boolean inParts = need.job.spec.kind() == JobKind.ARRAY && most > 0;
@@ -171,7 +171,7 @@
   private double lowestPrice(Job job, String zone, long nowMs) {
     double least = Double.MAX_VALUE;
     for (String name : job.usableTypes) {
-      MachineType t = c.types().get(name);
+      MachineType t = c.machineTypes.all().get(name);
       for (boolean spot : job.spec.spotOrNot()) {
         if (t.zones().contains(zone) && !paused(new Pool(name, zone, spot), nowMs)) {
           least = Math.min(least, t.price(spot));
@@ -191,7 +191,7 @@
   }
 
   private void add(Decision.Rent r, List<Bin> coming) {
-    MachineType t = c.types().get(r.type());
+    MachineType t = c.machineTypes.all().get(r.type());
     for (int i = 0; t != null && i < r.count(); i++) {
       coming.add(new Bin(t, r.zone(), r.spot()));
     }
@@ -215,7 +215,7 @@
   /** Room that is left before the fastest new machine could be up counts as free. */
   private long soonMs() {
     double least = Double.MAX_VALUE;
-    for (MachineType t : c.types().values()) {
+    for (MachineType t : c.machineTypes.all().values()) {
       least = Math.min(least, t.bootS());
     }
     return (long) (least * 1000);
@@ -243,7 +243,7 @@
   private double notYetS(Job job) {
     double least = Double.MAX_VALUE;
     for (String name : job.usableTypes) {
-      MachineType t = c.types().get(name);
+      MachineType t = c.machineTypes.all().get(name);
       least = Math.min(least, t.bootS() + job.spec.imageGb() / t.fetchGbPerS());
     }
     return least == Double.MAX_VALUE ? 0 : least;
@@ -259,7 +259,7 @@
     Decision.Rent best = null;
     double bestCost = Double.MAX_VALUE;
     for (String name : need.job.usableTypes) {
-      MachineType t = c.types().get(name);
+      MachineType t = c.machineTypes.all().get(name);
       int per = Math.max(1, t.capacity(spec));
       int count = (need.left() + per - 1) / per;
       for (boolean spot : spec.spotOrNot()) {
--- a/src/main/java/org/astershift/core/Returning.java
+++ b/src/main/java/org/astershift/core/Returning.java
@@ -157,7 +157,7 @@
     List<Machine> surplus = new ArrayList<>();
     for (Map.Entry<String, List<Machine>> e : idle.entrySet()) {
       List<Machine> machines = e.getValue();
-      MachineType type = c.types().get(e.getKey());
+      MachineType type = c.machineTypes.all().get(e.getKey());
       double boots = type.bootS() * Constants.IDLE_BOOTS;
       long windowMs = (long) (1000 * Math.max(c.policy.idleReleaseS(), boots));
       int least =
--- a/src/main/java/org/astershift/core/Scheduler.java
+++ b/src/main/java/org/astershift/core/Scheduler.java
@@ -547,7 +547,7 @@
       }
     }
     boolean planDue = nowMs - lastPlanMs >= Constants.RENT_PLAN_MS || renting.ready();
-    if (planDue && !c.types().isEmpty()) {
+    if (planDue && !c.machineTypes.all().isEmpty()) {
       lastPlanMs = nowMs;
       plan(out, nowMs, nowMs < soleUntilMs);
     }
@@ -658,7 +658,7 @@
         + " booting, "
         + (c.machines.size() - live - booting)
         + " other, "
-        + c.use()
+        + c.utilization.summary()
         + ", "
         + commands.budget()
         + "; "
--- a/src/main/java/org/astershift/core/Triage.java
+++ b/src/main/java/org/astershift/core/Triage.java
@@ -23,7 +23,7 @@
 
   /** Sets the urgency of these waiting arrays of one priority, all with a deadline. */
   void sort(Priority priority, List<Job> jobs, long nowMs) {
-    double processors = c.plainProcessors();
+    double processors = c.utilization.plainProcessors();
     double load = 0;
     for (Job job : c.jobs.values()) {
       JobSpec spec = job.spec;
