--- a/src/main/java/org/astershift/leader/Director.java
+++ b/src/main/java/org/astershift/leader/Director.java
@@ -1,9 +1,6 @@
 package org.astershift.leader;
 
-import java.io.IOException;
 import java.util.BitSet;
-import java.util.Collection;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.astershift.config.Constants;
@@ -18,10 +15,8 @@
 import org.astershift.http.Threads;
 import org.astershift.office.Candidacy;
 import org.astershift.store.Mirror;
-import org.astershift.store.RateBudget;
 import org.astershift.store.Records;
 import org.astershift.store.StoreClient;
-import org.astershift.store.StoreClient.Outcome;
 import org.astershift.worker.OrderSender;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -30,9 +25,6 @@
 public final class Director implements Leadership.Office {
   private static final Logger LOG = LoggerFactory.getLogger(Director.class);
 
-  /** Changes that the end of a job takes: its record goes from the live ones to the ended. */
-  private static final int CHANGES_AN_END = 2;
-
   private final Settings settings;
   private final Policy policy;
   private final StoreClient store;
@@ -43,6 +35,7 @@
   private final Sampling sampling;
   private final Reach reach;
   private final EndedJobs ended = new EndedJobs();
+  private final JobEnds jobEnds;
   private volatile Term term;
 
   /** Held while a term is taken up or laid down: a term that is over must not be taken up late. */
@@ -70,6 +63,7 @@
         new Leadership(settings.node(), store, mirror, this, candidacy, sampling::seen);
     this.machines = new Machines(settings, store, mirror, this::stir);
     this.reach = new Reach(store, askers, this, candidacy);
+    this.jobEnds = new JobEnds(settings.storeLimits(), store, ended, this::stir);
   }
 
   /** Starts the threads of this node: from now on it may lead. */
@@ -213,7 +207,7 @@
     Threads.start("pass", () -> passLoop(t));
     Threads.start("cloud", () -> machines.loop(t));
     Threads.start("save", () -> saveLoop(t));
-    Threads.start("ends", () -> endLoop(t));
+    Threads.start("ends", () -> jobEnds.loop(t));
   }
 
   @Override
@@ -466,135 +460,15 @@
 
   // ---- records ----
 
-  /** Writes the ends of completed jobs, as many in a transaction as it may have. */
-  private void endLoop(Term t) throws InterruptedException {
-    int most = Math.max(1, settings.storeLimits().txnOps() / CHANGES_AN_END);
-    most = Math.min(most, Constants.ENDS_AT_ONCE);
-    while (true) {
-      List<String> jobs = t.ends.next(most);
-      if (jobs.isEmpty()) {
-        return;
-      }
-      try {
-        finish(t, jobs);
-      } catch (RuntimeException | Error e) {
-        LOG.error("ends could not be written", e);
-        failed(t, jobs);
-      }
-    }
-  }
-
-  private void finish(Term t, List<String> jobs) throws InterruptedException {
-    Map<String, Records.Ended> ends = new LinkedHashMap<>();
-    StoreClient.Txn txn = t.txn();
-    for (String id : jobs) {
-      if (t.keeps(id)) {
-        Records.Ended end = endOf(t, id, false);
-        ends.put(id, end);
-        write(txn, id, end);
-        t.ledger().ending(id);
-      }
-    }
-    if (ends.isEmpty()) {
-      return;
-    }
-    Outcome o = store.commit(txn, RateBudget.Use.URGENT, Constants.STORE_PATIENCE_MS);
-    if (o instanceof Outcome.Applied) {
-      ends.forEach((id, end) -> ended(t, id, end));
-      stir();
-    } else if (o instanceof Outcome.Conflict && !t.lostBy(o)) {
-      ends.keySet().forEach(t.ledger()::notEnded);
-      // One of them was cancelled meanwhile, or an earlier try without an answer was applied.
-      for (String id : ends.keySet()) {
-        if (finish(t, id, false, Constants.STORE_PATIENCE_MS) == null) {
-          failed(t, List.of(id));
-        }
-      }
-    } else {
-      if (o instanceof Outcome.Refused) {
-        ends.keySet().forEach(t.ledger()::notEnded);
-      }
-      failed(t, ends.keySet());
-    }
-  }
-
-  private static void failed(Term t, Collection<String> jobs) {
-    if (!t.over()) {
-      Threads.pause();
-      synchronized (t) {
-        for (String id : jobs) {
-          t.scheduler.failed(new Decision.FinishJob(id));
-        }
-      }
-    }
-  }
-
-  private static Records.Ended endOf(Term t, String id, boolean cancelled) {
-    Scheduler.JobView view;
-    synchronized (t) {
-      view = t.scheduler.view(id);
-    }
-    return new Records.Ended(cancelled, view == null ? 0 : view.done());
-  }
-
-  /**
-   * Done and cancelled exclude each other, also for tries whose answer was lost: the first stays.
-   */
-  private static void write(StoreClient.Txn txn, String id, Records.Ended end) {
-    String key = Records.ENDED + id;
-    txn.when(key, 0).put(key, Records.ended(end)).delete(Records.JOB + id);
-  }
-
-  private void ended(Term t, String id, Records.Ended end) {
-    ended.put(id, end);
-    t.ended(id, end.cancelled());
-    LOG.debug("job {} is {}", id, end.cancelled() ? "cancelled" : "done");
-  }
-
-  /**
-   * The end of a job was read. Where this leader wrote it, got no answer and was asked no more, its
-   * term would keep the job, its notes and its place among the team's for ever.
-   */
+  /** The end of a job was read. */
   void overOnRecord(String id, Records.Ended end) {
-    ended.put(id, end);
-    Term t = term;
-    if (t != null && t.keeps(id)) {
-      ended(t, id, end);
-      stir();
-    }
+    jobEnds.overOnRecord(term, id, end);
   }
 
   /** Makes the job's end durable, before anyone is told; null if that is not certain yet. */
   Records.Ended finish(Term t, String id, boolean cancelled, long patienceMs)
       throws InterruptedException {
-    if (!t.keeps(id)) {
-      return ended.get(id);
-    }
-    Records.Ended end = endOf(t, id, cancelled);
-    StoreClient.Txn txn = t.txn();
-    write(txn, id, end);
-    t.ledger().ending(id);
-    Outcome o = store.commit(txn, RateBudget.Use.URGENT, patienceMs);
-    if (o instanceof Outcome.Conflict || o instanceof Outcome.Refused) {
-      t.ledger().notEnded(id);
-    }
-    if (o instanceof Outcome.Conflict && !t.lostBy(o)) {
-      try {
-        StoreClient.Row row = store.get(Records.ENDED + id);
-        if (row.data() == null) {
-          return null;
-        }
-        end = Records.ended(row.data());
-      } catch (IOException | Json.Bad e) {
-        LOG.debug("end of {}: {}", id, e.toString());
-        return null;
-      }
-    } else if (!(o instanceof Outcome.Applied)) {
-      return null;
-    }
-    ended(t, id, end);
-    stir();
-    return end;
+    return jobEnds.finish(t, id, cancelled, patienceMs);
   }
 
   private static void saveLoop(Term t) throws InterruptedException {
