--- a/src/test/java/org/astershift/world/NodeModel.java
+++ b/src/test/java/org/astershift/world/NodeModel.java
@@ -36,16 +36,9 @@
  * WorkerReach}, {@link Scheduler}), carried out over the world's links as the loops of the program
  * do. It may stand still while its clock runs on, or crash and start anew.
  */
-final class NodeModel {
-  private static final long STORE_MS = 1500;
+final class NodeModel extends ProcessModel {
   private static final long CLOUD_MS = 5000;
   private static final long POLL_MS = 60;
-  final String name;
-  private final World world;
-  private final double drift;
-  private int incarnation;
-  private boolean crashed;
-  private long frozenUntilMs;
 
   /** Until then no answer to a report gets away, though orders to workers go out. */
   private long mutedUntilMs;
@@ -59,7 +52,6 @@
   private WorkerReach reach;
   private Map<String, Row> mirror;
   private long mirrored;
-  private long servedMs;
   private String toldLeader;
   private Term term;
   private long restMark;
@@ -126,22 +118,18 @@
   }
 
   NodeModel(World world, String name) {
-    this.world = world;
-    this.name = name;
-    this.drift = (world.random.nextDouble() - 0.5) * Constants.CLOCK_DRIFT;
+    super(world, name);
   }
 
   // ---- the process ----
 
   void start() {
-    crashed = false;
-    incarnation++;
+    begin();
     candidacy = new Candidacy();
     election = new Election(name, candidacy);
     reach = new WorkerReach();
     mirror = new TreeMap<>();
     mirrored = -1;
-    servedMs = clock();
     toldLeader = null;
     term = null;
     ended = new HashMap<>();
@@ -153,18 +141,6 @@
     every(Constants.REACH_MS, this::lookAround);
   }
 
-  void crash() {
-    world.note(name, "crashes");
-    crashed = true;
-    incarnation++;
-  }
-
-  void freeze(long forMs) {
-    world.note(name, "stands still for " + forMs + " ms");
-    frozenUntilMs = world.now() + forMs;
-    world.after(forMs, world::changed);
-  }
-
   /**
    * For so long no worker gets an answer to a report, as when their connections find no place: at
    * first what they say still arrives, so that this node heard them later than they were answered.
@@ -186,82 +162,6 @@
     return world.mutants.contains(m);
   }
 
-  boolean crashed() {
-    return crashed;
-  }
-
-  boolean up() {
-    return !crashed && world.now() >= frozenUntilMs;
-  }
-
-  /** Its steady clock. */
-  private long clock() {
-    return (long) (world.now() * (1 + drift));
-  }
-
-  /** What happens in this process: not after its end, and late if it stands still. */
-  private void here(int of, Runnable body) {
-    if (incarnation != of) {
-      return;
-    }
-    if (world.now() < frozenUntilMs) {
-      world.after(frozenUntilMs - world.now(), () -> here(of, body));
-    } else {
-      body.run();
-    }
-  }
-
-  private void later(long delayMs, Runnable body) {
-    int of = incarnation;
-    world.after(delayMs, () -> here(of, body));
-  }
-
-  private void every(long ms, Runnable body) {
-    later(
-        ms + world.random.nextLong(20),
-        () -> {
-          body.run();
-          every(ms, body);
-        });
-  }
-
-  /** A request of this process to another host. */
-  private <A> void call(String to, long timeoutMs, World.Service<A> service, Consumer<A> done) {
-    int of = incarnation;
-    world.call(name, to, timeoutMs, service, a -> here(of, () -> done.accept(a)));
-  }
-
-  /** A request to the state service; null: no answer, or 503, so its effect is unknown. */
-  private <A> void state(java.util.function.Supplier<A> request, Consumer<A> done) {
-    state(STORE_MS, request, done);
-  }
-
-  private <A> void state(long timeoutMs, java.util.function.Supplier<A> request, Consumer<A> done) {
-    call(
-        "state",
-        timeoutMs,
-        answer -> {
-          if (world.store.refuses(name)) {
-            answer.accept(null);
-          } else if (!world.store.isDown()) {
-            A a = request.get();
-            world.after(slow(), () -> answer.accept(a));
-          }
-        },
-        (A a) -> {
-          servedMs = a == null ? servedMs : clock();
-          done.accept(a);
-        });
-  }
-
-  private long slow() {
-    return world.store.slowMs == 0 ? 0 : world.random.nextLong(world.store.slowMs);
-  }
-
-  private boolean lost() {
-    return clock() - servedMs > Constants.STORE_LOST_MS;
-  }
-
   // ---- the mirror ----
 
   private void poll() {
@@ -303,7 +203,7 @@
     Election.Holder holder =
         row == null ? null : new Election.Holder((String) row.value(), row.revision());
     return new Election.View(
-        clock(), mirrored >= 0, holder, reach.seen(clock()), clock() - servedMs);
+        clock(), mirrored >= 0, holder, reach.seen(clock()), clock() - servedMs());
   }
 
   private void rest(long ms) {
@@ -468,8 +368,8 @@
             other.name,
             timeoutMs,
             answer -> {
-              int of = other.incarnation;
-              if (!other.crashed) {
+              int of = other.incarnation();
+              if (!other.crashed()) {
                 other.here(of, () -> question.accept(other, answer));
               }
             },
@@ -766,7 +666,7 @@
    * this node stood still it finds as it goes on, whatever the time.
    */
   private void connect(String machine, long timeoutMs, Consumer<Integer> done) {
-    int of = incarnation;
+    int of = incarnation();
     Integer[] life = new Integer[1];
     boolean[] over = new boolean[1];
     Runnable look =
@@ -854,9 +754,9 @@
       return;
     }
     here(
-        incarnation,
+        incarnation(),
         () -> {
-          if (!crashed && term != null) {
+          if (!crashed() && term != null) {
             judged(term).directResult(r.machine(), false, r, clock());
           }
         });
@@ -865,11 +765,11 @@
   /** A worker's report. */
   void report(Report r, Consumer<WorkerModel.Answer> answer) {
     boolean full = world.now() < fullUntilMs;
-    if (crashed || (full && world.now() >= mutedUntilMs)) {
+    if (crashed() || (full && world.now() >= mutedUntilMs)) {
       return;
     }
     here(
-        incarnation,
+        incarnation(),
         () -> {
           Term t = term;
           if (t != null) {
@@ -1073,7 +973,9 @@
           }
         },
         (Outcome o) -> {
-          servedMs = o == null || o == StoreModel.REFUSED ? servedMs : clock();
+          if (o != null && o != StoreModel.REFUSED) {
+            served();
+          }
           done.accept(o);
         });
   }
@@ -1083,11 +985,11 @@
   /** As the program's desk accepts: durable before it is told, read back where that is unknown. */
   void submit(JobSpec spec, Consumer<String> answer) {
     here(
-        incarnation,
+        incarnation(),
         () -> {
           EndRow end = ended.get(spec.id());
-          if (crashed || end != null || lost()) {
-            answer.accept(crashed || end == null ? "503" : phase(end));
+          if (crashed() || end != null || lost()) {
+            answer.accept(crashed() || end == null ? "503" : phase(end));
             return;
           }
           JobRow job = new JobRow(spec, world.now());
@@ -1118,9 +1020,9 @@
   /** A user wants the job cancelled: what to do next is the program's decision. */
   void cancel(String job, boolean forward, Consumer<String> answer) {
     here(
-        incarnation,
+        incarnation(),
         () -> {
-          if (!crashed) {
+          if (!crashed()) {
             long untilMs = clock() + Constants.CANCEL_PATIENCE_MS;
             cancelOn(new Wish(job, term, forward, untilMs, answer), false);
           }
@@ -1331,11 +1233,11 @@
    * service, the live record first. 503 where none of these says anything.
    */
   void ask(String job, boolean forward, Consumer<String> answer) {
-    if (crashed) {
+    if (crashed()) {
       return;
     }
     here(
-        incarnation,
+        incarnation(),
         () -> {
           if (has(Mutant.ONE_JOB_IS_FORGOTTEN) && name.equals("n1") && job.equals("wk-7")) {
             answer.accept("503");
