--- a/src/test/java/org/astershift/standin/StandInCloud.java
+++ b/src/test/java/org/astershift/standin/StandInCloud.java
@@ -59,10 +59,11 @@
   /** Ends it with all workers that it ever had: none of them sends anything afterwards. */
   @Override
   public void close() throws IOException {
-    for (StandInWorker worker : closeToRequests()) {
+    List<StandInWorker> workers = closeToRequests();
+    for (StandInWorker worker : workers) {
       worker.close();
     }
-    for (StandInWorker worker : everRented()) {
+    for (StandInWorker worker : workers) {
       worker.awaitEnd();
     }
   }
--- a/src/test/java/org/astershift/world/GangMeetingsTest.java
+++ b/src/test/java/org/astershift/world/GangMeetingsTest.java
@@ -44,14 +44,10 @@
     w.runTo(4);
     w.submit(JobDraft.array("wk-all", 6).kind(JobKind.SERVICE).spec(), null);
     w.runTo(20);
-    assertEquals(1, leaders(w).size(), w.story());
+    assertEquals(1, w.leaders().size(), w.story());
     return w;
   }
 
-  private static List<NodeModel> leaders(World w) {
-    return w.nodes.stream().filter(n -> n.up() && n.leads()).toList();
-  }
-
   private static void suffer(World w, NodeModel old, Fate fate) {
     switch (fate) {
       case CRASHES -> {
@@ -145,7 +141,7 @@
       for (Trouble trouble : Trouble.values()) {
         for (long seed = 1; seed <= SEEDS; seed++) {
           World w = world(seed);
-          NodeModel old = leaders(w).get(0);
+          NodeModel old = w.leaders().get(0);
           long[] lasts = {6000, 12_000, 20_000, 34_000};
           for (String machine : some(w, List.copyOf(w.workers.keySet()), 3)) {
             trouble(w, trouble, machine, lasts[(int) (seed % 4)]);
@@ -185,7 +181,7 @@
         w.cloud.capacity.put(CloudModel.TYPE, 12);
         w.cloud.boots = () -> 32_000L;
         w.runTo(20);
-        NodeModel old = leaders(w).get(0);
+        NodeModel old = w.leaders().get(0);
         List<String> there =
             w.workers.values().stream().filter(m -> m.zone.equals("a")).map(m -> m.name).toList();
         String lost = some(w, there, 1).get(0);
@@ -214,7 +210,7 @@
       w.submit((i == 0 ? d.spread() : d).spec(), 25_000L);
     }
     w.runTo(20);
-    assertEquals(1, leaders(w).size(), w.story());
+    assertEquals(1, w.leaders().size(), w.story());
     return w;
   }
 
@@ -235,7 +231,7 @@
       for (Trouble trouble : Trouble.values()) {
         for (long seed = 1; seed <= SEEDS; seed++) {
           World w = full(seed);
-          NodeModel old = leaders(w).get(0);
+          NodeModel old = w.leaders().get(0);
           for (String machine : some(w, machinesOf(w, GANGS), (int) (seed % 3) * 2)) {
             trouble(w, trouble, machine, seed < 3 ? 2500 : 9000);
           }
@@ -272,7 +268,7 @@
       for (Trouble trouble : Trouble.values()) {
         for (long seed = 1; seed <= SEEDS; seed++) {
           World w = world(seed);
-          NodeModel old = leaders(w).get(0);
+          NodeModel old = w.leaders().get(0);
           List<Long> whenMs = List.of(-1500L, 100L, 1500L);
           boolean early = seed % 2 == 0; // so that they are still gathering
           long forMs = 4000 + 4000 * seed;
@@ -320,7 +316,7 @@
     for (Fate fate : Fate.values()) {
       for (long seed = 1; seed <= 2 * SEEDS; seed++) {
         World w = world(seed);
-        NodeModel old = leaders(w).get(0);
+        NodeModel old = w.leaders().get(0);
         w.lateReports.kept = 0.4;
         w.lateReports.heldBack = 0.3;
         gangs().forEach(g -> w.userSubmits(g, 8_000L, () -> {}));
@@ -367,7 +363,7 @@
       for (Trouble trouble : Trouble.values()) {
         for (long seed = 1; seed <= SEEDS; seed++) {
           World w = limited(seed);
-          NodeModel old = leaders(w).get(0);
+          NodeModel old = w.leaders().get(0);
           double[] use = w.checker.use("red");
           atLimit += use[0] > 12 - 3 && use[1] > 3 - 2 ? 1 : 0;
           List<String> machines = some(w, machinesOf(w, List.copyOf(w.users.accepted())), 4);
@@ -412,7 +408,7 @@
       w.submit((i % 3 == 0 ? d.oneZone() : d).spec(), 15_000L);
     }
     w.runTo(17);
-    assertEquals(1, leaders(w).size(), w.story());
+    assertEquals(1, w.leaders().size(), w.story());
     return w;
   }
 
@@ -431,7 +427,7 @@
       for (boolean mute : new boolean[] {false, true}) {
         for (long seed = 1; seed <= SEEDS; seed++) {
           World w = world(seed);
-          NodeModel old = leaders(w).get(0);
+          NodeModel old = w.leaders().get(0);
           List<String> machines = some(w, List.copyOf(w.workers.keySet()), 6);
           long forMs = List.of(1500L, 3000L, 6000L, 13_000L).get((int) (seed % 4));
           machines.forEach(m -> w.cut(old.name, m));
--- a/src/test/java/org/astershift/world/HealthyMachinesTest.java
+++ b/src/test/java/org/astershift/world/HealthyMachinesTest.java
@@ -26,17 +26,7 @@
    */
   @Test
   void aMachineThatRestartsIsNotGivenAwayForOneQuestionInVain() {
-    List<String> givenAway = new ArrayList<>();
-    for (long seed = 1; seed <= SEEDS; seed++) {
-      for (long atMs = 0; atMs < 2 * REPORT_MS; atMs += STEP_MS) {
-        World w = restart(seed, atMs);
-        assertEquals(List.of(), w.checker.broken, w.wholeStory());
-        for (String machine : w.checker.healthyReturned) {
-          givenAway.add("seed " + seed + ", at " + atMs + " ms: " + machine);
-        }
-      }
-    }
-    assertEquals(List.of(), givenAway);
+    assertNothingIsGivenAway(HealthyMachinesTest::restart);
   }
 
   /**
@@ -46,10 +36,19 @@
    */
   @Test
   void aMachineOnlyHeardByItsAnswersIsNotGivenAwayAsItRestarts() {
+    assertNothingIsGivenAway(HealthyMachinesTest::restartUnheard);
+  }
+
+  /** What is played under a seed, with a restart so long after some moment. */
+  private interface Play {
+    World with(long seed, long atMs);
+  }
+
+  private static void assertNothingIsGivenAway(Play play) {
     List<String> givenAway = new ArrayList<>();
     for (long seed = 1; seed <= SEEDS; seed++) {
       for (long atMs = 0; atMs < 2 * REPORT_MS; atMs += STEP_MS) {
-        World w = restartUnheard(seed, atMs);
+        World w = play.with(seed, atMs);
         assertEquals(List.of(), w.checker.broken, w.wholeStory());
         for (String machine : w.checker.healthyReturned) {
           givenAway.add("seed " + seed + ", at " + atMs + " ms: " + machine);
@@ -59,39 +58,45 @@
     assertEquals(List.of(), givenAway);
   }
 
-  private static World restartUnheard(long seed, long atMs) {
+  /** A service runs on all machines, and one controller leads. */
+  private static World served(long seed) {
     World w = new World(seed, Setup.of(3, MACHINES));
     w.runTo(4);
     w.submit(WorldTest.job("wk-1", JobKind.SERVICE, 2 * MACHINES), null);
     w.runTo(20);
-    NodeModel leader = w.nodes.stream().filter(n -> n.up() && n.leads()).findFirst().orElseThrow();
+    return w;
+  }
+
+  private static World restartUnheard(long seed, long atMs) {
+    World w = served(seed);
+    NodeModel leader = w.onlyLeader();
     for (int i = 0; i < RESTARTED; i++) {
       w.cut(restarted(seed, i), leader.name);
     }
     w.runTo(20 + UNHEARD_S + atMs / 1000.0);
-    for (int i = 0; i < RESTARTED; i++) {
-      w.workers.get(restarted(seed, i)).beginAnew(RESTART_MS - 150 * i);
-    }
+    restartMachines(w);
     w.runTo(20 + UNHEARD_S + 8);
     w.healAll();
     w.runTo(20 + UNHEARD_S + 20);
     return w;
   }
 
+  /** Some for longer than others, all within a second. */
+  private static void restartMachines(World w) {
+    for (int i = 0; i < RESTARTED; i++) {
+      w.workers.get(restarted(w.seed, i)).beginAnew(RESTART_MS - 150 * i);
+    }
+  }
+
   private static String restarted(long seed, int i) {
     return "vm-" + (seed + 3 * i) % MACHINES;
   }
 
   private static World restart(long seed, long atMs) {
-    World w = new World(seed, Setup.of(3, MACHINES));
-    w.runTo(4);
-    w.submit(WorldTest.job("wk-1", JobKind.SERVICE, 2 * MACHINES), null);
-    w.runTo(20);
-    NodeModel leader = w.nodes.stream().filter(n -> n.up() && n.leads()).findFirst().orElseThrow();
+    World w = served(seed);
+    NodeModel leader = w.onlyLeader();
     w.runTo(20 + atMs / 1000.0);
-    for (int i = 0; i < RESTARTED; i++) {
-      w.workers.get(restarted(seed, i)).beginAnew(RESTART_MS - 150 * i);
-    }
+    restartMachines(w);
     w.runTo(20 + atMs / 1000.0 + CUT_AFTER_S);
     w.workers.keySet().forEach(m -> w.cut(m, leader.name));
     w.runTo(20 + atMs / 1000.0 + 6);
--- a/src/test/java/org/astershift/world/IncarnationMeetingsTest.java
+++ b/src/test/java/org/astershift/world/IncarnationMeetingsTest.java
@@ -98,7 +98,7 @@
     if (known == Known.YOUNG) {
       machine.beginAnew(200);
     }
-    NodeModel first = leader(w);
+    NodeModel first = w.onlyLeader();
     List<NodeModel> others = w.nodes.stream().filter(n -> n != first).toList();
     final NodeModel earlier = others.get(0);
     final NodeModel later = others.get(1);
@@ -146,10 +146,4 @@
     w.nodes.stream().filter(n -> n != node).forEach(n -> w.cutBoth(node.name, n.name));
     w.workers.keySet().forEach(m -> w.cutBoth(node.name, m));
   }
-
-  private static NodeModel leader(World w) {
-    List<NodeModel> all = w.nodes.stream().filter(n -> n.up() && n.leads()).toList();
-    assertEquals(1, all.size(), w.story());
-    return all.get(0);
-  }
 }
--- a/src/test/java/org/astershift/world/KeptRoomTest.java
+++ b/src/test/java/org/astershift/world/KeptRoomTest.java
@@ -35,10 +35,6 @@
   }
 
   private static World overload(long seed) {
-    return overload(seed, END_S);
-  }
-
-  private static World overload(long seed, double endS) {
     World w = new World(seed, Setup.of(3, MACHINES));
     w.cloud.capacity.put(CloudModel.TYPE, MACHINES);
     w.runTo(6);
@@ -60,7 +56,7 @@
       int id = i;
       w.after(3000L * i, () -> small(w, id));
     }
-    w.runTo(endS);
+    w.runTo(END_S);
     return w;
   }
 
--- a/src/test/java/org/astershift/world/LargeFleetTest.java
+++ b/src/test/java/org/astershift/world/LargeFleetTest.java
@@ -34,13 +34,13 @@
     }
     w.runTo(20);
     arrays(w, "wk-a");
-    leader(w).crash();
+    w.onlyLeader().crash();
     restart(w, 0);
     w.runTo(23);
     w.nodes.stream().filter(n -> !n.up()).forEach(NodeModel::start);
     w.runTo(45);
     arrays(w, "wk-b");
-    String refused = leader(w).name;
+    String refused = w.onlyLeader().name;
     w.cutBoth(refused, "state");
     w.runTo(46);
     restart(w, 1);
@@ -63,10 +63,6 @@
     }
   }
 
-  private static NodeModel leader(World w) {
-    return w.nodes.stream().filter(n -> n.up() && n.leads()).findFirst().orElseThrow();
-  }
-
   private static void arrays(World w, String prefix) {
     for (int i = 0; i < ARRAYS; i++) {
       w.submit(WorldTest.job(prefix + i, JobKind.ARRAY, TASKS), TASK_MS);
--- a/src/test/java/org/astershift/world/MachineMeetingsTest.java
+++ b/src/test/java/org/astershift/world/MachineMeetingsTest.java
@@ -40,18 +40,12 @@
     w.runTo(4);
     w.submit(WorldTest.job("wk-1", JobKind.SERVICE, replicas), null);
     w.runTo(20);
-    leader(w);
+    w.onlyLeader();
     return w;
   }
 
-  private static NodeModel leader(World w) {
-    List<NodeModel> all = w.nodes.stream().filter(n -> n.up() && n.leads()).toList();
-    assertEquals(1, all.size(), w.story());
-    return all.get(0);
-  }
-
   private static void suffer(World w, Fate fate) {
-    NodeModel n = leader(w);
+    NodeModel n = w.onlyLeader();
     switch (fate) {
       case CRASHES -> {
         n.crash();
@@ -336,14 +330,12 @@
     }
     w.runTo(22 + w.random.nextInt(6000) / 1000.0);
     suffer(w, fate);
-    w.runUntil(() -> w.nodes.stream().anyMatch(n -> n.up() && n.leads()), w.now() / 1000.0 + 15);
+    w.runUntil(() -> !w.leaders().isEmpty(), w.now() / 1000.0 + 15);
     w.runTo(w.now() / 1000.0 + w.random.nextInt(5000) / 1000.0);
     w.store.lateShare = 0;
-    for (NodeModel n : w.nodes) {
-      if (n.up() && n.leads()) {
-        n.crash();
-        w.after(1000, n::start);
-      }
+    for (NodeModel n : w.leaders()) {
+      n.crash();
+      w.after(1000, n::start);
     }
     w.runTo(110);
     return w;
--- a/src/test/java/org/astershift/world/MeetingsTest.java
+++ b/src/test/java/org/astershift/world/MeetingsTest.java
@@ -52,16 +52,12 @@
       w.userSubmits(WorldTest.job("wk-" + i, JobKind.ARRAY, 3), 300_000L, () -> {});
     }
     w.runTo(20);
-    assertEquals(1, leaders(w).size(), w.story());
+    assertEquals(1, w.leaders().size(), w.story());
     return w;
   }
 
-  static List<NodeModel> leaders(World w) {
-    return w.nodes.stream().filter(n -> n.up() && n.leads()).toList();
-  }
-
   static boolean leadsBeside(World w, NodeModel old) {
-    return leaders(w).stream().anyMatch(n -> n != old);
+    return w.leaders().stream().anyMatch(n -> n != old);
   }
 
   static void assertSound(World w) {
@@ -103,7 +99,7 @@
 
   private static Played gap(Gap g, long seed, Mutant... mutants) {
     World w = busy(seed, 12, mutants);
-    NodeModel old = leaders(w).get(0);
+    NodeModel old = w.leaders().get(0);
     List<NodeModel> others = w.nodes.stream().filter(n -> n != old).toList();
     w.store.refuse(old.name, true);
     if (seed % 2 == 0) {
@@ -129,7 +125,7 @@
     if (g.down == Down.AFTER_A_CONFIRMATION || g.fate != Fate.STAYS) {
       w.runUntil(() -> w.checker.anyConfirmed(), 30);
     }
-    NodeModel winner = leaders(w).stream().filter(n -> n != old).findFirst().orElse(others.get(0));
+    NodeModel winner = w.leaders().stream().filter(n -> n != old).findFirst().orElse(others.get(0));
     suffer(w, winner, g.fate, others);
     if (g.down == Down.AS_THE_NEXT_WINS) {
       w.runUntil(() -> leadsBeside(w, old) && !winner.leads(), 35);
@@ -151,8 +147,8 @@
     if (winner.crashed()) {
       winner.start();
     }
-    w.runUntil(() -> !leaders(w).isEmpty(), w.now() / 1000.0 + 10);
-    NodeModel next = leaders(w).get(0);
+    w.runUntil(() -> !w.leaders().isEmpty(), w.now() / 1000.0 + 10);
+    NodeModel next = w.leaders().get(0);
     w.store.refuse(next.name, true);
     w.userCancels("wk-14");
     w.runTo(w.now() / 1000.0 + 1.5);
@@ -218,7 +214,7 @@
 
   private static World confirmedAndGone(long seed, Mutant... mutants) {
     World w = busy(seed, 12, mutants);
-    NodeModel first = leaders(w).get(0);
+    NodeModel first = w.leaders().get(0);
     for (int i = 10; i < 14; i++) {
       w.userCancels("wk-" + i);
     }
@@ -255,7 +251,7 @@
     for (int i = 10; i < 16; i++) {
       w.userCancels("wk-" + i);
     }
-    NodeModel old = leaders(w).get(0);
+    NodeModel old = w.leaders().get(0);
     w.runUntil(() -> w.checker.confirmed() >= 3, 40);
     old.crash();
     w.runTo(70);
@@ -282,7 +278,7 @@
 
   private static World cutAsAJobComes(long seed, Mutant... mutants) {
     World w = busy(seed, 12, mutants);
-    NodeModel old = leaders(w).get(0);
+    NodeModel old = w.leaders().get(0);
     w.submit(WorldTest.job("wk-30", JobKind.ARRAY, 6), 60_000L);
     assertTrue(w.runUntil(() -> old.keeps("wk-30"), 25), w.story());
     w.cutBoth(old.name, "state");
@@ -327,7 +323,7 @@
     }
     w.runTo(33 + w.random.nextInt(4));
     w.store.lateShare = 0;
-    leaders(w).forEach(NodeModel::crash);
+    w.leaders().forEach(NodeModel::crash);
     w.runTo(80);
     return w;
   }
@@ -346,7 +342,7 @@
       w.users.slower.put("wk-61/2", 45_000L);
       // The early tasks are done, their record is on its way or late, and the leader ends.
       w.store.lateShare = seed % 2 == 0 ? 0.5 : 0;
-      NodeModel old = leaders(w).get(0);
+      NodeModel old = w.leaders().get(0);
       assertTrue(w.runUntil(() -> old.done("wk-60") == 1, 50), w.story());
       w.runTo((w.now() + seed * 150) / 1000.0);
       old.crash();
@@ -354,7 +350,7 @@
       w.askAll();
       w.runTo(45);
       old.start();
-      leaders(w).forEach(NodeModel::handOver);
+      w.leaders().forEach(NodeModel::handOver);
       w.runTo(110);
       assertSound(w);
       for (NodeModel n : w.nodes) {
@@ -374,7 +370,7 @@
         w.userCancels("wk-" + i);
       }
       for (int i = 0; i < 6; i++) {
-        w.after(w.random.nextLong(4000), () -> leaders(w).forEach(NodeModel::handOver));
+        w.after(w.random.nextLong(4000), () -> w.leaders().forEach(NodeModel::handOver));
       }
       w.runTo(20 + w.random.nextInt(5000) / 1000.0);
       w.nodes.forEach(NodeModel::crash);
@@ -386,7 +382,7 @@
       assertSound(w);
       w.checker.allAnswered(25_000);
       assertSound(w);
-      assertEquals(1, leaders(w).size(), w.story());
+      assertEquals(1, w.leaders().size(), w.story());
       for (int i = 10; i < 13; i++) {
         assertNotNull(w.checker.confirmedMs("wk-" + i), w.wholeStory());
       }
@@ -416,7 +412,7 @@
 
   private static World unreached(long seed, Mutant... mutants) {
     World w = busy(seed, 12, mutants);
-    NodeModel old = leaders(w).get(0);
+    NodeModel old = w.leaders().get(0);
     old.crash();
     for (NodeModel n : w.nodes) {
       w.cut(n.name, "zone b");
@@ -443,7 +439,7 @@
     int held = 0;
     for (long seed = 1; seed <= 2 * SEEDS; seed++) {
       World w = busy(seed, 12);
-      NodeModel old = leaders(w).get(0);
+      NodeModel old = w.leaders().get(0);
       for (int i = 0; i < 4; i++) {
         String machine = "vm-" + (seed + 3 * i) % 12;
         w.cut(old.name, machine);
--- a/src/test/java/org/astershift/world/ReportMeetingsTest.java
+++ b/src/test/java/org/astershift/world/ReportMeetingsTest.java
@@ -64,10 +64,7 @@
 
   /** Whoever leads with the highest token; null: nobody. */
   private static NodeModel leader(World w) {
-    return w.nodes.stream()
-        .filter(n -> n.up() && n.leads())
-        .max(Comparator.comparingLong(NodeModel::token))
-        .orElse(null);
+    return w.leaders().stream().max(Comparator.comparingLong(NodeModel::token)).orElse(null);
   }
 
   private static boolean leadsAnew(World w, long token) {
--- a/src/test/java/org/astershift/world/SpotMeetingsTest.java
+++ b/src/test/java/org/astershift/world/SpotMeetingsTest.java
@@ -57,19 +57,13 @@
     w.submit(JobDraft.gang("wk-g1", 4).spot().spread().saves(1).spec(), 25_000L);
     w.submit(JobDraft.array("wk-a", 6).spot().spec(), 25_000L);
     w.runTo(18);
-    leader(w);
+    w.onlyLeader();
     assertEquals(REPLICAS, w.checker.on("wk-s"), w.story());
     return w;
   }
 
-  private static NodeModel leader(World w) {
-    List<NodeModel> all = w.nodes.stream().filter(n -> n.up() && n.leads()).toList();
-    assertEquals(1, all.size(), w.story());
-    return all.get(0);
-  }
-
   private static void suffer(World w, Fate fate) {
-    NodeModel old = leader(w);
+    NodeModel old = w.onlyLeader();
     switch (fate) {
       case CRASHES -> {
         old.crash();
--- a/src/test/java/org/astershift/world/SuccessionTest.java
+++ b/src/test/java/org/astershift/world/SuccessionTest.java
@@ -23,14 +23,10 @@
       w.userSubmits(WorldTest.job("wk-" + i, JobKind.ARRAY, 2), 300_000L, () -> {});
     }
     w.runTo(20);
-    assertEquals(1, leaders(w).size(), w.story());
+    assertEquals(1, w.leaders().size(), w.story());
     return w;
   }
 
-  private static List<NodeModel> leaders(World w) {
-    return w.nodes.stream().filter(n -> n.up() && n.leads()).toList();
-  }
-
   private static void assertSound(World w) {
     assertEquals(List.of(), w.checker.broken, () -> "seed " + w.seed + "\n" + w.wholeStory());
   }
@@ -63,7 +59,7 @@
 
   private static World lateEnds(long seed, Mutant... mutants) {
     World w = busy(seed, mutants);
-    NodeModel old = leaders(w).get(0);
+    NodeModel old = w.leaders().get(0);
     List<NodeModel> others = w.nodes.stream().filter(n -> n != old).toList();
     w.store.lateShare = 1;
     for (int i = 10; i < 16; i++) {
@@ -74,7 +70,7 @@
     w.store.lateShare = 0;
     w.cutBoth(others.get(0).name, others.get(1).name);
     w.askAll();
-    assertTrue(w.runUntil(() -> !leaders(w).isEmpty(), 30), w.story());
+    assertTrue(w.runUntil(() -> !w.leaders().isEmpty(), 30), w.story());
     w.runTo(45);
     w.healAll();
     old.start();
@@ -93,7 +89,7 @@
 
   private static World laggingMirror(long seed, Mutant... mutants) {
     World w = busy(seed, mutants);
-    NodeModel old = leaders(w).get(0);
+    NodeModel old = w.leaders().get(0);
     w.store.slowMs = 2500;
     for (int i = 20; i < 50; i++) {
       int id = i;
@@ -103,9 +99,9 @@
     }
     w.after(3000, old::handOver);
     w.runTo(23.1);
-    assertEquals(List.of(), leaders(w), "the work is handed over");
+    assertEquals(List.of(), w.leaders(), "the work is handed over");
     w.runTo(26);
-    assertTrue(w.runUntil(() -> !leaders(w).isEmpty(), 60), w.story());
+    assertTrue(w.runUntil(() -> !w.leaders().isEmpty(), 60), w.story());
     w.store.slowMs = 0;
     w.runTo(w.now() / 1000.0 + 10);
     w.leftWaiting.troublesAreOver();
@@ -120,10 +116,10 @@
   void aClaimIsCarriedOutAndItsAnswerIsLost() {
     for (long seed = 1; seed <= SEEDS; seed++) {
       World w = busy(seed);
-      NodeModel old = leaders(w).get(0);
+      NodeModel old = w.leaders().get(0);
       w.store.unheardShare = 1;
       old.crash();
-      boolean led = w.runUntil(() -> leaders(w).stream().anyMatch(n -> n != old), 30);
+      boolean led = w.runUntil(() -> w.leaders().stream().anyMatch(n -> n != old), 30);
       int claims = w.store.unheard.getOrDefault(StoreModel.LEADER.substring(0, 2), 0);
       assertTrue(led && claims > 0, claims + " claims unanswered\n" + w.story());
       w.store.unheardShare = 0;
--- a/src/test/java/org/astershift/world/Swarm.java
+++ b/src/test/java/org/astershift/world/Swarm.java
@@ -279,8 +279,7 @@
     NodeModel any = world.nodes.get(world.random.nextInt(world.nodes.size()));
     boolean leader =
         second || world.random.nextBoolean(); // most of what can go wrong goes wrong there
-    NodeModel node =
-        world.nodes.stream().filter(n -> leader && n.up() && n.leads()).findFirst().orElse(any);
+    NodeModel node = leader ? world.leaders().stream().findFirst().orElse(any) : any;
     long forMs = 1000 + world.random.nextLong(45_000);
     switch (kind) {
       case 0 -> cut(node.name, "workers", forMs);
@@ -370,11 +369,7 @@
   private void users(int kind) {
     Users users = world.users;
     long forMs = 5000 + world.random.nextLong(45_000);
-    NodeModel leader =
-        world.nodes.stream()
-            .filter(n -> n.up() && n.leads())
-            .findFirst()
-            .orElse(world.nodes.get(0));
+    NodeModel leader = world.leaders().stream().findFirst().orElse(world.nodes.get(0));
     switch (kind) {
       case 0 -> {
         users.closeLooks = 0.2 + 0.8 * world.random.nextDouble();
@@ -410,10 +405,7 @@
           boolean crashes = world.random.nextBoolean();
           trouble(
               i * forMs / 10 + world.random.nextLong(500),
-              () ->
-                  world.nodes.stream()
-                      .filter(n -> n.up() && n.leads())
-                      .forEach(crashes ? this::crash : NodeModel::handOver));
+              () -> world.leaders().forEach(crashes ? this::crash : NodeModel::handOver));
         }
       }
     }
@@ -497,7 +489,7 @@
 
   /** What does not serve though all is healed; empty if everything does. */
   String unserved() {
-    long leaders = world.nodes.stream().filter(n -> n.up() && n.leads()).count();
+    int leaders = world.leaders().size();
     int running = world.workers.values().stream().mapToInt(WorkerModel::running).sum();
     String out = leaders == 1 ? "" : leaders + " lead; ";
     out += running >= replicas ? "" : running + " replicas run; ";
--- a/src/test/java/org/astershift/world/TeamMeetingsTest.java
+++ b/src/test/java/org/astershift/world/TeamMeetingsTest.java
@@ -73,10 +73,6 @@
     }
   }
 
-  private static List<NodeModel> leaders(World w) {
-    return w.nodes.stream().filter(n -> n.up() && n.leads()).toList();
-  }
-
   private static void assertSound(World w) {
     assertEquals(List.of(), w.checker.broken, () -> "seed " + w.seed + "\n" + w.wholeStory());
   }
@@ -116,7 +112,7 @@
       }
     }
     w.runTo(24);
-    assertEquals(1, leaders(w).size(), w.story());
+    assertEquals(1, w.leaders().size(), w.story());
     return w;
   }
 
@@ -186,7 +182,7 @@
     long leaseMs = w.setup.leaseMs();
     long[] lasts = {leaseMs / 2, leaseMs - 500, leaseMs + 500, 2 * leaseMs};
     long forMs = lasts[(int) (seed % 4)];
-    NodeModel old = leaders(w).get(0);
+    NodeModel old = w.leaders().get(0);
     w.after(troubleMs - w.now(), () -> machines.forEach(machine -> trouble(w, m, machine, forMs)));
     w.after(cancelMs + m.when.ms - w.now(), () -> suffer(w, old, m.fate));
     for (String job : jobs) {
@@ -298,7 +294,7 @@
 
   private static Spell spell(Fate fate, boolean deaf, long seed, Mutant... mutants) {
     World w = limited(seed, mutants);
-    NodeModel old = leaders(w).get(0);
+    NodeModel old = w.leaders().get(0);
     String zone = "zone " + w.setup.zones().get((int) (seed % 3));
     long forMs = 4000 + seed * 3000;
     for (NodeModel n : w.nodes) {
@@ -310,7 +306,7 @@
     }
     suffer(w, old, fate);
     boolean began =
-        w.runUntil(() -> leaders(w).stream().anyMatch(n -> n != old), w.now() / 1000.0 + 20);
+        w.runUntil(() -> w.leaders().stream().anyMatch(n -> n != old), w.now() / 1000.0 + 20);
     assertTrue(began, w.wholeStory());
     w.runTo(w.now() / 1000.0 + 0.2 * (seed % 3));
     int cancelled = 0;
@@ -319,7 +315,7 @@
       // Some hold tasks where nobody can ask, some wait: what they leave is there to be taken.
       for (String job : List.of("0", "1", "acc0")) {
         w.userCancels("wk-" + team.substring(0, 1) + job);
-        cancelled += leaders(w).stream().anyMatch(NodeModel::starting) ? 1 : 0;
+        cancelled += w.leaders().stream().anyMatch(NodeModel::starting) ? 1 : 0;
       }
       w.userSubmits(JobDraft.array("wk-late-" + team, 2).of(team).spec(), 300_000L, () -> {});
     }
@@ -402,7 +398,7 @@
       there.forEach(loss == Loss.DIE ? w.cloud::die : w.cloud::take);
     }
     if (changes) {
-      NodeModel old = leaders(w).get(0);
+      NodeModel old = w.leaders().get(0);
       w.after(w.random.nextLong(forMs), () -> suffer(w, old, Fate.values()[(int) w.seed % 3]));
     }
     w.runTo((22_000 + forMs) / 1000.0);
@@ -426,7 +422,7 @@
     for (Fate fate : Fate.values()) {
       for (long seed = 1; seed <= SEEDS; seed++) {
         World w = crowded(seed);
-        NodeModel old = leaders(w).get(0);
+        NodeModel old = w.leaders().get(0);
         w.after(20_000 + w.random.nextLong(5000), () -> suffer(w, old, fate));
         w.runTo(60);
         slow(w, 0);
--- a/src/test/java/org/astershift/world/UserMeetingsTest.java
+++ b/src/test/java/org/astershift/world/UserMeetingsTest.java
@@ -3,7 +3,6 @@
 import static org.astershift.world.MeetingsTest.assertMissed;
 import static org.astershift.world.MeetingsTest.assertSound;
 import static org.astershift.world.MeetingsTest.busy;
-import static org.astershift.world.MeetingsTest.leaders;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -34,7 +33,7 @@
   }
 
   private static void change(World w, Change change) {
-    for (NodeModel n : leaders(w)) {
+    for (NodeModel n : w.leaders()) {
       if (change == Change.HANDS_OVER || change == Change.BOTH) {
         n.handOver();
       }
@@ -135,7 +134,7 @@
     w.users.cancelsAtOnce = 0.2;
     w.askAll();
     w.store.unheardShare = 0.4;
-    NodeModel leader = leaders(w).get(0);
+    NodeModel leader = w.leaders().get(0);
     NodeModel apart = w.nodes.get(w.nodes.indexOf(leader) == 0 ? 1 : 0);
     w.cutBoth(leader.name, apart.name);
     submit(w, 100, 16, 15_000, 3000);
@@ -267,7 +266,7 @@
 
   private static Refused refused(long seed, int afterMs, boolean hands, Mutant... mutants) {
     World w = busy(seed, 12, mutants);
-    NodeModel old = leaders(w).get(0);
+    NodeModel old = w.leaders().get(0);
     for (int i = 10; i < 16; i++) {
       w.userCancels("wk-" + i);
     }
--- a/src/test/java/org/astershift/world/World.java
+++ b/src/test/java/org/astershift/world/World.java
@@ -1,5 +1,7 @@
 package org.astershift.world;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.HashMap;
@@ -217,6 +219,18 @@
     }
   }
 
+  /** Controllers that lead, as far as they know. */
+  List<NodeModel> leaders() {
+    return nodes.stream().filter(n -> n.up() && n.leads()).toList();
+  }
+
+  /** The one that leads; that there is exactly one is asserted. */
+  NodeModel onlyLeader() {
+    List<NodeModel> all = leaders();
+    assertEquals(1, all.size(), story());
+    return all.get(0);
+  }
+
   boolean reaches(String a, String b) {
     return up(a, b) && up(b, a);
   }
--- a/src/test/java/org/astershift/world/WorldTest.java
+++ b/src/test/java/org/astershift/world/WorldTest.java
@@ -55,15 +55,11 @@
     w.submit(job("wk-1", JobKind.SERVICE, 3 * setup.machines()), null);
     w.submit(job("wk-2", JobKind.ARRAY, setup.machines()), 40_000L);
     w.runTo(20);
-    assertEquals(1, leader(w).size(), w.story());
+    assertEquals(1, w.leaders().size(), w.story());
     assertTrue(running(w) >= 4 * setup.machines(), running(w) + " run\n" + w.story());
     return w;
   }
 
-  private static List<NodeModel> leader(World w) {
-    return w.nodes.stream().filter(n -> n.up() && n.leads()).toList();
-  }
-
   private static int running(World w) {
     return w.workers.values().stream().mapToInt(WorkerModel::running).sum();
   }
@@ -121,7 +117,7 @@
   void aLeaderInDoubtProvesNothingByLeases() {
     for (long seed = 1; seed <= SEEDS; seed++) {
       World w = twoLeaders(seed);
-      assertEquals(2, leader(w).size(), w.story());
+      assertEquals(2, w.leaders().size(), w.story());
       sound(w);
     }
   }
@@ -130,7 +126,7 @@
   static World twoLeaders(long seed, Mutant... mutants) {
     World w = rested(seed, Setup.of(3, 60));
     w.mutants.addAll(List.of(mutants));
-    NodeModel old = leader(w).get(0);
+    NodeModel old = w.leaders().get(0);
     NodeModel later = follower(w, 0);
     for (String host : List.of("state", "cloud", "zone a", later.name, follower(w, 1).name)) {
       w.cutBoth(old.name, host);
@@ -147,7 +143,7 @@
   void withoutHandingOverTheLeasesRunOut() {
     World w = rested(1, Setup.of(3, 60));
     w.mutants.add(Mutant.NO_HANDING_OVER);
-    w.cutBoth(leader(w).get(0).name, "workers");
+    w.cutBoth(w.leaders().get(0).name, "workers");
     w.runTo(60);
     assertNotEquals(0, w.checker.killedByLease, "a fence was taken away");
   }
@@ -156,13 +152,13 @@
   void theSecondHolderIsCutFromTheWorkersAsTheFirst() {
     for (long seed = 1; seed <= SEEDS; seed++) {
       World w = rested(seed, Setup.of(3, 60));
-      NodeModel first = leader(w).get(0);
+      NodeModel first = w.leaders().get(0);
       NodeModel second = follower(w, 0);
       NodeModel third = follower(w, 1);
       w.cutBoth(first.name, "workers");
       w.cutBoth(second.name, "workers");
       w.runTo(35);
-      assertEquals(List.of(third), leader(w), w.story());
+      assertEquals(List.of(third), w.leaders(), w.story());
       w.runTo(95);
       assertEquals(0, w.checker.killedByLease, w.story());
       w.healBoth(first.name, "workers");
@@ -185,7 +181,7 @@
       NodeModel back = follower(w, 1);
       w.healBoth(back.name, "workers");
       w.runTo(110);
-      assertEquals(List.of(back), leader(w), w.story());
+      assertEquals(List.of(back), w.leaders(), w.story());
       w.nodes.forEach(n -> w.healBoth(n.name, "workers"));
       w.runTo(150);
       sound(w);
@@ -199,7 +195,7 @@
   void requestsOfWorkersArriveAndAnswersDoNot() {
     for (long seed = 1; seed <= SEEDS; seed++) {
       World w = rested(seed, Setup.of(3, 60));
-      NodeModel first = leader(w).get(0);
+      NodeModel first = w.leaders().get(0);
       w.cut(first.name, "workers");
       w.runTo(80);
       sound(w);
@@ -230,7 +226,7 @@
   void aLeaderIsCutOffInTheMiddleOfReturning() {
     for (long seed = 1; seed <= SEEDS; seed++) {
       World w = rested(seed, Setup.of(3, 60));
-      NodeModel first = leader(w).get(0);
+      NodeModel first = w.leaders().get(0);
       for (int i = 0; i < 12; i++) {
         w.cloud.die("vm-" + i);
       }
@@ -238,7 +234,7 @@
       w.cutBoth(first.name, "workers");
       w.runTo(60);
       sound(w);
-      assertNotEquals(List.of(first), leader(w), w.story());
+      assertNotEquals(List.of(first), w.leaders(), w.story());
       assertEquals(12, w.checker.returned.size(), w.story());
       w.healBoth(first.name, "workers");
       w.runTo(100);
@@ -249,7 +245,7 @@
   @Test
   void manyAreDeadAtTheMomentOfATakeover() {
     World w = rested(1, Setup.of(3, 600));
-    NodeModel first = leader(w).get(0);
+    NodeModel first = w.leaders().get(0);
     for (int i = 0; i < 180; i++) {
       w.cloud.die("vm-" + i);
     }
@@ -282,7 +278,7 @@
       World w = rested(seed, Setup.of(3, 60));
       w.nodes.forEach(n -> w.cut(n.name, "zone a"));
       w.runTo(21 + seed % 10);
-      leader(w).get(0).crash();
+      w.leaders().get(0).crash();
       w.runTo(40);
       w.submit(job("wk-3", JobKind.ARRAY, 60), 5_000L);
       w.runTo(100);
@@ -322,10 +318,10 @@
   void oneMachineDoesNotHoldUpAllForEver() {
     for (long seed = 1; seed <= SEEDS; seed++) {
       World w = rested(seed, Setup.of(3, 60));
-      leader(w).get(0).crash();
+      w.leaders().get(0).crash();
       w.nodes.stream().filter(n -> !n.crashed()).forEach(n -> w.cut(n.name, "vm-3"));
       w.runTo(24);
-      NodeModel next = leader(w).get(0);
+      NodeModel next = w.leaders().get(0);
       w.nodes.stream().filter(n -> n != next).forEach(n -> w.heal(n.name, "vm-3"));
       w.submit(job("wk-3", JobKind.ARRAY, 60), 5_000L);
       w.runTo(70);
@@ -357,9 +353,9 @@
       w.after(i * 2000L, () -> w.submit(job("wk-1" + id, JobKind.ARRAY, 20), 8_000L));
     }
     w.runTo(40);
-    leader(w).get(0).crash();
+    w.leaders().get(0).crash();
     w.runTo(60);
-    leader(w).get(0).crash();
+    w.leaders().get(0).crash();
     w.nodes.stream().filter(n -> n.crashed()).findFirst().orElseThrow().start();
     w.runTo(140);
     return w;
@@ -371,7 +367,7 @@
     for (long seed = 1; seed <= SEEDS; seed++) {
       World w = rested(seed, Setup.of(3, 60));
       w.copied = 0.2;
-      leader(w).get(0).crash();
+      w.leaders().get(0).crash();
       for (int i = 0; i < 12; i++) {
         WorkerModel machine = w.workers.get("vm-" + (seed + 5 * i) % 60);
         w.after(w.random.nextLong(4000), () -> machine.beginAnew(50 + w.random.nextLong(900)));
@@ -387,13 +383,13 @@
   void aControllerLosesTheStateServiceAndTheOthersAndNotItsWorkers() {
     for (long seed = 1; seed <= SEEDS; seed++) {
       World w = rested(seed, Setup.of(3, 60));
-      NodeModel old = leader(w).get(0);
+      NodeModel old = w.leaders().get(0);
       for (String host : List.of("state", follower(w, 0).name, follower(w, 1).name)) {
         w.cutBoth(old.name, host);
       }
       w.runTo(30);
       if (seed % 2 == 0) {
-        leader(w).stream().filter(n -> n != old).forEach(NodeModel::crash); // in the election
+        w.leaders().stream().filter(n -> n != old).forEach(NodeModel::crash); // in the election
       }
       w.submit(job("wk-3", JobKind.ARRAY, 60), 5_000L);
       w.runTo(70);
@@ -401,13 +397,13 @@
       assertEquals(0, w.checker.killedByLease, w.story());
       assertEquals(List.of(), w.checker.returned, w.story());
       assertTrue(running(w) >= 180, running(w) + " run\n" + w.story());
-      assertEquals(1, leader(w).stream().filter(n -> n != old).count(), w.story());
+      assertEquals(1, w.leaders().stream().filter(n -> n != old).count(), w.story());
     }
   }
 
   private static void loseLeaderAndZone(World w) {
     w.nodes.forEach(n -> w.cutBoth(n.name, "zone a"));
-    leader(w).get(0).crash();
+    w.leaders().get(0).crash();
   }
 
   private static World atItsLimit(long seed) {
@@ -426,7 +422,7 @@
   void aZoneIsCutOffWithTheLeaderInIt() {
     for (long seed = 1; seed <= SEEDS; seed++) {
       World w = rested(seed, Setup.of(3, 60));
-      NodeModel first = leader(w).get(0);
+      NodeModel first = w.leaders().get(0);
       for (String host :
           List.of("state", "cloud", "zone b", "zone c", follower(w, 0).name, follower(w, 1).name)) {
         w.cutBoth(first.name, host);
@@ -469,7 +465,7 @@
   void aLeaderAloneKeepsAZoneUntilTheOthersAreBack() {
     for (long seed = 1; seed <= SEEDS; seed++) {
       World w = rested(seed, Setup.of(3, 60));
-      NodeModel leader = leader(w).get(0);
+      NodeModel leader = w.leaders().get(0);
       List<NodeModel> others = w.nodes.stream().filter(n -> n != leader).toList();
       others.forEach(NodeModel::crash);
       w.cutBoth(leader.name, "zone a");
