Log who leads on which evidence, and why an attempt counts as gone; the last events of each machine

The records of the incident (docs/incidents/overtaken-answer.md) could not tell which message a leader had handled first, and on what evidence a task that a machine had shown counted as gone.

New at INFO: what a term begins with (revision, machines, jobs, time to load, how long its lease is certain) and ends with; the reason for which tasks that a machine had shown are dropped, with the message on which that rests and how long it had waited in this process; counts, every 10 s, of tasks found on two machines, of restarts suspected, confirmed, presumed and refuted, of answers overtaken, and of heartbeats with their waits. At WARN, ten times in 10 s at the most: the last eight events of both machines where one task is found on two, and of one whose answer was overtaken. One line a machine replaces one a task ("task lost, new epoch"). tasks_lost in "machine restarted" counted starts that stay held as well; these are starts_pending now.

Why an answer to a user was allowed is not logged yet.

Tidied on the way: ListedMachine stands by itself, the position of a message is a type (MessagePosition).

--- a/src/main/java/org/astershift/api/ConcurrencyGate.java
+++ b/src/main/java/org/astershift/api/ConcurrencyGate.java
@@ -1,5 +1,7 @@
 package org.astershift.api;
 
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 
@@ -9,6 +11,10 @@
  */
 final class ConcurrencyGate {
   private final Semaphore permits;
+
+  /** When each waiting request came, nanoseconds of the steady clock; the oldest first. */
+  private final Map<Object, Long> waitingSinceNs = new LinkedHashMap<>();
+
   private final long timeoutMs;
 
   ConcurrencyGate(int limit, long timeoutMs) {
@@ -18,7 +24,29 @@
 
   /** Waits for a permit; false if the timeout passed. After true, {@link #leave} must follow. */
   boolean tryEnter() throws InterruptedException {
-    return permits.tryAcquire(timeoutMs, TimeUnit.MILLISECONDS);
+    if (permits.tryAcquire()) {
+      return true;
+    }
+    Object waiting = new Object();
+    synchronized (waitingSinceNs) {
+      waitingSinceNs.put(waiting, System.nanoTime());
+    }
+    try {
+      return permits.tryAcquire(timeoutMs, TimeUnit.MILLISECONDS);
+    } finally {
+      synchronized (waitingSinceNs) {
+        waitingSinceNs.remove(waiting);
+      }
+    }
+  }
+
+  /** For how long the oldest waiting request has waited, milliseconds; 0 if none waits. */
+  long oldestWaitMs() {
+    synchronized (waitingSinceNs) {
+      return waitingSinceNs.isEmpty()
+          ? 0
+          : (System.nanoTime() - waitingSinceNs.values().iterator().next()) / 1_000_000;
+    }
   }
 
   /** Returns the permit. */
--- a/src/main/java/org/astershift/api/PublicApi.java
+++ b/src/main/java/org/astershift/api/PublicApi.java
@@ -41,6 +41,7 @@
   private final JobService jobService;
   private final Map<String, Team> teams;
   private final RequestStatistics requestStatistics = new RequestStatistics();
+  private final HeartbeatStatistics heartbeatStatistics = new HeartbeatStatistics();
   private final ConcurrencyGate heartbeatGate =
       new ConcurrencyGate(CONCURRENT_HEARTBEATS, HEARTBEAT_WAIT_MS);
 
@@ -161,17 +162,21 @@
    * rejected: its worker has given up, and working off a stale backlog would let all leases expire.
    */
   private Response handleHeartbeat(Request request) throws InterruptedException {
+    long receivedMs = ControllerRuntime.nowMs();
+    heartbeatStatistics.logIfDue(heartbeatGate.oldestWaitMs());
     if (!heartbeatGate.tryEnter()) {
+      heartbeatStatistics.onRejected();
       return Response.error(503, "too many reports");
     }
     try {
-      return processHeartbeat(request);
+      heartbeatStatistics.onHandled(ControllerRuntime.nowMs() - receivedMs);
+      return processHeartbeat(request, receivedMs);
     } finally {
       heartbeatGate.leave();
     }
   }
 
-  private Response processHeartbeat(Request request) {
+  private Response processHeartbeat(Request request, long receivedMs) {
     Heartbeat heartbeat;
     try {
       heartbeat = WorkerCodec.readHeartbeat(request.body());
@@ -180,7 +185,7 @@
       return Response.error(400, e.getMessage());
     }
     long fencingToken = controller.token();
-    List<Command> commands = controller.onHeartbeat(heartbeat, fencingToken);
+    List<Command> commands = controller.onHeartbeat(heartbeat, fencingToken, receivedMs);
     if (commands == null) {
       String leader = controller.otherLeader();
       return Response.of(421, leader == null ? Map.of() : Map.of("harbormaster", leader));
--- a/src/main/java/org/astershift/cloud/CloudClient.java
+++ b/src/main/java/org/astershift/cloud/CloudClient.java
@@ -9,8 +9,8 @@
 import org.astershift.http.JsonFormatException;
 import org.astershift.http.RequestNotSentException;
 import org.astershift.scheduler.Decision;
+import org.astershift.scheduler.ListedMachine;
 import org.astershift.scheduler.MachineType;
-import org.astershift.scheduler.Scheduler.ListedMachine;
 import org.astershift.store.RateLimiter;
 
 /**
--- a/src/main/java/org/astershift/cloud/CloudCodec.java
+++ b/src/main/java/org/astershift/cloud/CloudCodec.java
@@ -7,8 +7,8 @@
 import org.astershift.http.Json;
 import org.astershift.http.JsonFormatException;
 import org.astershift.scheduler.Decision;
+import org.astershift.scheduler.ListedMachine;
 import org.astershift.scheduler.MachineType;
-import org.astershift.scheduler.Scheduler.ListedMachine;
 
 /** Maps the cloud API's requests and responses to their wire format. */
 final class CloudCodec {
--- a/src/main/java/org/astershift/controller/CloudPoller.java
+++ b/src/main/java/org/astershift/controller/CloudPoller.java
@@ -6,8 +6,8 @@
 import org.astershift.cloud.CloudClient;
 import org.astershift.http.JsonFormatException;
 import org.astershift.http.Threads;
+import org.astershift.scheduler.ListedMachine;
 import org.astershift.scheduler.MachineType;
-import org.astershift.scheduler.Scheduler;
 import org.astershift.store.RateLimiter;
 import org.astershift.store.RecordCodec;
 import org.astershift.store.StoreClient;
@@ -72,7 +72,7 @@
 
   private void refreshMachines(LeaderTerm term) throws IOException {
     long requestedMs = LeaderTerm.nowMs();
-    List<Scheduler.ListedMachine> listed = cloud.listMachines();
+    List<ListedMachine> listed = cloud.listMachines();
     term.scheduler.onMachineList(listed, requestedMs);
     requestPass.run();
   }
--- a/src/main/java/org/astershift/controller/CommandDispatcher.java
+++ b/src/main/java/org/astershift/controller/CommandDispatcher.java
@@ -56,7 +56,7 @@
       // Also after a failure: a request that stays in flight for ever blocks its task's slot and
       // the job's cancellation.
       term.scheduler.onCommandResult(
-          request.machineName(), result.outcomeUnknown(), result.heartbeat());
+          request.machineName(), result.outcomeUnknown(), result.heartbeat(), LeaderTerm.nowMs());
     }
   }
 }
--- a/src/main/java/org/astershift/controller/ControllerRuntime.java
+++ b/src/main/java/org/astershift/controller/ControllerRuntime.java
@@ -190,7 +190,16 @@
     }
     LeaderTerm term = createTerm(token);
     term.scheduler.updateMachineTypes(cloudPoller.types());
+    long revision = watchCache.revision();
     term.load(watchCache);
+    LOG.info(
+        "term begins: node={} token={} revision={} {} load_ms={} lease_certain_for_ms={}",
+        settings.nodeName(),
+        token,
+        revision,
+        term.inventory(),
+        LeaderTerm.nowMs() - term.beganMs,
+        elector.leaseCertainUntilMs() - LeaderTerm.nowMs());
     synchronized (termLock) {
       if (elector.token() != token) {
         term.end(); // over before it began
@@ -246,6 +255,12 @@
     if (term != null) {
       term.end();
       LOG.info("{} leads no longer, token={}: {}", settings.nodeName(), term.token, reason);
+      LOG.info(
+          "term ends: node={} token={} led_ms={} lease_certain_for_ms={}",
+          settings.nodeName(),
+          term.token,
+          LeaderTerm.nowMs() - term.beganMs,
+          elector.leaseCertainUntilMs() - LeaderTerm.nowMs());
     }
     requestPass();
   }
@@ -254,10 +269,18 @@
     passSignal.request();
   }
 
-  /** Commands for the response to a heartbeat; null if this node must not answer it. */
-  public List<Command> onHeartbeat(Heartbeat heartbeat, long token) {
+  /**
+   * Commands for the response to a heartbeat, which reached this node at {@code receivedMs}; null
+   * if this node must not answer it.
+   */
+  public List<Command> onHeartbeat(Heartbeat heartbeat, long token, long receivedMs) {
     LeaderTerm term = currentTerm;
-    return term == null || term.token != token ? null : term.onHeartbeat(heartbeat);
+    return term == null || term.token != token ? null : term.onHeartbeat(heartbeat, receivedMs);
+  }
+
+  /** The steady clock in milliseconds. */
+  public static long nowMs() {
+    return LeaderTerm.nowMs();
   }
 
   /** Fencing token for the response to a heartbeat; 0 if this node does not lead. */
--- a/src/main/java/org/astershift/controller/LeaderTerm.java
+++ b/src/main/java/org/astershift/controller/LeaderTerm.java
@@ -79,8 +79,8 @@
   }
 
   /** Commands for the response; null if this term must not answer workers any more. */
-  List<Command> onHeartbeat(Heartbeat heartbeat) {
-    return scheduler.onHeartbeat(heartbeat);
+  List<Command> onHeartbeat(Heartbeat heartbeat, long receivedMs) {
+    return scheduler.onHeartbeat(heartbeat, receivedMs);
   }
 
   /** A transaction that fails if it is applied late, after another leader took over. */
@@ -286,6 +286,16 @@
     return "as-" + token + "-" + rentalCount.incrementAndGet();
   }
 
+  /** For the log: what the term began with. */
+  String inventory() {
+    return "machines="
+        + records.entries(LeaderRecords.RecordKind.MACHINE).size()
+        + " opened_jobs="
+        + records.entries(LeaderRecords.RecordKind.OPENED).size()
+        + " jobs="
+        + termJobs.count();
+  }
+
   /** The steady clock in milliseconds. */
   static long nowMs() {
     return System.nanoTime() / 1_000_000;
--- a/src/main/java/org/astershift/controller/LockedScheduler.java
+++ b/src/main/java/org/astershift/controller/LockedScheduler.java
@@ -7,6 +7,7 @@
 import org.astershift.scheduler.Command;
 import org.astershift.scheduler.Decision;
 import org.astershift.scheduler.Heartbeat;
+import org.astershift.scheduler.ListedMachine;
 import org.astershift.scheduler.MachineType;
 import org.astershift.scheduler.Scheduler;
 
@@ -48,7 +49,7 @@
   }
 
   /** Commands for the response; null if this term must not answer workers any more. */
-  List<Command> onHeartbeat(Heartbeat heartbeat) {
+  List<Command> onHeartbeat(Heartbeat heartbeat, long receivedMs) {
     List<Command> commands;
     boolean deposed;
     boolean passNeeded;
@@ -57,7 +58,7 @@
         return null;
       }
       scheduler.extendLeaseCertainty(host.leaseCertainUntilMs());
-      commands = scheduler.onHeartbeat(heartbeat, LeaderTerm.nowMs());
+      commands = scheduler.onHeartbeat(heartbeat, receivedMs, LeaderTerm.nowMs());
       deposed = scheduler.deposed();
       passNeeded = scheduler.passRequested();
     }
@@ -72,12 +73,14 @@
   }
 
   /** The result of a direct request to a machine; {@code heartbeat} is null without an answer. */
-  void onCommandResult(String machineName, boolean outcomeUnknown, Heartbeat heartbeat) {
+  void onCommandResult(
+      String machineName, boolean outcomeUnknown, Heartbeat heartbeat, long receivedMs) {
     boolean deposed;
     boolean passNeeded;
     synchronized (lock) {
       scheduler.extendLeaseCertainty(host.leaseCertainUntilMs());
-      scheduler.onCommandResult(machineName, outcomeUnknown, heartbeat, LeaderTerm.nowMs());
+      scheduler.onCommandResult(
+          machineName, outcomeUnknown, heartbeat, receivedMs, LeaderTerm.nowMs());
       deposed = scheduler.deposed();
       passNeeded = scheduler.passRequested();
     }
@@ -141,7 +144,7 @@
   }
 
   /** {@code requestedMs}: when the list was requested, on the steady clock. */
-  void onMachineList(List<Scheduler.ListedMachine> listed, long requestedMs) {
+  void onMachineList(List<ListedMachine> listed, long requestedMs) {
     synchronized (lock) {
       scheduler.onMachineList(listed, requestedMs, LeaderTerm.nowMs());
     }
--- a/src/main/java/org/astershift/controller/PassLoop.java
+++ b/src/main/java/org/astershift/controller/PassLoop.java
@@ -39,7 +39,8 @@
   private record Pass(List<Decision> decisions, boolean attemptsExhausted, Summary summary) {}
 
   /** Texts for the log; {@code cancellations} is null if there were none. */
-  private record Summary(String jobs, String services, String cancellations) {}
+  private record Summary(
+      String jobs, String reconciliation, String services, String cancellations) {}
 
   /** Runs passes until the term ends. */
   void run() throws InterruptedException {
@@ -91,12 +92,20 @@
     }
     summaryLoggedMs = nowMs;
     return new Summary(
-        scheduler.summary(), scheduler.serviceSummary(nowMs), term.cancellationSummary());
+        scheduler.summary(),
+        scheduler.reconciliationSummary(),
+        scheduler.serviceSummary(nowMs),
+        term.cancellationSummary());
   }
 
   private void log(Summary summary) {
     LOG.info(
         "{}; passes took {} ms, the longest {} ms", summary.jobs(), totalPassMs, longestPassMs);
+    LOG.info(
+        "in this term: token={} lease_certain_for_ms={} {}",
+        term.token,
+        term.leaseCertainUntilMs() - LeaderTerm.nowMs(),
+        summary.reconciliation());
     LOG.info(summary.services());
     if (summary.cancellations() != null) {
       LOG.info(summary.cancellations());
--- a/src/main/java/org/astershift/coordination/TermJobs.java
+++ b/src/main/java/org/astershift/coordination/TermJobs.java
@@ -57,6 +57,11 @@
     return !endedInTerm.contains(jobId) && managed.add(jobId);
   }
 
+  /** How many jobs this term manages. */
+  public synchronized int count() {
+    return managed.size();
+  }
+
   /** Whether this term manages the job. */
   public synchronized boolean manages(String jobId) {
     return managed.contains(jobId);
--- a/src/main/java/org/astershift/scheduler/AttemptAdoption.java
+++ b/src/main/java/org/astershift/scheduler/AttemptAdoption.java
@@ -37,7 +37,7 @@
     if (status.phase() != Heartbeat.TaskPhase.FETCHING) {
       machine.touchImage(job.spec.image(), job.spec.imageGb());
     }
-    TaskAttempt other = holderBeside(attempt);
+    TaskAttempt other = holderBeside(attempt, nowMs);
     if (job.state != Job.State.LIVE || job.doneTasks.get(attempt.index) || other != null) {
       stopUnwanted(attempt, other != null);
       return;
@@ -62,7 +62,7 @@
   }
 
   /** The attempt that keeps the task from the adopted one; null if there is none, or it yields. */
-  private TaskAttempt holderBeside(TaskAttempt attempt) {
+  private TaskAttempt holderBeside(TaskAttempt attempt, long nowMs) {
     Job job = attempt.job;
     Machine machine = attempt.machine;
     TaskAttempt other = job.attempts.get(attempt.index);
@@ -70,6 +70,9 @@
       cluster.attempts.drop(other);
       other = null;
     }
+    if (other != null && other.machine != machine) {
+      cluster.reconciliationLog.onTaskFoundTwice(attempt, other, nowMs);
+    }
     if (other != null && machine.fenced && !other.machine.fenced && job.state == Job.State.LIVE) {
       // The other machine's status may be a delayed copy. This machine is fenced, so its status is
       // current, and a task is never on two machines.
--- a/src/main/java/org/astershift/scheduler/AttemptRegistry.java
+++ b/src/main/java/org/astershift/scheduler/AttemptRegistry.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -96,27 +97,27 @@
     attempt.machine.remove(attempt);
   }
 
+  /** Drops some attempts of one machine, and logs those that it had shown. */
+  void dropAll(Machine machine, List<TaskAttempt> attempts, DropReason reason) {
+    cluster.reconciliationLog.onDropped(machine, attempts, reason);
+    attempts.forEach(this::drop);
+  }
+
   /**
    * Drops all attempts of a machine that provably runs none. Pending starts may still arrive and
    * stay held until a later epoch of the machine is seen or it is gone. Returns how many were
    * dropped.
    */
-  int dropNonPending(Machine machine) {
-    int dropped = 0;
-    for (TaskAttempt attempt : new ArrayList<>(machine.attempts.values())) {
-      if (!attempt.startPending()) {
-        drop(attempt);
-        dropped++;
-      }
-    }
-    return dropped;
+  int dropNonPending(Machine machine, DropReason reason) {
+    List<TaskAttempt> nonPending = new ArrayList<>(machine.attempts.values());
+    nonPending.removeIf(TaskAttempt::startPending);
+    dropAll(machine, nonPending, reason);
+    return nonPending.size();
   }
 
   /** Drops all attempts of a machine that is provably gone. */
   void dropAll(Machine machine) {
-    for (TaskAttempt attempt : new ArrayList<>(machine.attempts.values())) {
-      drop(attempt);
-    }
+    dropAll(machine, new ArrayList<>(machine.attempts.values()), DropReason.MACHINE_GONE);
   }
 
   /** Stops a task with time for its checkpoint; a gang is stopped as a whole. */
--- a/src/main/java/org/astershift/scheduler/ClusterState.java
+++ b/src/main/java/org/astershift/scheduler/ClusterState.java
@@ -64,6 +64,7 @@
   final RemovedMachines removedMachines;
   final AttemptNumbers attemptNumbers;
   final AttemptRegistry attempts = new AttemptRegistry(this);
+  final ReconciliationLog reconciliationLog = new ReconciliationLog();
 
   /** Checks of a job against a machine so far: tests bound the cost of a pass by it. */
   long candidateChecks;
@@ -271,9 +272,13 @@
 
   /** The machine has restarted: its tasks are gone, and it has to be reconciled again. */
   void onMachineRestarted(Machine machine, long nowMs) {
+    int heldBefore = machine.heldAttemptCount();
+    attempts.dropNonPending(machine, DropReason.NEW_INCARNATION);
     LOG.info(
-        "machine restarted: machine={} tasks_lost={}", machine.name, machine.heldAttemptCount());
-    attempts.dropNonPending(machine);
+        "machine restarted: machine={} tasks_lost={} starts_pending={}",
+        machine.name,
+        heldBefore - machine.heldAttemptCount(),
+        machine.heldAttemptCount());
     for (TaskAttempt attempt : machine.attempts.values()) {
       attempt.startSent = false; // sent again once the machine may have tasks again
       attempt.startLeaseExpired = false; // may be executed by the new incarnation
--- a/src/main/java/org/astershift/scheduler/CommandReconciler.java
+++ b/src/main/java/org/astershift/scheduler/CommandReconciler.java
@@ -79,9 +79,7 @@
         neverStarted.add(attempt);
       }
     }
-    for (TaskAttempt attempt : neverStarted) {
-      cluster.attempts.drop(attempt);
-    }
+    cluster.attempts.dropAll(machine, neverStarted, DropReason.NEVER_STARTED);
   }
 
   /**
@@ -298,6 +296,9 @@
         machine.state == Machine.State.UNRECONCILED
             || cluster.heartbeatTiming.heartbeatOverdue(machine, nowMs);
     machine.directCommands.onSent(machine, silent, nowMs);
+    machine.history.add(
+        MachineEvent.withoutMessage(
+            MachineEvent.Kind.COMMANDS_SENT, machine, commands.size(), nowMs));
     return new Decision.SendCommands(
         machine.name, machine.address, Math.max(1, machine.epoch), commands, timeoutMs);
   }
--- a/src/main/java/org/astershift/scheduler/DirectCommands.java
+++ b/src/main/java/org/astershift/scheduler/DirectCommands.java
@@ -64,7 +64,12 @@
   }
 
   /** The result of a direct command; {@code heartbeat} is null without an answer. */
-  void onResult(String machineName, boolean outcomeUnknown, Heartbeat heartbeat, long nowMs) {
+  void onResult(
+      String machineName,
+      boolean outcomeUnknown,
+      Heartbeat heartbeat,
+      long receivedMs,
+      long nowMs) {
     commandReconciler.concurrencyLimit().onSettled(machineName, heartbeat != null, nowMs);
     Machine machine = cluster.machines.get(machineName);
     if (machine == null) {
@@ -73,7 +78,7 @@
     CommandReconciler.onSettled(machine, outcomeUnknown);
     int heldBefore = machine.heldAttemptCount();
     if (heartbeat != null && heartbeat.machineName().equals(machineName)) {
-      onAnswer(machine, heartbeat, nowMs);
+      onAnswer(machine, heartbeat, nowMs - receivedMs, nowMs);
     } else if (machine.epoch > 0 || machine.state == Machine.State.UNRECONCILED) {
       onNoAnswer(machine, outcomeUnknown, nowMs);
     }
@@ -84,18 +89,33 @@
   }
 
   /** The machine's status in its answer is newer than all that was known when it was asked. */
-  private void onAnswer(Machine machine, Heartbeat heartbeat, long nowMs) {
+  private void onAnswer(Machine machine, Heartbeat heartbeat, long waitedMs, long nowMs) {
     heartbeatReconciler.senderOf(heartbeat, nowMs);
     if (heartbeatReconciler.deposed()) {
       return;
     }
     machine.consecutiveUnanswered = 0;
     machine.staleMessageSeen = false;
-    if (!machine.directCommands.precedes(heartbeat)) {
-      cluster.onMachineRestarted(machine, nowMs);
-    } else if (machine.restartSuspected
-        && !cluster.incarnations.isProvenSameIncarnation(machine, heartbeat, nowMs)) {
-      cluster.onPossibleRestart(machine, nowMs);
+    MachineEvent.Kind kind = kindOf(machine, heartbeat, nowMs);
+    machine.history.add(MachineEvent.ofMessage(kind, heartbeat, waitedMs, nowMs));
+    if (!heartbeat.newerThan(machine.epoch, machine.sequence)
+        && kind != MachineEvent.Kind.ANSWER_RESTARTED) {
+      cluster.reconciliationLog.onAnswerOvertaken(machine, nowMs);
+    }
+    switch (kind) {
+      case ANSWER_RESTARTED -> {
+        cluster.reconciliationLog.onRestartConfirmed();
+        cluster.onMachineRestarted(machine, nowMs);
+      }
+      case ANSWER_MAYBE_RESTARTED -> {
+        cluster.reconciliationLog.onRestartPresumed();
+        cluster.onPossibleRestart(machine, nowMs);
+      }
+      default -> {
+        if (machine.restartSuspected) {
+          cluster.reconciliationLog.onRestartRefuted();
+        }
+      }
     }
     machine.restartSuspected = false;
     heartbeatReconciler.trackIncarnation(machine, heartbeat, true, nowMs);
@@ -104,8 +124,23 @@
     commandReconciler.dropNeverStarted(machine);
   }
 
+  private MachineEvent.Kind kindOf(Machine machine, Heartbeat answer, long nowMs) {
+    if (!machine.directCommands.precedes(answer)) {
+      return MachineEvent.Kind.ANSWER_RESTARTED;
+    }
+    if (machine.restartSuspected
+        && !cluster.incarnations.isProvenSameIncarnation(machine, answer, nowMs)) {
+      return MachineEvent.Kind.ANSWER_MAYBE_RESTARTED;
+    }
+    return answer.newerThan(machine.epoch, machine.sequence)
+        ? MachineEvent.Kind.ANSWER_CURRENT
+        : MachineEvent.Kind.ANSWER_OVERTAKEN;
+  }
+
   private void onNoAnswer(Machine machine, boolean outcomeUnknown, long nowMs) {
     machine.directCommands.onUnanswered(outcomeUnknown);
+    machine.history.add(
+        MachineEvent.withoutMessage(MachineEvent.Kind.NO_ANSWER, machine, 0, nowMs));
     machine.consecutiveUnanswered++;
     if (machine.consecutiveUnanswered == Machine.INBOUND_PARTITION_TRIES
         && !cluster.heartbeatTiming.heartbeatOverdue(machine, nowMs)) {
--- a/src/main/java/org/astershift/scheduler/HeartbeatClassifier.java
+++ b/src/main/java/org/astershift/scheduler/HeartbeatClassifier.java
@@ -49,8 +49,7 @@
     if (lowerFencingToken || higherEpoch || attemptMissing) {
       return Evidence.CONTRADICTORY;
     }
-    if (!heartbeat.newerThan(machine.heartbeatEpoch, machine.heartbeatSequence)
-        || heartbeat.epoch() < machine.epoch) {
+    if (!machine.lastHeartbeat.precedes(heartbeat) || heartbeat.epoch() < machine.epoch) {
       return Evidence.STALE;
     }
     return machine.restartedInTerm ? Evidence.LIVENESS_ONLY : Evidence.CURRENT;
--- a/src/main/java/org/astershift/scheduler/HeartbeatHandler.java
+++ b/src/main/java/org/astershift/scheduler/HeartbeatHandler.java
@@ -23,7 +23,7 @@
   }
 
   /** The commands of the response; null if the heartbeat must not be answered. */
-  List<Command> onHeartbeat(Heartbeat heartbeat, long nowMs) {
+  List<Command> onHeartbeat(Heartbeat heartbeat, long receivedMs, long nowMs) {
     if (cluster.removedMachines.contains(heartbeat.machineName())) {
       return commandReconciler.stopsForEndedJobs(heartbeat); // a delayed one of a machine now gone
     }
@@ -31,7 +31,14 @@
     if (heartbeatReconciler.deposed()) {
       return List.of();
     }
-    return switch (classifier.classify(machine, heartbeat)) {
+    boolean suspectedBefore = machine.restartSuspected;
+    HeartbeatClassifier.Evidence evidence = classifier.classify(machine, heartbeat);
+    if (machine.restartSuspected && !suspectedBefore) {
+      cluster.reconciliationLog.onRestartSuspected();
+    }
+    machine.history.add(
+        MachineEvent.ofMessage(eventKind(evidence), heartbeat, nowMs - receivedMs, nowMs));
+    return switch (evidence) {
       case STALE -> {
         machine.staleMessageSeen = true;
         yield commandReconciler.stopsForEndedJobs(heartbeat);
@@ -52,11 +59,10 @@
   private List<Command> onCurrentHeartbeat(Machine machine, Heartbeat heartbeat, long nowMs) {
     boolean unfenced =
         !machine.fenced
-            && machine.heartbeatEpoch > 0
+            && machine.lastHeartbeat.epoch() > 0
             && heartbeat.fencingToken() < cluster.fencingToken;
     machine.unfencedHeartbeats += unfenced ? 1 : 0;
-    machine.heartbeatEpoch = heartbeat.epoch();
-    machine.heartbeatSequence = heartbeat.sequence();
+    machine.lastHeartbeat = MessagePosition.of(heartbeat);
     heartbeatReconciler.trackIncarnation(machine, heartbeat, false, nowMs);
     heartbeatReconciler.recordContact(machine, heartbeat, nowMs);
     boolean previousAnswered = nowMs - machine.leaseFromMs < cluster.limits.leaseS() * 500;
@@ -69,7 +75,22 @@
     if (machine.heldAttemptCount() < heldBefore && placement.hasWaitingGang(machine)) {
       cluster.requestPass();
     }
-    return commandReconciler.heartbeatResponse(machine, nowMs);
+    List<Command> commands = commandReconciler.heartbeatResponse(machine, nowMs);
+    if (!commands.isEmpty()) {
+      machine.history.add(
+          MachineEvent.withoutMessage(
+              MachineEvent.Kind.COMMANDS_IN_RESPONSE, machine, commands.size(), nowMs));
+    }
+    return commands;
+  }
+
+  private static MachineEvent.Kind eventKind(HeartbeatClassifier.Evidence evidence) {
+    return switch (evidence) {
+      case CURRENT -> MachineEvent.Kind.HEARTBEAT_CURRENT;
+      case STALE -> MachineEvent.Kind.HEARTBEAT_STALE;
+      case LIVENESS_ONLY -> MachineEvent.Kind.HEARTBEAT_LIVENESS_ONLY;
+      case CONTRADICTORY -> MachineEvent.Kind.HEARTBEAT_CONTRADICTORY;
+    };
   }
 
   private static void renewLease(Machine machine, long nowMs) {
--- a/src/main/java/org/astershift/scheduler/HeartbeatReconciler.java
+++ b/src/main/java/org/astershift/scheduler/HeartbeatReconciler.java
@@ -135,13 +135,10 @@
     if (machine.epoch > 0 && previousAnswered) {
       machine.staleMessageSeen = true; // it expired all the same: responses may not reach it
     }
-    for (TaskAttempt attempt : new ArrayList<>(machine.attempts.values())) {
-      if (attempt.startPending() && attempt.startEpoch >= heartbeat.epoch()) {
-        continue; // sent to an earlier incarnation, and may match this epoch as well
-      }
-      LOG.info("task lost, new epoch: task={} machine={}", attempt.name(), machine.name);
-      cluster.attempts.drop(attempt);
-    }
+    List<TaskAttempt> ended = new ArrayList<>(machine.attempts.values());
+    // A start sent to an earlier incarnation may match this epoch as well.
+    ended.removeIf(attempt -> attempt.startPending() && attempt.startEpoch >= heartbeat.epoch());
+    cluster.attempts.dropAll(machine, ended, DropReason.NEW_EPOCH);
     // The epoch's lease counts from its own beginning, which may be long after the last heartbeat
     // that arrived here: counted from that, it would seem expired while its tasks run.
     machine.leaseFromMs = Math.max(machine.leaseFromMs, nowMs);
@@ -182,9 +179,7 @@
         absentAttempts.add(attempt);
       }
     }
-    for (TaskAttempt attempt : absentAttempts) {
-      cluster.attempts.drop(attempt);
-    }
+    cluster.attempts.dropAll(machine, absentAttempts, DropReason.NOT_LISTED);
   }
 
   private void updateAttempt(TaskAttempt attempt, Heartbeat.TaskStatus status, long nowMs) {
--- a/src/main/java/org/astershift/scheduler/Machine.java
+++ b/src/main/java/org/astershift/scheduler/Machine.java
@@ -85,12 +85,10 @@
   /** Heartbeats without this leader's token that came after one was answered with it. */
   int unfencedHeartbeats;
 
-  /**
-   * Position of the newest message that came as a heartbeat, whose response may have renewed it.
-   */
-  long heartbeatEpoch;
+  /** The newest message that came as a heartbeat, whose response may have renewed the lease. */
+  MessagePosition lastHeartbeat = MessagePosition.NONE;
 
-  long heartbeatSequence;
+  final MachineHistory history = new MachineHistory();
 
   MachineIncarnation incarnation = new MachineIncarnation();
 
@@ -202,8 +200,7 @@
     incarnation = new MachineIncarnation();
     epoch = 0;
     sequence = 0;
-    heartbeatEpoch = 0;
-    heartbeatSequence = 0;
+    lastHeartbeat = MessagePosition.NONE;
     firstMessageMs = -1;
     unfencedHeartbeats = 0;
     fenced = false;
--- a/src/main/java/org/astershift/scheduler/MachineListReconciler.java
+++ b/src/main/java/org/astershift/scheduler/MachineListReconciler.java
@@ -21,10 +21,9 @@
   }
 
   /** Takes in a complete list that was requested at {@code requestedMs}. */
-  void onMachineList(
-      Collection<Scheduler.ListedMachine> listedMachines, long requestedMs, long nowMs) {
+  void onMachineList(Collection<ListedMachine> listedMachines, long requestedMs, long nowMs) {
     Set<String> listedNames = new HashSet<>();
-    for (Scheduler.ListedMachine listedMachine : listedMachines) {
+    for (ListedMachine listedMachine : listedMachines) {
       listedNames.add(listedMachine.name());
       if (listedMachine.state().equals("failed")) {
         cluster.removeMachine(listedMachine.name(), "listed as failed", nowMs);
@@ -36,7 +35,7 @@
     removeUnlisted(listedNames, requestedMs, nowMs);
   }
 
-  private void onListed(Scheduler.ListedMachine listedMachine, long nowMs) {
+  private void onListed(ListedMachine listedMachine, long nowMs) {
     Machine machine = cluster.machines.get(listedMachine.name());
     if (machine == null) {
       if (cluster.removedMachines.contains(listedMachine.name())) {
@@ -51,7 +50,7 @@
     }
   }
 
-  private Machine addListed(Scheduler.ListedMachine listedMachine, long nowMs) {
+  private Machine addListed(ListedMachine listedMachine, long nowMs) {
     // A running machine has its whole time for a first heartbeat, however old it is.
     long firstKnownMs =
         listedMachine.state().equals("running")
--- a/src/main/java/org/astershift/scheduler/Scheduler.java
+++ b/src/main/java/org/astershift/scheduler/Scheduler.java
@@ -275,12 +275,12 @@
   }
 
   /**
-   * Takes in a heartbeat that is to be answered with this term's token. Returns the commands of the
-   * response, or null if it must not be answered, since that would renew a lease of which nothing
-   * is known.
+   * Takes in a heartbeat, received at {@code receivedMs}, that is to be answered with this term's
+   * token. Returns the commands of the response, or null if it must not be answered, since that
+   * would renew a lease of which nothing is known.
    */
-  public List<Command> onHeartbeat(Heartbeat heartbeat, long nowMs) {
-    return heartbeatHandler.onHeartbeat(heartbeat, nowMs);
+  public List<Command> onHeartbeat(Heartbeat heartbeat, long receivedMs, long nowMs) {
+    return heartbeatHandler.onHeartbeat(heartbeat, receivedMs, nowMs);
   }
 
   /** Whether direct commands whose turn has come are still due; if not they are settled. */
@@ -301,20 +301,14 @@
 
   /** Result of direct commands; {@code heartbeat} is null without an answer. */
   public void onCommandResult(
-      String machineName, boolean outcomeUnknown, Heartbeat heartbeat, long nowMs) {
-    directCommands.onResult(machineName, outcomeUnknown, heartbeat, nowMs);
+      String machineName,
+      boolean outcomeUnknown,
+      Heartbeat heartbeat,
+      long receivedMs,
+      long nowMs) {
+    directCommands.onResult(machineName, outcomeUnknown, heartbeat, receivedMs, nowMs);
   }
 
-  /** One machine of the cloud's list. */
-  public record ListedMachine(
-      String name,
-      String address,
-      String typeName,
-      String zone,
-      boolean spot,
-      String state,
-      double ageS) {}
-
   /** A complete list that was requested at {@code requestedMs} and arrived at {@code nowMs}. */
   public void onMachineList(
       Collection<ListedMachine> listedMachines, long requestedMs, long nowMs) {
@@ -370,6 +364,11 @@
     return logSummary.clusterLine();
   }
 
+  /** A line for the log with what was concluded from messages of machines. */
+  public String reconciliationSummary() {
+    return logSummary.reconciliationLine();
+  }
+
   /** A line for the log with the service of each class and team; warns of unstarted jobs. */
   public String serviceSummary(long nowMs) {
     return logSummary.serviceLine(nowMs);
--- a/src/main/java/org/astershift/store/WatchCache.java
+++ b/src/main/java/org/astershift/store/WatchCache.java
@@ -48,6 +48,11 @@
     return revision >= 0;
   }
 
+  /** The revision of the store that the cache shows; -1 before it is loaded. */
+  public synchronized long revision() {
+    return revision;
+  }
+
   /** The key as far as the cache knows; null if it does not exist. */
   public synchronized StoreClient.Entry get(String key) {
     return entries.get(key);
--- a/src/test/java/org/astershift/controller/FencingTest.java
+++ b/src/test/java/org/astershift/controller/FencingTest.java
@@ -200,12 +200,13 @@
     assertSame(term, node.runtime.currentTerm(), "a term that is not won does not begin");
     Heartbeat report =
         new Heartbeat("vm-1", "127.0.0.1:1", "small", "a", false, 1, 1, 0, null, List.of());
-    assertNotNull(node.runtime.onHeartbeat(report, term.token));
+    assertNotNull(node.runtime.onHeartbeat(report, term.token, LeaderTerm.nowMs()));
     assertNull(
-        node.runtime.onHeartbeat(report, term.token - 1), "its answer would show that token");
+        node.runtime.onHeartbeat(report, term.token - 1, LeaderTerm.nowMs()),
+        "its answer would show that token");
     node.runtime.transferLeadership(term, "a test");
     Await.until("the term to be over", term::ended);
-    assertNull(node.runtime.onHeartbeat(report, term.token));
+    assertNull(node.runtime.onHeartbeat(report, term.token, LeaderTerm.nowMs()));
     node.runtime.onTermBegin(term.token);
     LeaderTerm next = node.runtime.currentTerm();
     assertTrue(next == null || next.token > term.token, "a term that is over does not begin again");
@@ -240,7 +241,7 @@
     Heartbeat later =
         new Heartbeat(
             "vm-1", "127.0.0.1:1", "small", "a", false, 1, 1, term.token + 5, null, List.of());
-    assertNull(node.runtime.onHeartbeat(later, term.token));
+    assertNull(node.runtime.onHeartbeat(later, term.token, LeaderTerm.nowMs()));
     assertTrue(term.ended());
   }
 
@@ -521,7 +522,8 @@
     long token = tick > 1 ? term.token : 0;
     node.runtime.onHeartbeat(
         new Heartbeat(machine, addr, "small", "a", false, 1, tick, token, null, List.of()),
-        term.token);
+        term.token,
+        LeaderTerm.nowMs());
   }
 
   /**
--- a/src/test/java/org/astershift/golden/CloudCallsTest.java
+++ b/src/test/java/org/astershift/golden/CloudCallsTest.java
@@ -7,8 +7,8 @@
 import org.astershift.cloud.CloudClient;
 import org.astershift.cloud.CloudRejectedException;
 import org.astershift.scheduler.Decision;
+import org.astershift.scheduler.ListedMachine;
 import org.astershift.scheduler.MachineType;
-import org.astershift.scheduler.Scheduler;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -83,7 +83,7 @@
     return out.add("in " + String.join(" ", t.zones())).toString();
   }
 
-  private static String text(Scheduler.ListedMachine l) {
+  private static String text(ListedMachine l) {
     return String.join(" ", l.name(), l.address(), l.typeName(), l.zone(), l.state())
         + (l.spot() ? " spot " : " no spot ")
         + l.ageS();
--- a/src/test/java/org/astershift/scheduler/EligibilityTest.java
+++ b/src/test/java/org/astershift/scheduler/EligibilityTest.java
@@ -253,7 +253,7 @@
       } else if (d instanceof Decision.SendCommands o) {
         Box box = boxes.get(o.machineName());
         obey(box, o.commands(), now);
-        scheduler.onCommandResult(o.machineName(), false, report(o.machineName(), box), now);
+        scheduler.onCommandResult(o.machineName(), false, report(o.machineName(), box), now, now);
       }
     }
 
@@ -292,7 +292,7 @@
           boolean ends = spec.kind() != JobKind.SERVICE && together;
           t.done |= ends && now - t.sinceMs >= 1000;
         }
-        List<Command> orders = scheduler.onHeartbeat(report(e.getKey(), e.getValue()), now);
+        List<Command> orders = scheduler.onHeartbeat(report(e.getKey(), e.getValue()), now, now);
         obey(e.getValue(), orders, now);
       }
       scheduler.drainUnpersistedProgress().forEach(scheduler::onProgressPersisted);
--- a/src/test/java/org/astershift/scheduler/FuzzCloud.java
+++ b/src/test/java/org/astershift/scheduler/FuzzCloud.java
@@ -125,7 +125,7 @@
           () -> {
             long asOf =
                 sim.now - (long) (sim.random.nextDouble() * 2 * FuzzSimulation.LIST_LAG_S * 1000);
-            List<Scheduler.ListedMachine> listed = new ArrayList<>();
+            List<ListedMachine> listed = new ArrayList<>();
             for (FuzzWorker worker : sim.workers.values()) {
               boolean gone =
                   worker.goneMs >= 0
@@ -140,7 +140,7 @@
                 String state = failed ? "failed" : worker.upMs < 0 ? "starting" : "running";
                 double age = (asOf - worker.createdMs) / 1000.0;
                 listed.add(
-                    new Scheduler.ListedMachine(
+                    new ListedMachine(
                         worker.name,
                         worker.name,
                         worker.type,
--- a/src/test/java/org/astershift/scheduler/FuzzHeartbeats.java
+++ b/src/test/java/org/astershift/scheduler/FuzzHeartbeats.java
@@ -75,7 +75,8 @@
             controller.handle(
                 () -> {
                   List<Command> commands =
-                      controller.scheduler.onHeartbeat(heartbeat, controller.clock());
+                      controller.scheduler.onHeartbeat(
+                          heartbeat, controller.clock(), controller.clock());
                   boolean accepted = commands != null && !controller.scheduler.deposed();
                   long backMs = controller.linkDelayMs(worker.name, "down");
                   if (backMs >= 0) {
@@ -101,7 +102,9 @@
   private void sendCopyToAny(Heartbeat heartbeat) {
     if (!sim.controllers.isEmpty()) {
       FuzzController controller = sim.controllers.get(sim.random.nextInt(sim.controllers.size()));
-      controller.handle(() -> controller.scheduler.onHeartbeat(heartbeat, controller.clock()));
+      controller.handle(
+          () ->
+              controller.scheduler.onHeartbeat(heartbeat, controller.clock(), controller.clock()));
     }
   }
 
--- a/src/test/java/org/astershift/scheduler/FuzzNetwork.java
+++ b/src/test/java/org/astershift/scheduler/FuzzNetwork.java
@@ -29,7 +29,11 @@
                     controller.handle(
                         () ->
                             controller.scheduler.onCommandResult(
-                                decision.machineName(), false, null, controller.clock())));
+                                decision.machineName(),
+                                false,
+                                null,
+                                controller.clock(),
+                                controller.clock())));
             return;
           }
           int incarnation = worker.incarnation;
@@ -43,7 +47,11 @@
                   controller.handle(
                       () ->
                           controller.scheduler.onCommandResult(
-                              decision.machineName(), true, null, controller.clock()));
+                              decision.machineName(),
+                              true,
+                              null,
+                              controller.clock(),
+                              controller.clock()));
                 }
               });
           long delayMs = controller.linkDelayMs(worker.name, "down");
@@ -80,6 +88,7 @@
                                             decision.machineName(),
                                             false,
                                             heartbeat,
+                                            controller.clock(),
                                             controller.clock()));
                               }
                             });
--- a/src/test/java/org/astershift/scheduler/OutstandingDecisionsTest.java
+++ b/src/test/java/org/astershift/scheduler/OutstandingDecisionsTest.java
@@ -54,7 +54,7 @@
     scheduler.onMachinesProvisioned("s", List.of("vm-2"), rent, 0);
     for (String machine : List.of("vm-1", "vm-2")) {
       scheduler.onHeartbeat(
-          new Heartbeat(machine, "x", "small", "a", false, 1, 1, 7, null, List.of()), 0);
+          new Heartbeat(machine, "x", "small", "a", false, 1, 1, 7, null, List.of()), 0, 0);
     }
     for (int i = 0; i < JOBS; i++) {
       scheduler.addJob(job("wk-" + i), false, new BitSet(), 0);
--- a/src/test/java/org/astershift/scheduler/PassCostTest.java
+++ b/src/test/java/org/astershift/scheduler/PassCostTest.java
@@ -76,6 +76,7 @@
             7,
             null,
             tasks),
+        now,
         now);
   }
 
@@ -111,7 +112,7 @@
                         Heartbeat.TaskPhase.RUNNING,
                         null));
           }
-          scheduler.onCommandResult(o.machineName(), false, null, now);
+          scheduler.onCommandResult(o.machineName(), false, null, now, now);
           report(machine, 2 + pass, running.get(machine));
         }
       }
--- a/src/test/java/org/astershift/scheduler/SchedulerFuzzer.java
+++ b/src/test/java/org/astershift/scheduler/SchedulerFuzzer.java
@@ -137,7 +137,9 @@
           sim.random.nextInt(300),
           () ->
               controller.handle(
-                  () -> controller.scheduler.onHeartbeat(heartbeat, controller.clock())));
+                  () ->
+                      controller.scheduler.onHeartbeat(
+                          heartbeat, controller.clock(), controller.clock())));
     }
     sim.keptHeartbeats.clear();
     // Records that another thread of it had read before.
--- a/src/test/java/org/astershift/scheduler/TracePlayer.java
+++ b/src/test/java/org/astershift/scheduler/TracePlayer.java
@@ -128,13 +128,13 @@
       case "job" -> s.addJob(spec(w), w.flag("opened"), new BitSet(), now);
       case "heartbeat" -> {
         last.put(p.get(2), report(w));
-        List<Command> answer = s.onHeartbeat(last.get(p.get(2)), now);
+        List<Command> answer = s.onHeartbeat(last.get(p.get(2)), now, now);
         return answer == null ? List.of("not answered") : orders(answer);
       }
       case "heartbeats" -> repeatLastHeartbeats(now, p.subList(2, p.size()));
-      case "answered" -> s.onCommandResult(p.get(2), false, report(w), now);
-      case "unanswered" -> s.onCommandResult(p.get(2), true, null, now);
-      case "unsent" -> s.onCommandResult(p.get(2), false, null, now);
+      case "answered" -> s.onCommandResult(p.get(2), false, report(w), now, now);
+      case "unanswered" -> s.onCommandResult(p.get(2), true, null, now, now);
+      case "unsent" -> s.onCommandResult(p.get(2), false, null, now, now);
       case "pass" -> {
         return pass(now, (long) (w.num("lease_certain", 1e9) * 1000));
       }
@@ -221,7 +221,7 @@
               before.preemptionNoticeS(),
               before.tasks());
       last.put(name, next);
-      scheduler.onHeartbeat(next, now);
+      scheduler.onHeartbeat(next, now, now);
     }
   }
 
@@ -244,11 +244,11 @@
     return out;
   }
 
-  private static List<Scheduler.ListedMachine> listed(Words w) {
-    List<Scheduler.ListedMachine> listed = new ArrayList<>();
+  private static List<ListedMachine> listed(Words w) {
+    List<ListedMachine> listed = new ArrayList<>();
     for (String name : w.plain().subList(2, w.plain().size())) {
       listed.add(
-          new Scheduler.ListedMachine(
+          new ListedMachine(
               name,
               name + ":1",
               w.text("type", "small"),
--- a/src/test/java/org/astershift/simulation/CloudModel.java
+++ b/src/test/java/org/astershift/simulation/CloudModel.java
@@ -12,8 +12,8 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.astershift.scheduler.Decision;
+import org.astershift.scheduler.ListedMachine;
 import org.astershift.scheduler.MachineType;
-import org.astershift.scheduler.Scheduler;
 
 /**
  * The cloud: request names, machines that boot, lists that lag and go back, dead machines that are
@@ -58,7 +58,7 @@
   /** What a machine is: type, zone, and whether it is a spot machine. */
   record Kind(String type, String zone, boolean spot) {}
 
-  private record Snapshot(long atMs, List<Scheduler.ListedMachine> listed) {}
+  private record Snapshot(long atMs, List<ListedMachine> listed) {}
 
   CloudModel(Simulation simulation) {
     this.simulation = simulation;
@@ -187,13 +187,13 @@
   }
 
   private void takeSnapshot() {
-    List<Scheduler.ListedMachine> listed = new ArrayList<>();
+    List<ListedMachine> listed = new ArrayList<>();
     for (String name : names) {
       if (!released.contains(name)) {
         Long died = diedMs.get(name);
         boolean failed = died != null && simulation.now() - died > FAILED_AFTER_MS;
         listed.add(
-            new Scheduler.ListedMachine(
+            new ListedMachine(
                 name,
                 name,
                 kinds.get(name).type(),
@@ -211,7 +211,7 @@
   }
 
   /** Any state of the last six seconds, so a list may be older than the one before it. */
-  List<Scheduler.ListedMachine> listMachines() {
+  List<ListedMachine> listMachines() {
     List<Snapshot> all = new ArrayList<>(snapshots);
     return all.get(simulation.random.nextInt(all.size())).listed();
   }
--- a/src/test/java/org/astershift/simulation/CloudProvisionerModel.java
+++ b/src/test/java/org/astershift/simulation/CloudProvisionerModel.java
@@ -4,7 +4,7 @@
 import java.util.function.Consumer;
 import org.astershift.controller.LoopTiming;
 import org.astershift.scheduler.Decision;
-import org.astershift.scheduler.Scheduler;
+import org.astershift.scheduler.ListedMachine;
 import org.astershift.simulation.StoreModel.MachineRow;
 
 /** A leader's requests to the cloud: provisioning, releases and the list of machines. */
@@ -107,7 +107,7 @@
         "cloud",
         TIMEOUT_MS,
         answer -> answer.accept(simulation.cloud.listMachines()),
-        (List<Scheduler.ListedMachine> listed) -> {
+        (List<ListedMachine> listed) -> {
           if (term.isCurrent() && listed != null) {
             term.scheduler().onMachineList(listed, requestedMs, controller.clock());
           }
--- a/src/test/java/org/astershift/simulation/CommandSenderModel.java
+++ b/src/test/java/org/astershift/simulation/CommandSenderModel.java
@@ -31,7 +31,8 @@
         workerIncarnation -> {
           if (workerIncarnation == null && term.isCurrent()) {
             term.scheduler()
-                .onCommandResult(decision.machineName(), false, null, controller.clock());
+                .onCommandResult(
+                    decision.machineName(), false, null, controller.clock(), controller.clock());
           } else if (workerIncarnation != null) {
             List<Command> wanted = stillWanted(decision);
             long timeoutMs = Math.max(1, untilMs - controller.clock());
@@ -113,9 +114,10 @@
   private void onAnswer(String machine, WorkerModel.CommandAnswer answer) {
     Heartbeat heartbeat = answer == null ? null : answer.heartbeat();
     term.schedulerWithLease()
-        .onCommandResult(machine, answer == null, heartbeat, controller.clock());
+        .onCommandResult(
+            machine, answer == null, heartbeat, controller.clock(), controller.clock());
     if (heartbeat != null && controller.mutated(Mutation.COMMAND_ANSWERS_RENEW_LEASES)) {
-      term.scheduler().onHeartbeat(heartbeat, controller.clock());
+      term.scheduler().onHeartbeat(heartbeat, controller.clock(), controller.clock());
     }
     term.stepDownIfDeposed(machine);
   }
--- a/src/test/java/org/astershift/simulation/ControllerModel.java
+++ b/src/test/java/org/astershift/simulation/ControllerModel.java
@@ -157,7 +157,7 @@
         () -> {
           if (!crashed() && term != null) {
             term.schedulerWithLease()
-                .onCommandResult(heartbeat.machineName(), false, heartbeat, clock());
+                .onCommandResult(heartbeat.machineName(), false, heartbeat, clock(), clock());
           }
         });
   }
@@ -175,7 +175,8 @@
       Heartbeat heartbeat, boolean rejecting, Consumer<WorkerModel.HeartbeatAnswer> answer) {
     LeaderTermModel current = term;
     if (current != null) {
-      List<Command> commands = current.schedulerWithLease().onHeartbeat(heartbeat, clock());
+      List<Command> commands =
+          current.schedulerWithLease().onHeartbeat(heartbeat, clock(), clock());
       current.stepDownIfDeposed(heartbeat.machineName());
       if (current == term) {
         if (!rejecting) {
