--- /dev/null
+++ b/src/test/java/org/astershift/simulation/AnswerCombinedFaultsTest.java
@@ -0,0 +1,56 @@
+package org.astershift.simulation;
+
+import static org.astershift.simulation.CombinedFaults.assertSound;
+import static org.astershift.simulation.CombinedFaults.runForS;
+import static org.astershift.simulation.CombinedFaults.simulation;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.astershift.scheduler.JobKind;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Answers to direct commands and heartbeats of one machine are handled in another order than they
+ * were written, by the leader that begins after all controllers have fallen.
+ */
+class AnswerCombinedFaultsTest {
+  private static final int SEEDS = 20;
+  private static final int MACHINES = 40;
+  private static final int JOBS = 12;
+  private static final long TASK_MS = 6000;
+
+  /** Longer than a worker waits for the answer to its heartbeat. */
+  private static final long MESSAGE_WAIT_MS = 6000;
+
+  @Test
+  void overtakenAnswersAfterAllControllersFellRunNothingTwice() {
+    int overtaken = 0;
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      Simulation simulation = playFall(seed);
+      assertSound(simulation);
+      overtaken += simulation.messageQueueing.answersOvertaken;
+    }
+    assertTrue(overtaken >= 10 * SEEDS, overtaken + " answers were overtaken");
+  }
+
+  private static Simulation playFall(long seed, Mutation... mutations) {
+    Simulation simulation = simulation(seed, MACHINES, mutations);
+    simulation.messageQueueing.heartbeatsOnChange = true;
+    simulation.runTo(8);
+    for (ControllerModel controller : simulation.controllers) {
+      controller.crash();
+      simulation.after(300 + simulation.random.nextLong(2700), controller::start);
+    }
+    simulation.messageQueueing.longestWaitMs = MESSAGE_WAIT_MS;
+    simulation.messageQueueing.waitingShare = 0.4;
+    for (int i = 0; i < JOBS; i++) {
+      String job = "wk-2" + i;
+      simulation.after(
+          4000 + 1000L * i,
+          () -> simulation.submit(JobDraft.job(job, JobKind.ARRAY, MACHINES / 2), TASK_MS));
+    }
+    runForS(simulation, 25);
+    simulation.messageQueueing.waitingShare = 0;
+    runForS(simulation, 30);
+    return simulation;
+  }
+}
--- a/src/test/java/org/astershift/simulation/CommandSenderModel.java
+++ b/src/test/java/org/astershift/simulation/CommandSenderModel.java
@@ -104,15 +104,21 @@
                 () -> answer.accept(worker.onCommands(term.token(), decision.epoch(), commands)));
           }
         },
-        (WorkerModel.CommandAnswer answer) -> {
-          if (term.isCurrent()) {
-            onAnswer(decision.machineName(), answer);
-          }
-        });
+        (WorkerModel.CommandAnswer answer) ->
+            simulation.messageQueueing.onMessage(
+                controller,
+                () -> {
+                  if (term.isCurrent()) {
+                    onAnswer(decision.machineName(), answer);
+                  }
+                }));
   }
 
   private void onAnswer(String machine, WorkerModel.CommandAnswer answer) {
     Heartbeat heartbeat = answer == null ? null : answer.heartbeat();
+    if (heartbeat != null) {
+      simulation.messageQueueing.onHandled(controller.name, heartbeat, true);
+    }
     term.schedulerWithLease()
         .onCommandResult(
             machine, answer == null, heartbeat, controller.clock(), controller.clock());
--- a/src/test/java/org/astershift/simulation/ControllerModel.java
+++ b/src/test/java/org/astershift/simulation/ControllerModel.java
@@ -168,13 +168,18 @@
     if (crashed() || (rejecting && simulation.now() >= outboundPartitionedUntilMs)) {
       return;
     }
-    runIn(incarnation(), () -> answerHeartbeat(heartbeat, rejecting, answer));
+    runIn(
+        incarnation(),
+        () ->
+            simulation.messageQueueing.onMessage(
+                this, () -> answerHeartbeat(heartbeat, rejecting, answer)));
   }
 
   private void answerHeartbeat(
       Heartbeat heartbeat, boolean rejecting, Consumer<WorkerModel.HeartbeatAnswer> answer) {
     LeaderTermModel current = term;
     if (current != null) {
+      simulation.messageQueueing.onHandled(name, heartbeat, false);
       List<Command> commands =
           current.schedulerWithLease().onHeartbeat(heartbeat, clock(), clock());
       current.stepDownIfDeposed(heartbeat.machineName());
--- a/src/test/java/org/astershift/simulation/Simulation.java
+++ b/src/test/java/org/astershift/simulation/Simulation.java
@@ -37,6 +37,7 @@
   final UserModel users;
   final GangModel gangs = new GangModel(this);
   final DelayedHeartbeats delayedHeartbeats = new DelayedHeartbeats(this);
+  final MessageQueueing messageQueueing = new MessageQueueing(this);
   final Set<Mutation> mutations = EnumSet.noneOf(Mutation.class);
   final Map<String, WorkerModel> workers = new LinkedHashMap<>();
   final List<ControllerModel> controllers = new ArrayList<>();
--- a/src/test/java/org/astershift/simulation/WorkerModel.java
+++ b/src/test/java/org/astershift/simulation/WorkerModel.java
@@ -26,6 +26,7 @@
   private final Simulation simulation;
   private final PausableProcess process;
   private final WorkerTasks tasks;
+  private final HeartbeatSchedule schedule;
 
   private long fencingToken;
   private long epoch = 1;
@@ -86,6 +87,7 @@
     this.kind = kind;
     this.process = new PausableProcess(simulation, name, this::onPaused, this::onResumed);
     this.tasks = new WorkerTasks(this, simulation);
+    this.schedule = new HeartbeatSchedule(simulation, process, this::sendHeartbeat);
   }
 
   boolean alive() {
@@ -241,6 +243,7 @@
     expireLease();
     long sentMs = simulation.now();
     long sentEpoch = epoch;
+    schedule.onSent();
     Heartbeat heartbeat = heartbeat();
     simulation.delayedHeartbeats.onHeartbeatSent(this, heartbeat);
     int startedIn = incarnation();
@@ -303,7 +306,7 @@
 
   private void tryNextController() {
     controllerIndex = (controllerIndex + 1) % simulation.controllers.size();
-    sendHeartbeatAfter(NEXT_CONTROLLER_MS);
+    schedule.sendAfter(NEXT_CONTROLLER_MS);
   }
 
   private void followRedirect(int leaderIndex) {
@@ -311,7 +314,7 @@
       tryNextController();
     } else {
       controllerIndex = leaderIndex;
-      sendHeartbeatAfter(simulation.random.nextLong(500));
+      schedule.sendAfter(simulation.random.nextLong(500));
     }
   }
 
@@ -324,11 +327,11 @@
       answer.commands().forEach(tasks::execute);
     }
     long intervalMs = simulation.setup.heartbeatMs();
-    sendHeartbeatAfter(intervalMs * 3 / 4 + simulation.random.nextLong(intervalMs / 2));
+    schedule.onAccepted(intervalMs * 3 / 4 + simulation.random.nextLong(intervalMs / 2));
   }
 
-  private void sendHeartbeatAfter(long ms) {
-    process.after(ms, this::sendHeartbeat);
+  void onTasksChanged() {
+    schedule.onTasksChanged();
   }
 
   boolean leaseExpired() {
--- a/src/test/java/org/astershift/simulation/WorkerTasks.java
+++ b/src/test/java/org/astershift/simulation/WorkerTasks.java
@@ -47,6 +47,7 @@
       }
       default -> throw new IllegalArgumentException(command.toString());
     }
+    worker.onTasksChanged();
   }
 
   private void start(String key, Command command) {
@@ -123,6 +124,7 @@
     if (phase == Heartbeat.TaskPhase.EXITED) {
       onExited(task);
     }
+    worker.onTasksChanged();
   }
 
   private void onExited(TaskModel task) {
