--- /dev/null
+++ b/src/test/java/org/astershift/controller/OvertakenAnswerTest.java
@@ -0,0 +1,86 @@
+package org.astershift.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import java.util.List;
+import org.astershift.emulator.Await;
+import org.astershift.emulator.WorkerEmulator;
+import org.astershift.scheduler.Heartbeat;
+import org.astershift.scheduler.JobSpec;
+import org.astershift.scheduler.Priority;
+import org.astershift.scheduler.Scheduler;
+import org.astershift.simulation.JobDraft;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Over sockets: an answer to a direct request is held back until a newer heartbeat is handled. */
+@Timeout(200)
+class OvertakenAnswerTest extends FencingTestCase {
+  /** The leader gives a direct request up after a second, which a busy machine may need alone. */
+  private static final int TRIES = 20;
+
+  private static final long LOOK_NS = 500_000_000;
+
+  @Test
+  void anAnswerOvertakenByAHeartbeatDropsNoTask() throws Exception {
+    node.listens(ports.ports(1).get(0)).start();
+    LeaderTerm term = node.leads();
+    accept();
+    Await.until("a task to run", () -> runningTasks(term, ID) == 1);
+    cancel(ID);
+    WorkerEmulator worker = cloud.everRented().get(0);
+    for (int i = 0; i < TRIES && answersOvertaken(term) == 0; i++) {
+      Await.until("the machine to be empty", () -> isEmpty(worker));
+      bringAboutOvertakenAnswer(term, worker, "wk-10000" + i);
+    }
+    assertEquals(1, answersOvertaken(term));
+  }
+
+  private void bringAboutOvertakenAnswer(LeaderTerm term, WorkerEmulator worker, String job)
+      throws Exception {
+    worker.holdNextAnswer();
+    suspectRestart(term, worker);
+    Await.until("the machine to be asked", worker::answerHeld);
+    assertEquals(201, node.jobService.submit(array(job)).status());
+    Await.until("a heartbeat to show the task", () -> runningTasks(term, job) == 1);
+    worker.releaseAnswer();
+    long untilNs = System.nanoTime() + LOOK_NS;
+    do {
+      assertEquals(1, runningTasks(term, job), "the task runs all the time");
+    } while (System.nanoTime() < untilNs);
+    cancel(job);
+  }
+
+  /** A heartbeat without a token, as of another incarnation, reaches the leader. */
+  private void suspectRestart(LeaderTerm term, WorkerEmulator worker) {
+    Heartbeat other =
+        new Heartbeat(
+            worker.name(), "127.0.0.1:1", "small", "a", false, 1, 1000, 0, null, List.of());
+    node.runtime.onHeartbeat(other, term.token, LeaderTerm.nowMs());
+  }
+
+  private static boolean isEmpty(WorkerEmulator worker) {
+    List<String> said = worker.said();
+    return said.get(said.size() - 1).contains("\"shards\":[]");
+  }
+
+  private void cancel(String job) throws Exception {
+    Await.until("the job to be cancelled", () -> node.jobService.cancel(job, true).status() == 200);
+  }
+
+  private static JobSpec array(String job) {
+    return JobDraft.array(job, 1).of("demo").in("c", Priority.LOW).estimate(1).spec();
+  }
+
+  private static int runningTasks(LeaderTerm term, String job) {
+    Scheduler.JobProgress progress = term.scheduler.progress(job);
+    return progress == null ? 0 : progress.runningTasks();
+  }
+
+  private static int answersOvertaken(LeaderTerm term) {
+    String summary = term.scheduler.call(Scheduler::reconciliationSummary);
+    assertNotNull(summary);
+    return Integer.parseInt(summary.replaceAll(".*answers_overtaken=([0-9]+).*", "$1"));
+  }
+}
--- a/src/test/java/org/astershift/emulator/WorkerEmulator.java
+++ b/src/test/java/org/astershift/emulator/WorkerEmulator.java
@@ -45,6 +45,11 @@
   /** It sends no heartbeats. */
   private boolean silent;
 
+  /** The answer to the next direct request is written and held back; then it is held. */
+  private boolean holdNextAnswer;
+
+  private boolean answerHeld;
+
   WorkerEmulator(String name, String zone, List<Integer> controllers, long taskMs)
       throws IOException {
     this.name = name;
@@ -91,6 +96,23 @@
     notifyAll();
   }
 
+  /** Holds the answer to the next direct request back, with its status as of then. */
+  public synchronized void holdNextAnswer() {
+    holdNextAnswer = true;
+  }
+
+  /** Whether an answer is held back. */
+  public synchronized boolean answerHeld() {
+    return answerHeld;
+  }
+
+  /** Sends the answer that is held back. */
+  public synchronized void releaseAnswer() {
+    holdNextAnswer = false;
+    answerHeld = false;
+    notifyAll();
+  }
+
   /** Records a later fencing token, and sends no more heartbeats. */
   public synchronized void seenUnsaid(long laterToken) {
     token = Math.max(token, laterToken);
@@ -131,6 +153,7 @@
   public void close() throws IOException {
     closed = true;
     inboundPartitioned(false);
+    releaseAnswer();
     http.close();
   }
 
@@ -183,7 +206,15 @@
       return Response.of(409, heartbeat());
     }
     execute(fields);
-    return Response.of(200, heartbeat());
+    Response answer = Response.of(200, heartbeat());
+    if (holdNextAnswer) {
+      holdNextAnswer = false;
+      answerHeld = true;
+    }
+    while (answerHeld && !closed) {
+      wait();
+    }
+    return answer;
   }
 
   private synchronized void execute(Map<String, Object> fields) throws JsonFormatException {
