An answer that a newer message of its machine has overtaken proves nothing of what is on it

Seen by callers: ran_twice, after a fall of all controllers. A task that a machine had shown was dropped and started on another, while it ran.

Cause: messages of one machine wait in the leader's process each for itself (connections, the gate of heartbeats, the term's lock). The answer to a direct command was judged by its order against what was known when the command was sent, and taken for the machine's present state when it was handled. A heartbeat may have been handled between, and have shown what was started after the answer was written. Where a restart was suspected, the answer then passed for that of a restarted machine: all that the machine had shown was dropped. Where it had restarted in fact, the same befell what was started there since.

Change: MessageClassifier (was HeartbeatClassifier) decides for heartbeats and answers alike, from the message's place among those handled. A start of the same request that no message has shown counts as unconfirmed. A restart is found as before where nothing was handled between, which is always so for an older machine: the heartbeats of its next life are lower in number and advance nothing.

Mutation BELIEVE_OVERTAKEN_ANSWERS puts the fault back, and the case detects it.

--- a/src/main/java/org/astershift/scheduler/CommandReconciler.java
+++ b/src/main/java/org/astershift/scheduler/CommandReconciler.java
@@ -303,14 +303,24 @@
         machine.name, machine.address, Math.max(1, machine.epoch), commands, timeoutMs);
   }
 
-  /** A direct command was answered, or will not be. */
-  static void onSettled(Machine machine, boolean outcomeUnknown) {
+  /**
+   * A direct command was answered. If the answer is {@code overtaken}, a start that no message has
+   * shown may have been executed by a later incarnation than the one that is known.
+   */
+  static void onAnswered(Machine machine, boolean overtaken) {
     machine.directCommands.onSettled();
     for (TaskAttempt attempt : machine.attempts.values()) {
-      if (attempt.startInFlight) {
-        attempt.startInFlight = false;
-        attempt.startUnconfirmed |= outcomeUnknown;
-      }
+      attempt.startUnconfirmed |= overtaken && attempt.startInFlight && attempt.phase == null;
+      attempt.startInFlight = false;
+    }
+  }
+
+  /** A direct command will not be answered; {@code outcomeUnknown}: it may be executed yet. */
+  static void onUnanswered(Machine machine, boolean outcomeUnknown) {
+    machine.directCommands.onSettled();
+    for (TaskAttempt attempt : machine.attempts.values()) {
+      attempt.startUnconfirmed |= outcomeUnknown && attempt.startInFlight;
+      attempt.startInFlight = false;
     }
   }
 }
--- a/src/main/java/org/astershift/scheduler/DirectCommandState.java
+++ b/src/main/java/org/astershift/scheduler/DirectCommandState.java
@@ -7,8 +7,7 @@
   private boolean silentUnanswered;
   private boolean lost;
   private int failures;
-  private long epochWhenSent;
-  private long sequenceWhenSent;
+  private MessagePosition positionWhenSent = MessagePosition.NONE;
   private long lastSentMs = -1_000_000;
 
   /** A command goes out; {@code silent}: the machine is silent or was never seen. */
@@ -16,8 +15,7 @@
     inFlight = true;
     sentWhileSilent = silent;
     lastSentMs = nowMs;
-    epochWhenSent = machine.epoch;
-    sequenceWhenSent = machine.sequence;
+    positionWhenSent = new MessagePosition(machine.epoch, machine.sequence);
   }
 
   /** The command in flight was answered, or will not be. */
@@ -64,6 +62,11 @@
 
   /** Whether the message is newer than the last one before the command was sent. */
   boolean precedes(Heartbeat heartbeat) {
-    return heartbeat.newerThan(epochWhenSent, sequenceWhenSent);
+    return positionWhenSent.precedes(heartbeat);
+  }
+
+  /** Whether nothing newer of the machine was handled since the command was sent. */
+  boolean nothingHandledSinceSent(Machine machine) {
+    return positionWhenSent.equals(new MessagePosition(machine.epoch, machine.sequence));
   }
 }
--- a/src/main/java/org/astershift/scheduler/DirectCommands.java
+++ b/src/main/java/org/astershift/scheduler/DirectCommands.java
@@ -1,6 +1,7 @@
 package org.astershift.scheduler;
 
 import java.util.List;
+import org.astershift.scheduler.MessageClassifier.Evidence;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -12,14 +13,17 @@
   private static final Logger LOG = LoggerFactory.getLogger(DirectCommands.class);
 
   private final ClusterState cluster;
+  private final MessageClassifier classifier;
   private final HeartbeatReconciler heartbeatReconciler;
   private final CommandReconciler commandReconciler;
 
   DirectCommands(
       ClusterState cluster,
+      MessageClassifier classifier,
       HeartbeatReconciler heartbeatReconciler,
       CommandReconciler commandReconciler) {
     this.cluster = cluster;
+    this.classifier = classifier;
     this.heartbeatReconciler = heartbeatReconciler;
     this.commandReconciler = commandReconciler;
   }
@@ -32,7 +36,7 @@
         || commandReconciler.fenceOrProbeStillDue(machine, nowMs)) {
       return true;
     }
-    CommandReconciler.onSettled(machine, false);
+    CommandReconciler.onUnanswered(machine, false);
     requeueUrgentCommands(machine);
     return false;
   }
@@ -75,12 +79,14 @@
     if (machine == null) {
       return;
     }
-    CommandReconciler.onSettled(machine, outcomeUnknown);
     int heldBefore = machine.heldAttemptCount();
     if (heartbeat != null && heartbeat.machineName().equals(machineName)) {
       onAnswer(machine, heartbeat, nowMs - receivedMs, nowMs);
-    } else if (machine.epoch > 0 || machine.state == Machine.State.UNRECONCILED) {
-      onNoAnswer(machine, outcomeUnknown, nowMs);
+    } else {
+      CommandReconciler.onUnanswered(machine, outcomeUnknown);
+      if (machine.epoch > 0 || machine.state == Machine.State.UNRECONCILED) {
+        onNoAnswer(machine, outcomeUnknown, nowMs);
+      }
     }
     requeueUrgentCommands(machine);
     if (machine.heldAttemptCount() < heldBefore) {
@@ -88,53 +94,39 @@
     }
   }
 
-  /** The machine's status in its answer is newer than all that was known when it was asked. */
-  private void onAnswer(Machine machine, Heartbeat heartbeat, long waitedMs, long nowMs) {
-    heartbeatReconciler.senderOf(heartbeat, nowMs);
+  private void onAnswer(Machine machine, Heartbeat answer, long waitedMs, long nowMs) {
+    CommandReconciler.onAnswered(machine, MessageClassifier.isOvertaken(machine, answer));
+    heartbeatReconciler.senderOf(answer, nowMs);
     if (heartbeatReconciler.deposed()) {
       return;
     }
+    Evidence evidence = classifier.ofAnswer(machine, answer, nowMs);
+    machine.history.add(MachineEvent.ofAnswer(answer, evidence, waitedMs, nowMs));
     machine.consecutiveUnanswered = 0;
-    machine.staleMessageSeen = false;
-    MachineEvent.Kind kind = kindOf(machine, heartbeat, nowMs);
-    machine.history.add(MachineEvent.ofMessage(kind, heartbeat, waitedMs, nowMs));
-    if (!heartbeat.newerThan(machine.epoch, machine.sequence)
-        && kind != MachineEvent.Kind.ANSWER_RESTARTED) {
+    if (evidence == Evidence.STALE) {
       cluster.reconciliationLog.onAnswerOvertaken(machine, nowMs);
+      machine.staleMessageSeen = machine.restartSuspected;
+      return;
     }
-    switch (kind) {
-      case ANSWER_RESTARTED -> {
-        cluster.reconciliationLog.onRestartConfirmed();
-        cluster.onMachineRestarted(machine, nowMs);
-      }
-      case ANSWER_MAYBE_RESTARTED -> {
-        cluster.reconciliationLog.onRestartPresumed();
-        cluster.onPossibleRestart(machine, nowMs);
-      }
-      default -> {
-        if (machine.restartSuspected) {
-          cluster.reconciliationLog.onRestartRefuted();
-        }
-      }
-    }
-    machine.restartSuspected = false;
-    heartbeatReconciler.trackIncarnation(machine, heartbeat, true, nowMs);
-    heartbeatReconciler.recordContact(machine, heartbeat, nowMs);
-    heartbeatReconciler.reconcile(machine, heartbeat, false, nowMs);
+    machine.staleMessageSeen = false;
+    settleSuspicion(machine, evidence, nowMs);
+    heartbeatReconciler.trackIncarnation(machine, answer, true, nowMs);
+    heartbeatReconciler.recordContact(machine, answer, nowMs);
+    heartbeatReconciler.reconcile(machine, answer, false, nowMs);
     commandReconciler.dropNeverStarted(machine);
   }
 
-  private MachineEvent.Kind kindOf(Machine machine, Heartbeat answer, long nowMs) {
-    if (!machine.directCommands.precedes(answer)) {
-      return MachineEvent.Kind.ANSWER_RESTARTED;
+  private void settleSuspicion(Machine machine, Evidence evidence, long nowMs) {
+    if (evidence == Evidence.RESTARTED) {
+      cluster.reconciliationLog.onRestartConfirmed();
+      cluster.onMachineRestarted(machine, nowMs);
+    } else if (evidence == Evidence.MAYBE_RESTARTED) {
+      cluster.reconciliationLog.onRestartPresumed();
+      cluster.onPossibleRestart(machine, nowMs);
+    } else if (machine.restartSuspected) {
+      cluster.reconciliationLog.onRestartRefuted();
     }
-    if (machine.restartSuspected
-        && !cluster.incarnations.isProvenSameIncarnation(machine, answer, nowMs)) {
-      return MachineEvent.Kind.ANSWER_MAYBE_RESTARTED;
-    }
-    return answer.newerThan(machine.epoch, machine.sequence)
-        ? MachineEvent.Kind.ANSWER_CURRENT
-        : MachineEvent.Kind.ANSWER_OVERTAKEN;
+    machine.restartSuspected = false;
   }
 
   private void onNoAnswer(Machine machine, boolean outcomeUnknown, long nowMs) {
--- a/src/main/java/org/astershift/scheduler/HeartbeatHandler.java
+++ b/src/main/java/org/astershift/scheduler/HeartbeatHandler.java
@@ -5,18 +5,19 @@
 /** Answers a heartbeat: reconciles the machine, places tasks on it and returns its commands. */
 final class HeartbeatHandler {
   private final ClusterState cluster;
-  private final HeartbeatClassifier classifier;
+  private final MessageClassifier classifier;
   private final HeartbeatReconciler heartbeatReconciler;
   private final CommandReconciler commandReconciler;
   private final Placement placement;
 
   HeartbeatHandler(
       ClusterState cluster,
+      MessageClassifier classifier,
       HeartbeatReconciler heartbeatReconciler,
       CommandReconciler commandReconciler,
       Placement placement) {
     this.cluster = cluster;
-    this.classifier = new HeartbeatClassifier(cluster.fencingToken);
+    this.classifier = classifier;
     this.heartbeatReconciler = heartbeatReconciler;
     this.commandReconciler = commandReconciler;
     this.placement = placement;
@@ -32,12 +33,11 @@
       return List.of();
     }
     boolean suspectedBefore = machine.restartSuspected;
-    HeartbeatClassifier.Evidence evidence = classifier.classify(machine, heartbeat);
+    MessageClassifier.Evidence evidence = classifier.ofHeartbeat(machine, heartbeat);
     if (machine.restartSuspected && !suspectedBefore) {
       cluster.reconciliationLog.onRestartSuspected();
     }
-    machine.history.add(
-        MachineEvent.ofMessage(eventKind(evidence), heartbeat, nowMs - receivedMs, nowMs));
+    machine.history.add(MachineEvent.ofHeartbeat(heartbeat, evidence, nowMs - receivedMs, nowMs));
     return switch (evidence) {
       case STALE -> {
         machine.staleMessageSeen = true;
@@ -53,16 +53,17 @@
         yield commandReconciler.stopsForEndedJobs(heartbeat);
       }
       case CURRENT -> onCurrentHeartbeat(machine, heartbeat, nowMs);
+      default -> throw new IllegalStateException("not of a heartbeat: " + evidence);
     };
   }
 
   private List<Command> onCurrentHeartbeat(Machine machine, Heartbeat heartbeat, long nowMs) {
     boolean unfenced =
         !machine.fenced
-            && machine.lastHeartbeat.epoch() > 0
+            && machine.messageOrder.anyHeartbeat()
             && heartbeat.fencingToken() < cluster.fencingToken;
     machine.unfencedHeartbeats += unfenced ? 1 : 0;
-    machine.lastHeartbeat = MessagePosition.of(heartbeat);
+    machine.messageOrder.onHeartbeat(heartbeat);
     heartbeatReconciler.trackIncarnation(machine, heartbeat, false, nowMs);
     heartbeatReconciler.recordContact(machine, heartbeat, nowMs);
     boolean previousAnswered = nowMs - machine.leaseFromMs < cluster.limits.leaseS() * 500;
@@ -84,15 +85,6 @@
     return commands;
   }
 
-  private static MachineEvent.Kind eventKind(HeartbeatClassifier.Evidence evidence) {
-    return switch (evidence) {
-      case CURRENT -> MachineEvent.Kind.HEARTBEAT_CURRENT;
-      case STALE -> MachineEvent.Kind.HEARTBEAT_STALE;
-      case LIVENESS_ONLY -> MachineEvent.Kind.HEARTBEAT_LIVENESS_ONLY;
-      case CONTRADICTORY -> MachineEvent.Kind.HEARTBEAT_CONTRADICTORY;
-    };
-  }
-
   private static void renewLease(Machine machine, long nowMs) {
     machine.leaseFromMs = nowMs;
     machine.leaseRenewedMs = nowMs;
--- a/src/main/java/org/astershift/scheduler/HeartbeatReconciler.java
+++ b/src/main/java/org/astershift/scheduler/HeartbeatReconciler.java
@@ -60,7 +60,7 @@
    * commands of this leader.
    */
   void trackIncarnation(Machine machine, Heartbeat heartbeat, boolean directResponse, long nowMs) {
-    if (!heartbeat.newerThan(machine.epoch, machine.sequence)) {
+    if (!machine.isNews(heartbeat)) {
       return;
     }
     boolean leaseUncertain = cluster.incarnations.leaseUncertain(nowMs);
@@ -76,7 +76,7 @@
    * before the machine's release, its loss or a failover, so one that is not newer has no effect.
    */
   void recordContact(Machine machine, Heartbeat heartbeat, long nowMs) {
-    if (!heartbeat.newerThan(machine.epoch, machine.sequence)) {
+    if (!machine.isNews(heartbeat)) {
       return;
     }
     machine.address = heartbeat.address();
@@ -106,7 +106,7 @@
    * last. {@code previousAnswered}: the heartbeat before it was answered well within a lease.
    */
   boolean reconcile(Machine machine, Heartbeat heartbeat, boolean previousAnswered, long nowMs) {
-    if (!heartbeat.newerThan(machine.epoch, machine.sequence)) {
+    if (!machine.isNews(heartbeat)) {
       return false;
     }
     if (heartbeat.epoch() > machine.epoch) {
--- a/src/main/java/org/astershift/scheduler/Machine.java
+++ b/src/main/java/org/astershift/scheduler/Machine.java
@@ -85,8 +85,7 @@
   /** Heartbeats without this leader's token that came after one was answered with it. */
   int unfencedHeartbeats;
 
-  /** The newest message that came as a heartbeat, whose response may have renewed the lease. */
-  MessagePosition lastHeartbeat = MessagePosition.NONE;
+  final MessageOrder messageOrder = new MessageOrder();
 
   final MachineHistory history = new MachineHistory();
 
@@ -200,7 +199,7 @@
     incarnation = new MachineIncarnation();
     epoch = 0;
     sequence = 0;
-    lastHeartbeat = MessagePosition.NONE;
+    messageOrder.reset();
     firstMessageMs = -1;
     unfencedHeartbeats = 0;
     fenced = false;
@@ -210,6 +209,11 @@
     images.clear();
   }
 
+  /** Whether the message is newer than all that its attempts were reconciled with. */
+  boolean isNews(Heartbeat message) {
+    return message.newerThan(epoch, sequence);
+  }
+
   /** Whether new tasks may go here as far as its own state shows. */
   boolean usable(long nowMs) {
     return state == State.LIVE
--- /dev/null
+++ b/src/main/java/org/astershift/scheduler/MessageClassifier.java
@@ -0,0 +1,104 @@
+package org.astershift.scheduler;
+
+/**
+ * Tells what a message of a machine proves, for heartbeats and for answers to direct commands. It
+ * depends on the message's place among those handled before and not on the order of arrival:
+ * messages of one machine wait in this process each for itself. Epoch and sequence order those of
+ * one incarnation, but a restarted machine counts from the beginning again, and copies of its
+ * earlier messages may arrive for minutes. Taken for new, such a copy would drop tasks that still
+ * run, and they would run twice.
+ */
+final class MessageClassifier {
+  /** What a message proves. */
+  enum Evidence {
+    /** The machine's newest status. */
+    CURRENT,
+    /**
+     * A newer message was handled before it, so it shows neither what is on the machine nor what is
+     * not. A heartbeat may be a copy, or one that its worker gave up: its response reaches nobody.
+     */
+    STALE,
+    /**
+     * A heartbeat of this incarnation or an earlier one: only the machine's answer to a command
+     * shows which.
+     */
+    LIVENESS_ONLY,
+    /**
+     * A heartbeat that lacks what is held on the machine, or shows a lower token. It gets no
+     * response: unless the machine answers a probe, its lease expires by this leader's clock.
+     */
+    CONTRADICTORY,
+    /** An answer that proves a restart. */
+    RESTARTED,
+    /** An answer that does not exclude a restart which is suspected. */
+    MAYBE_RESTARTED
+  }
+
+  private final long fencingToken;
+  private final IncarnationTracker incarnations;
+
+  MessageClassifier(ClusterState cluster) {
+    this.fencingToken = cluster.fencingToken;
+    this.incarnations = cluster.incarnations;
+  }
+
+  /** What a heartbeat proves; marks the machine where it suggests a restart. */
+  Evidence ofHeartbeat(Machine machine, Heartbeat heartbeat) {
+    boolean lowerFencingToken = machine.fenced && heartbeat.fencingToken() < fencingToken;
+    boolean higherEpoch =
+        machine.fenced
+            && heartbeat.epoch() > machine.epoch
+            && machine.epoch > 0
+            && machine.hasAttempts();
+    boolean attemptMissing =
+        !machine.restartedInTerm
+            && heartbeat.epoch() == machine.epoch
+            && lacksShownAttempt(machine, heartbeat);
+    machine.restartSuspected |= lowerFencingToken || attemptMissing;
+    if (lowerFencingToken || higherEpoch || attemptMissing) {
+      return Evidence.CONTRADICTORY;
+    }
+    if (!machine.messageOrder.isNewestHeartbeat(heartbeat) || heartbeat.epoch() < machine.epoch) {
+      return Evidence.STALE;
+    }
+    return machine.restartedInTerm ? Evidence.LIVENESS_ONLY : Evidence.CURRENT;
+  }
+
+  /** What the answer to the direct commands sent last proves; marks a suspected restart. */
+  Evidence ofAnswer(Machine machine, Heartbeat answer, long nowMs) {
+    if (machine.isNews(answer)) {
+      return machine.restartSuspected
+              && !incarnations.isProvenSameIncarnation(machine, answer, nowMs)
+          ? Evidence.MAYBE_RESTARTED
+          : Evidence.CURRENT;
+    }
+    if (!isOvertaken(machine, answer)) {
+      return Evidence.RESTARTED;
+    }
+    // It may be of a restarted machine, which has shown since what was started there.
+    machine.restartSuspected |= !machine.directCommands.precedes(answer);
+    return Evidence.STALE;
+  }
+
+  /** Whether a message was handled since the commands were sent that is newer than their answer. */
+  static boolean isOvertaken(Machine machine, Heartbeat answer) {
+    return !machine.isNews(answer) && !machine.directCommands.nothingHandledSinceSent(machine);
+  }
+
+  /**
+   * Whether the heartbeat lacks a task that was shown and has not exited. Within an epoch a machine
+   * shows a task until it is told to forget it, so this heartbeat is of another incarnation: it was
+   * delayed, or the machine restarted and has sent more messages since than before.
+   */
+  private static boolean lacksShownAttempt(Machine machine, Heartbeat heartbeat) {
+    if (!machine.isNews(heartbeat)) {
+      return false;
+    }
+    for (TaskAttempt attempt : machine.attempts.values()) {
+      if (attempt.phase != null && !attempt.exited() && !heartbeat.showsAttempt(attempt.key)) {
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- a/src/main/java/org/astershift/scheduler/Scheduler.java
+++ b/src/main/java/org/astershift/scheduler/Scheduler.java
@@ -55,9 +55,12 @@
     this.failureDetector = new FailureDetector(cluster);
     this.scaleIn = new ScaleIn(cluster, failureDetector);
     this.scaleOut = new ScaleOut(cluster);
+    MessageClassifier classifier = new MessageClassifier(cluster);
     this.heartbeatHandler =
-        new HeartbeatHandler(cluster, heartbeatReconciler, commandReconciler, placement);
-    this.directCommands = new DirectCommands(cluster, heartbeatReconciler, commandReconciler);
+        new HeartbeatHandler(
+            cluster, classifier, heartbeatReconciler, commandReconciler, placement);
+    this.directCommands =
+        new DirectCommands(cluster, classifier, heartbeatReconciler, commandReconciler);
     this.machineListReconciler = new MachineListReconciler(cluster, scaleIn);
     this.schedulingPass =
         new SchedulingPass(
--- a/src/test/java/org/astershift/controller/OvertakenAnswerTest.java
+++ b/src/test/java/org/astershift/controller/OvertakenAnswerTest.java
@@ -40,8 +40,8 @@
   private void bringAboutOvertakenAnswer(LeaderTerm term, WorkerEmulator worker, String job)
       throws Exception {
     worker.holdNextAnswer();
-    suspectRestart(term, worker);
-    Await.until("the machine to be asked", worker::answerHeld);
+    // An answer to an earlier request may settle the first suspicion.
+    Await.until("the machine to be asked", () -> suspectRestart(term, worker));
     assertEquals(201, node.jobService.submit(array(job)).status());
     Await.until("a heartbeat to show the task", () -> runningTasks(term, job) == 1);
     worker.releaseAnswer();
@@ -52,12 +52,16 @@
     cancel(job);
   }
 
-  /** A heartbeat without a token, as of another incarnation, reaches the leader. */
-  private void suspectRestart(LeaderTerm term, WorkerEmulator worker) {
+  /**
+   * A heartbeat without a token, as of another incarnation, reaches the leader; true once it has
+   * asked the machine.
+   */
+  private boolean suspectRestart(LeaderTerm term, WorkerEmulator worker) {
     Heartbeat other =
         new Heartbeat(
             worker.name(), "127.0.0.1:1", "small", "a", false, 1, 1000, 0, null, List.of());
     node.runtime.onHeartbeat(other, term.token, LeaderTerm.nowMs());
+    return worker.answerHeld();
   }
 
   private static boolean isEmpty(WorkerEmulator worker) {
--- a/src/test/java/org/astershift/simulation/AnswerCombinedFaultsTest.java
+++ b/src/test/java/org/astershift/simulation/AnswerCombinedFaultsTest.java
@@ -1,5 +1,6 @@
 package org.astershift.simulation;
 
+import static org.astershift.simulation.CombinedFaults.assertDetected;
 import static org.astershift.simulation.CombinedFaults.assertSound;
 import static org.astershift.simulation.CombinedFaults.runForS;
 import static org.astershift.simulation.CombinedFaults.simulation;
@@ -30,6 +31,11 @@
       overtaken += simulation.messageQueueing.answersOvertaken;
     }
     assertTrue(overtaken >= 10 * SEEDS, overtaken + " answers were overtaken");
+    assertDetected(
+        Mutation.BELIEVE_OVERTAKEN_ANSWERS,
+        SEEDS,
+        "ran_twice",
+        seed -> playFall(seed, Mutation.BELIEVE_OVERTAKEN_ANSWERS));
   }
 
   private static Simulation playFall(long seed, Mutation... mutations) {
--- a/src/test/java/org/astershift/simulation/CommandSenderModel.java
+++ b/src/test/java/org/astershift/simulation/CommandSenderModel.java
@@ -117,6 +117,9 @@
   private void onAnswer(String machine, WorkerModel.CommandAnswer answer) {
     Heartbeat heartbeat = answer == null ? null : answer.heartbeat();
     if (heartbeat != null) {
+      if (controller.mutated(Mutation.BELIEVE_OVERTAKEN_ANSWERS)) {
+        heartbeat = simulation.messageQueueing.asNewest(controller.name, heartbeat);
+      }
       simulation.messageQueueing.onHandled(controller.name, heartbeat, true);
     }
     term.schedulerWithLease()
--- a/src/test/java/org/astershift/simulation/MessageQueueing.java
+++ b/src/test/java/org/astershift/simulation/MessageQueueing.java
@@ -38,6 +38,25 @@
     }
   }
 
+  /** The answer as a leader would read it that takes any answer for the machine's newest status. */
+  Heartbeat asNewest(String leader, Heartbeat answer) {
+    Heartbeat newest = newestHandled.get(leader + " " + answer.machineName());
+    if (newest == null || !newest.newerThan(answer.epoch(), answer.sequence())) {
+      return answer;
+    }
+    return new Heartbeat(
+        answer.machineName(),
+        answer.address(),
+        answer.typeName(),
+        answer.zone(),
+        answer.spot(),
+        newest.epoch(),
+        newest.sequence() + 1,
+        answer.fencingToken(),
+        answer.preemptionNoticeS(),
+        answer.tasks());
+  }
+
   /** A leader handles a message now. */
   void onHandled(String leader, Heartbeat message, boolean answer) {
     String machine = leader + " " + message.machineName();
--- a/src/test/java/org/astershift/simulation/Mutation.java
+++ b/src/test/java/org/astershift/simulation/Mutation.java
@@ -50,6 +50,8 @@
   TASKS_BEFORE_REGISTRATION,
   /** A leader whose lease is uncertain uses any incarnation of a machine that sends heartbeats. */
   TRUST_UNPROVEN_INCARNATIONS,
+  /** An answer that a newer message has overtaken counts as the newest. */
+  BELIEVE_OVERTAKEN_ANSWERS,
   /** A start decided before its connection opened is sent though the lease is uncertain by then. */
   STARTS_WITH_UNCERTAIN_LEASE
 }
--- a/src/test/java/org/astershift/simulation/RandomSetup.java
+++ b/src/test/java/org/astershift/simulation/RandomSetup.java
@@ -37,6 +37,15 @@
   /** Tasks fail on some machines, so that these are drained and released. */
   final boolean withFaultyMachines;
 
+  /** Messages wait in the leader's process, and once all controllers fall together. */
+  final boolean withMessageQueueing;
+
+  /** The longest such wait. */
+  final long messageWaitMs;
+
+  /** When all controllers fall, as a share of the time of faults. */
+  final double fallAtShare;
+
   /** The order of the draws is part of each seed's scenario. */
   RandomSetup(long seed) {
     SplittableRandom random = new SplittableRandom(seed);
@@ -54,5 +63,8 @@
     withGangs = random.nextBoolean();
     withSpot = random.nextInt(3) == 0;
     withFaultyMachines = random.nextInt(4) == 0;
+    withMessageQueueing = random.nextInt(3) == 0;
+    messageWaitMs = 500 + random.nextInt(5500);
+    fallAtShare = random.nextDouble();
   }
 }
--- a/src/test/java/org/astershift/simulation/RandomizedScenario.java
+++ b/src/test/java/org/astershift/simulation/RandomizedScenario.java
@@ -22,6 +22,7 @@
   private static final long MAX_WORK_MS = 40_000;
 
   private static final long PREEMPTION_NOTICE_MS = 20_000;
+  private static final double MESSAGE_WAITING_SHARE = 0.4;
 
   final Simulation simulation;
   private final RandomSetup drawn;
@@ -58,6 +59,9 @@
     scheduleUserFaults();
     schedulePreemptions();
     scheduleFaultyMachines();
+    if (drawn.withMessageQueueing) {
+      queueMessages();
+    }
     simulation.after(POLLED_FROM_S * 1000L - simulation.now(), simulation::pollAllJobs);
     simulation.runTo(HEALED_S);
   }
@@ -92,6 +96,16 @@
     }
   }
 
+  /** Messages wait at the leader, and all controllers fall once and are back within seconds. */
+  private void queueMessages() {
+    simulation.messageQueueing.heartbeatsOnChange = true;
+    simulation.messageQueueing.longestWaitMs = drawn.messageWaitMs;
+    simulation.messageQueueing.waitingShare = MESSAGE_WAITING_SHARE;
+    simulation.after(
+        Math.round(drawn.fallAtShare * FAULTS_MS),
+        () -> simulation.controllers.forEach(faults::crashAndRestart));
+  }
+
   private void scheduleFaultyMachines() {
     for (int i = 0; drawn.withFaultyMachines && i < 1 + simulation.random.nextInt(3); i++) {
       simulation.after(simulation.random.nextLong(FAULTS_MS), this::makeMachineFaulty);
@@ -136,6 +150,7 @@
     simulation.store.unansweredShare = 0;
     simulation.store.answerDelayMs = 0;
     simulation.threadStallMs = 0;
+    simulation.messageQueueing.waitingShare = 0;
     simulation.delayedHeartbeats.release();
     simulation.controllers.forEach(ControllerModel::acceptHeartbeats);
     simulation.workers.values().forEach(WorkerModel::healOutbound);
