A heartbeat from before the machine showed this leader's token is no sign of a restart

Cause: workers give a heartbeat up after 4 s, and a leader that is behind handles it later. By then a direct request may have fenced the machine, and the heartbeat's lower token passed for a sign of a restart, whatever its place in the order of messages. A young machine has sent too few messages for its answer to exclude one.

Change: a lower token is a sign of another incarnation only from the message on that first showed this leader's token (MessageOrder.isFromBeforeFence). A heartbeat from before it is still not answered, since a response would show the token to whoever sent it, and the machine is still asked. Where it did restart, its answer is lower in number than what was handled before and proves it, as now.

--- a/src/main/java/org/astershift/scheduler/HeartbeatReconciler.java
+++ b/src/main/java/org/astershift/scheduler/HeartbeatReconciler.java
@@ -83,7 +83,8 @@
     machine.lastMessageMs = nowMs;
     machine.firstMessageMs = machine.firstMessageMs < 0 ? nowMs : machine.firstMessageMs;
     cluster.zonePartitions.clear(machine.zone);
-    if (heartbeat.fencingToken() == cluster.fencingToken) {
+    if (heartbeat.fencingToken() == cluster.fencingToken && !machine.fenced) {
+      machine.messageOrder.onFenced(heartbeat);
       cluster.fence(machine, nowMs);
     }
     if (machine.state == Machine.State.BOOTING || machine.state == Machine.State.LEASE_EXPIRED) {
--- a/src/main/java/org/astershift/scheduler/MessageClassifier.java
+++ b/src/main/java/org/astershift/scheduler/MessageClassifier.java
@@ -54,7 +54,8 @@
         !machine.restartedInTerm
             && heartbeat.epoch() == machine.epoch
             && lacksShownAttempt(machine, heartbeat);
-    machine.restartSuspected |= lowerFencingToken || attemptMissing;
+    machine.restartSuspected |=
+        attemptMissing || (lowerFencingToken && !machine.messageOrder.isFromBeforeFence(heartbeat));
     if (lowerFencingToken || higherEpoch || attemptMissing) {
       return Evidence.CONTRADICTORY;
     }
