--- a/src/test/java/org/astershift/simulation/HeartbeatSchedule.java
+++ b/src/test/java/org/astershift/simulation/HeartbeatSchedule.java
@@ -41,11 +41,11 @@
     }
   }
 
-  void sendAfter(long ms) {
+  void sendAfter(long delayMs) {
     scheduled++;
     int number = scheduled;
     process.after(
-        ms,
+        delayMs,
         () -> {
           if (number == scheduled) {
             send.run();
