--- a/src/main/java/org/astershift/controller/PassLoop.java
+++ b/src/main/java/org/astershift/controller/PassLoop.java
@@ -102,7 +102,7 @@
     LOG.info(
         "{}; passes took {} ms, the longest {} ms", summary.jobs(), totalPassMs, longestPassMs);
     LOG.info(
-        "in this term: token={} lease_certain_for_ms={} {}",
+        "messages of machines: token={} lease_certain_for_ms={} {}",
         term.token,
         term.leaseCertainUntilMs() - LeaderTerm.nowMs(),
         summary.reconciliation());
--- a/src/test/java/org/astershift/simulation/HealthyMachinesTest.java
+++ b/src/test/java/org/astershift/simulation/HealthyMachinesTest.java
@@ -18,6 +18,7 @@
   private static final long RESTART_MS = 900;
   private static final long HEARTBEAT_MS = Setup.of(3, MACHINES).heartbeatMs();
   private static final long STEP_MS = 100;
+  private static final long SEED_OF_WAITING_MESSAGES = 781;
 
   /**
    * A machine restarts within a second, at whatever moment between two of its heartbeats, and then
@@ -39,6 +40,13 @@
     assertNothingReleased(HealthyMachinesTest::restartUnseen);
   }
 
+  /** Their messages have arrived, and wait in the leader's process to be handled. */
+  @Test
+  void machineWhoseMessagesWaitAtLeaderIsNotReleased() {
+    Simulation simulation = RandomizedScenario.play(SEED_OF_WAITING_MESSAGES).simulation;
+    assertEquals(List.of(), simulation.checker.healthyReleased, simulation.recentLog());
+  }
+
   /** What is played under a seed, with a restart so long after some moment. */
   private interface Play {
     Simulation with(long seed, long atMs);
