--- a/src/main/java/org/astershift/scheduler/MessageClassifier.java
+++ b/src/main/java/org/astershift/scheduler/MessageClassifier.java
@@ -45,18 +45,12 @@
   /** What a heartbeat proves; marks the machine where it suggests a restart. */
   Evidence ofHeartbeat(Machine machine, Heartbeat heartbeat) {
     boolean lowerFencingToken = machine.fenced && heartbeat.fencingToken() < fencingToken;
-    boolean higherEpoch =
-        machine.fenced
-            && heartbeat.epoch() > machine.epoch
-            && machine.epoch > 0
-            && machine.hasAttempts();
-    boolean attemptMissing =
-        !machine.restartedInTerm
-            && heartbeat.epoch() == machine.epoch
-            && lacksShownAttempt(machine, heartbeat);
-    machine.restartSuspected |=
-        attemptMissing || (lowerFencingToken && !machine.messageOrder.isFromBeforeFence(heartbeat));
-    if (lowerFencingToken || higherEpoch || attemptMissing) {
+    boolean attemptMissing = lacksShownAttempt(machine, heartbeat);
+    if (attemptMissing
+        || (lowerFencingToken && !machine.messageOrder.isFromBeforeFence(heartbeat))) {
+      machine.restartSuspected = true;
+    }
+    if (lowerFencingToken || attemptMissing || endsHeldAttempts(machine, heartbeat)) {
       return Evidence.CONTRADICTORY;
     }
     if (!machine.messageOrder.isNewestHeartbeat(heartbeat) || heartbeat.epoch() < machine.epoch) {
@@ -86,13 +80,23 @@
     return !machine.isNews(answer) && !machine.directCommands.nothingHandledSinceSent(machine);
   }
 
+  /** Whether its epoch is later than the one in which the machine holds tasks. */
+  private static boolean endsHeldAttempts(Machine machine, Heartbeat heartbeat) {
+    return machine.fenced
+        && machine.epoch > 0
+        && heartbeat.epoch() > machine.epoch
+        && machine.hasAttempts();
+  }
+
   /**
    * Whether the heartbeat lacks a task that was shown and has not exited. Within an epoch a machine
    * shows a task until it is told to forget it, so this heartbeat is of another incarnation: it was
    * delayed, or the machine restarted and has sent more messages since than before.
    */
   private static boolean lacksShownAttempt(Machine machine, Heartbeat heartbeat) {
-    if (!machine.isNews(heartbeat)) {
+    if (machine.restartedInTerm
+        || heartbeat.epoch() != machine.epoch
+        || !machine.isNews(heartbeat)) {
       return false;
     }
     for (TaskAttempt attempt : machine.attempts.values()) {
