--- a/src/main/java/org/astershift/api/HeartbeatStatistics.java
+++ b/src/main/java/org/astershift/api/HeartbeatStatistics.java
@@ -1,5 +1,6 @@
 package org.astershift.api;
 
+import java.util.function.LongSupplier;
 import org.astershift.config.LogIntervals;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -8,24 +9,31 @@
 final class HeartbeatStatistics {
   private static final Logger LOG = LoggerFactory.getLogger(HeartbeatStatistics.class);
 
+  private final LongSupplier oldestWaitMs;
   private int handled;
   private int rejected;
   private long longestWaitMs;
   private long periodStartNs = System.nanoTime();
 
+  /** {@code oldestWaitMs}: for how long the oldest of the waiting heartbeats has waited. */
+  HeartbeatStatistics(LongSupplier oldestWaitMs) {
+    this.oldestWaitMs = oldestWaitMs;
+  }
+
   /** Counts a heartbeat that waited so long to be handled. */
   synchronized void onHandled(long waitMs) {
     handled++;
     longestWaitMs = Math.max(longestWaitMs, waitMs);
+    logIfDue();
   }
 
   /** Counts a heartbeat that was rejected as it had waited for too long. */
   synchronized void onRejected() {
     rejected++;
+    logIfDue();
   }
 
-  /** Logs the counts if they are due; {@code oldestWaitMs}: of the heartbeats that wait now. */
-  synchronized void logIfDue(long oldestWaitMs) {
+  private void logIfDue() {
     long nowNs = System.nanoTime();
     if (nowNs - periodStartNs < LogIntervals.SUMMARY_INTERVAL_MS * 1_000_000) {
       return;
@@ -35,7 +43,7 @@
         handled,
         rejected,
         longestWaitMs,
-        oldestWaitMs,
+        oldestWaitMs.getAsLong(),
         (nowNs - periodStartNs) / 1_000_000_000);
     handled = 0;
     rejected = 0;
--- a/src/main/java/org/astershift/api/PublicApi.java
+++ b/src/main/java/org/astershift/api/PublicApi.java
@@ -41,9 +41,10 @@
   private final JobService jobService;
   private final Map<String, Team> teams;
   private final RequestStatistics requestStatistics = new RequestStatistics();
-  private final HeartbeatStatistics heartbeatStatistics = new HeartbeatStatistics();
   private final ConcurrencyGate heartbeatGate =
       new ConcurrencyGate(CONCURRENT_HEARTBEATS, HEARTBEAT_WAIT_MS);
+  private final HeartbeatStatistics heartbeatStatistics =
+      new HeartbeatStatistics(heartbeatGate::oldestWaitMs);
 
   /** {@code teams}: by name, with their quotas. */
   public PublicApi(ControllerRuntime controller, JobService jobService, Map<String, Team> teams) {
@@ -163,7 +164,6 @@
    */
   private Response handleHeartbeat(Request request) throws InterruptedException {
     long receivedMs = ControllerRuntime.nowMs();
-    heartbeatStatistics.logIfDue(heartbeatGate.oldestWaitMs());
     if (!heartbeatGate.tryEnter()) {
       heartbeatStatistics.onRejected();
       return Response.error(503, "too many reports");
--- a/src/main/java/org/astershift/controller/LeaderRecords.java
+++ b/src/main/java/org/astershift/controller/LeaderRecords.java
@@ -109,6 +109,11 @@
     pageByKey.get(page.kind).put(key, page);
   }
 
+  /** How many entries of this kind there are. */
+  synchronized int count(RecordKind kind) {
+    return pageByKey.get(kind).size();
+  }
+
   /** All entries of this kind, page by page. */
   synchronized Map<String, Object> entries(RecordKind kind) {
     Map<String, Object> result = new LinkedHashMap<>();
--- a/src/main/java/org/astershift/controller/LeaderTerm.java
+++ b/src/main/java/org/astershift/controller/LeaderTerm.java
@@ -289,9 +289,9 @@
   /** For the log: what the term began with. */
   String inventory() {
     return "machines="
-        + records.entries(LeaderRecords.RecordKind.MACHINE).size()
+        + records.count(LeaderRecords.RecordKind.MACHINE)
         + " opened_jobs="
-        + records.entries(LeaderRecords.RecordKind.OPENED).size()
+        + records.count(LeaderRecords.RecordKind.OPENED)
         + " jobs="
         + termJobs.count();
   }
--- a/src/main/java/org/astershift/scheduler/CommandReconciler.java
+++ b/src/main/java/org/astershift/scheduler/CommandReconciler.java
@@ -79,7 +79,9 @@
         neverStarted.add(attempt);
       }
     }
-    cluster.attempts.dropAll(machine, neverStarted, DropReason.NEVER_STARTED);
+    for (TaskAttempt attempt : neverStarted) {
+      cluster.attempts.drop(attempt);
+    }
   }
 
   /**
@@ -310,8 +312,7 @@
   static void onAnswered(Machine machine, boolean overtaken) {
     machine.directCommands.onSettled();
     for (TaskAttempt attempt : machine.attempts.values()) {
-      attempt.startUnconfirmed |= overtaken && attempt.startInFlight && attempt.phase == null;
-      attempt.startInFlight = false;
+      attempt.onDirectStartSettled(overtaken && attempt.phase == null);
     }
   }
 
@@ -319,8 +320,7 @@
   static void onUnanswered(Machine machine, boolean outcomeUnknown) {
     machine.directCommands.onSettled();
     for (TaskAttempt attempt : machine.attempts.values()) {
-      attempt.startUnconfirmed |= outcomeUnknown && attempt.startInFlight;
-      attempt.startInFlight = false;
+      attempt.onDirectStartSettled(outcomeUnknown);
     }
   }
 }
--- a/src/main/java/org/astershift/scheduler/DirectCommands.java
+++ b/src/main/java/org/astershift/scheduler/DirectCommands.java
@@ -101,7 +101,8 @@
       return;
     }
     Evidence evidence = classifier.ofAnswer(machine, answer, nowMs);
-    machine.history.add(MachineEvent.ofAnswer(answer, evidence, waitedMs, nowMs));
+    machine.history.add(
+        MachineEvent.ofMessage(MachineEvent.Kind.ANSWER, answer, evidence, waitedMs, nowMs));
     machine.consecutiveUnanswered = 0;
     if (evidence == Evidence.STALE) {
       cluster.reconciliationLog.onAnswerOvertaken(machine, nowMs);
--- a/src/main/java/org/astershift/scheduler/DropReason.java
+++ b/src/main/java/org/astershift/scheduler/DropReason.java
@@ -11,7 +11,5 @@
   /** A newer message lacks the attempt, which an older one had shown. */
   NOT_LISTED,
   /** The machine no longer exists. */
-  MACHINE_GONE,
-  /** Its start was not sent, or cannot be executed any more. */
-  NEVER_STARTED
+  MACHINE_GONE
 }
--- a/src/main/java/org/astershift/scheduler/HeartbeatHandler.java
+++ b/src/main/java/org/astershift/scheduler/HeartbeatHandler.java
@@ -32,12 +32,10 @@
     if (heartbeatReconciler.deposed()) {
       return List.of();
     }
-    boolean suspectedBefore = machine.restartSuspected;
     MessageClassifier.Evidence evidence = classifier.ofHeartbeat(machine, heartbeat);
-    if (machine.restartSuspected && !suspectedBefore) {
-      cluster.reconciliationLog.onRestartSuspected();
-    }
-    machine.history.add(MachineEvent.ofHeartbeat(heartbeat, evidence, nowMs - receivedMs, nowMs));
+    machine.history.add(
+        MachineEvent.ofMessage(
+            MachineEvent.Kind.HEARTBEAT, heartbeat, evidence, nowMs - receivedMs, nowMs));
     return switch (evidence) {
       case STALE -> {
         machine.staleMessageSeen = true;
@@ -53,7 +51,8 @@
         yield commandReconciler.stopsForEndedJobs(heartbeat);
       }
       case CURRENT -> onCurrentHeartbeat(machine, heartbeat, nowMs);
-      default -> throw new IllegalStateException("not of a heartbeat: " + evidence);
+      case RESTARTED, MAYBE_RESTARTED ->
+          throw new IllegalStateException("not of a heartbeat: " + evidence);
     };
   }
 
--- a/src/main/java/org/astershift/scheduler/LogSummary.java
+++ b/src/main/java/org/astershift/scheduler/LogSummary.java
@@ -44,11 +44,6 @@
         + costStatistics;
   }
 
-  /** What was concluded from messages of machines. */
-  String reconciliationLine() {
-    return cluster.reconciliationLog.summary();
-  }
-
   /** The service of each class and team; warns of jobs that do not start. */
   String serviceLine(long nowMs) {
     // Tasks on unreconciled machines seem to wait.
--- a/src/main/java/org/astershift/scheduler/MachineEvent.java
+++ b/src/main/java/org/astershift/scheduler/MachineEvent.java
@@ -35,19 +35,8 @@
     COMMANDS_IN_RESPONSE
   }
 
-  /** A heartbeat that waited so long was handled. */
-  static MachineEvent ofHeartbeat(
-      Heartbeat heartbeat, MessageClassifier.Evidence evidence, long waitedMs, long nowMs) {
-    return ofMessage(Kind.HEARTBEAT, heartbeat, evidence, waitedMs, nowMs);
-  }
-
-  /** An answer that waited so long was handled. */
-  static MachineEvent ofAnswer(
-      Heartbeat answer, MessageClassifier.Evidence evidence, long waitedMs, long nowMs) {
-    return ofMessage(Kind.ANSWER, answer, evidence, waitedMs, nowMs);
-  }
-
-  private static MachineEvent ofMessage(
+  /** A message that waited so long was handled. */
+  static MachineEvent ofMessage(
       Kind kind,
       Heartbeat message,
       MessageClassifier.Evidence evidence,
--- a/src/main/java/org/astershift/scheduler/MachineHistory.java
+++ b/src/main/java/org/astershift/scheduler/MachineHistory.java
@@ -1,5 +1,6 @@
 package org.astershift.scheduler;
 
+import java.util.ArrayDeque;
 import java.util.StringJoiner;
 
 /** The last events of one machine, for the log. */
@@ -7,27 +8,26 @@
   /** Bounds the memory: each event takes some 60 bytes. */
   private static final int MACHINE_EVENTS_KEPT = 8;
 
-  private MachineEvent[] events;
-  private int added;
+  /** The oldest first. */
+  private final ArrayDeque<MachineEvent> events = new ArrayDeque<>(MACHINE_EVENTS_KEPT + 1);
 
   void add(MachineEvent event) {
-    if (events == null) {
-      events = new MachineEvent[MACHINE_EVENTS_KEPT];
+    events.addLast(event);
+    if (events.size() > MACHINE_EVENTS_KEPT) {
+      events.removeFirst();
     }
-    events[added % MACHINE_EVENTS_KEPT] = event;
-    added++;
   }
 
   /** The newest event; null if there was none. */
   MachineEvent newest() {
-    return added == 0 ? null : events[(added - 1) % MACHINE_EVENTS_KEPT];
+    return events.peekLast();
   }
 
   /** The events from the oldest kept to the newest. */
   String describe(long nowMs) {
     StringJoiner joined = new StringJoiner("; ", "[", "]");
-    for (int i = Math.max(0, added - MACHINE_EVENTS_KEPT); i < added; i++) {
-      joined.add(events[i % MACHINE_EVENTS_KEPT].describe(nowMs));
+    for (MachineEvent event : events) {
+      joined.add(event.describe(nowMs));
     }
     return joined.toString();
   }
--- a/src/main/java/org/astershift/scheduler/MessageClassifier.java
+++ b/src/main/java/org/astershift/scheduler/MessageClassifier.java
@@ -36,10 +36,12 @@
 
   private final long fencingToken;
   private final IncarnationTracker incarnations;
+  private final ReconciliationLog reconciliationLog;
 
   MessageClassifier(ClusterState cluster) {
     this.fencingToken = cluster.fencingToken;
     this.incarnations = cluster.incarnations;
+    this.reconciliationLog = cluster.reconciliationLog;
   }
 
   /** What a heartbeat proves; marks the machine where it suggests a restart. */
@@ -48,7 +50,7 @@
     boolean attemptMissing = lacksShownAttempt(machine, heartbeat);
     if (attemptMissing
         || (lowerFencingToken && !machine.messageOrder.isFromBeforeFence(heartbeat))) {
-      machine.restartSuspected = true;
+      suspectRestart(machine);
     }
     if (lowerFencingToken || attemptMissing || endsHeldAttempts(machine, heartbeat)) {
       return Evidence.CONTRADICTORY;
@@ -70,11 +72,19 @@
     if (!isOvertaken(machine, answer)) {
       return Evidence.RESTARTED;
     }
-    // It may be of a restarted machine, which has shown since what was started there.
-    machine.restartSuspected |= !machine.directCommands.precedes(answer);
+    if (!machine.directCommands.precedes(answer)) {
+      suspectRestart(machine); // which may have shown since what was started there
+    }
     return Evidence.STALE;
   }
 
+  private void suspectRestart(Machine machine) {
+    if (!machine.restartSuspected) {
+      machine.restartSuspected = true;
+      reconciliationLog.onRestartSuspected();
+    }
+  }
+
   /** Whether a message was handled since the commands were sent that is newer than their answer. */
   static boolean isOvertaken(Machine machine, Heartbeat answer) {
     return !machine.isNews(answer) && !machine.directCommands.nothingHandledSinceSent(machine);
--- a/src/main/java/org/astershift/scheduler/MessageOrder.java
+++ b/src/main/java/org/astershift/scheduler/MessageOrder.java
@@ -30,7 +30,7 @@
    * is no sign of another incarnation then.
    */
   boolean isFromBeforeFence(Heartbeat message) {
-    return !fencedFrom.precedes(message) && !fencedFrom.equals(MessagePosition.of(message));
+    return fencedFrom.follows(message);
   }
 
   /** The machine has restarted. */
--- a/src/main/java/org/astershift/scheduler/MessagePosition.java
+++ b/src/main/java/org/astershift/scheduler/MessagePosition.java
@@ -9,6 +9,11 @@
     return new MessagePosition(message.epoch(), message.sequence());
   }
 
+  /** Whether the message comes before this position. */
+  boolean follows(Heartbeat message) {
+    return epoch > message.epoch() || (epoch == message.epoch() && sequence > message.sequence());
+  }
+
   /** Whether the message comes after this position. */
   boolean precedes(Heartbeat message) {
     return message.newerThan(epoch, sequence);
--- a/src/main/java/org/astershift/scheduler/ReconciliationLog.java
+++ b/src/main/java/org/astershift/scheduler/ReconciliationLog.java
@@ -1,5 +1,6 @@
 package org.astershift.scheduler;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.StringJoiner;
 import org.astershift.config.LogIntervals;
@@ -31,26 +32,32 @@
 
   /** These attempts of one machine are about to be dropped. */
   void onDropped(Machine machine, List<TaskAttempt> attempts, DropReason reason) {
-    int shown = 0;
-    StringJoiner names = new StringJoiner(", ", "[", "]");
+    List<TaskAttempt> shown = new ArrayList<>(0);
     for (TaskAttempt attempt : attempts) {
       if (attempt.phase != null && !attempt.exited()) {
-        shown++;
-        if (shown <= TASKS_NAMED_IN_LINE) {
-          names.add(attempt.name() + " " + attempt.phase);
-        }
+        shown.add(attempt);
       }
     }
-    if (shown > 0) {
-      MachineEvent evidence = machine.history.newest();
-      LOG.info(
-          "tasks dropped: machine={} reason={} shown={} tasks={} last_event=\"{}\"",
-          machine.name,
-          reason,
-          shown,
-          names,
-          evidence == null ? "none" : evidence.describe(evidence.atMs()));
+    if (shown.isEmpty()) {
+      return;
+    }
+    MachineEvent evidence = machine.history.newest();
+    LOG.info(
+        "tasks dropped: machine={} reason={} shown={} tasks={} last_event=\"{}\"",
+        machine.name,
+        reason,
+        shown.size(),
+        firstNames(shown),
+        evidence == null ? "none" : evidence.describe(evidence.atMs()));
+  }
+
+  private static String firstNames(List<TaskAttempt> attempts) {
+    StringJoiner names = new StringJoiner(", ", "[", "]");
+    for (TaskAttempt attempt :
+        attempts.subList(0, Math.min(attempts.size(), TASKS_NAMED_IN_LINE))) {
+      names.add(attempt.name() + " " + attempt.phase);
     }
+    return names.toString();
   }
 
   /** One task was found on two machines. */
@@ -82,7 +89,7 @@
     }
   }
 
-  /** A heartbeat suggests a restart. */
+  /** A message suggests a restart. */
   void onRestartSuspected() {
     restartsSuspected++;
   }
--- a/src/main/java/org/astershift/scheduler/Scheduler.java
+++ b/src/main/java/org/astershift/scheduler/Scheduler.java
@@ -369,7 +369,7 @@
 
   /** A line for the log with what was concluded from messages of machines. */
   public String reconciliationSummary() {
-    return logSummary.reconciliationLine();
+    return cluster.reconciliationLog.summary();
   }
 
   /** A line for the log with the service of each class and team; warns of unstarted jobs. */
--- a/src/main/java/org/astershift/scheduler/TaskAttempt.java
+++ b/src/main/java/org/astershift/scheduler/TaskAttempt.java
@@ -69,6 +69,12 @@
     return phase == Heartbeat.TaskPhase.EXITED;
   }
 
+  /** No direct start is in flight any more; {@code unconfirmed}: one may have been executed. */
+  void onDirectStartSettled(boolean unconfirmed) {
+    startUnconfirmed |= startInFlight && unconfirmed;
+    startInFlight = false;
+  }
+
   /**
    * Whether a direct start that the machine has not shown yet may still be executed. An expired
    * lease does not exclude it: a restarted machine is in its first epoch again and has no fencing
--- a/src/test/java/org/astershift/controller/FencingTestCase.java
+++ b/src/test/java/org/astershift/controller/FencingTestCase.java
@@ -68,7 +68,11 @@
   }
 
   static JobSpec job(int tasks) {
-    return JobDraft.array(ID, tasks).of("demo").in("c", Priority.LOW).estimate(1).spec();
+    return job(ID, tasks);
+  }
+
+  static JobSpec job(String id, int tasks) {
+    return JobDraft.array(id, tasks).of("demo").in("c", Priority.LOW).estimate(1).spec();
   }
 
   static Map<String, Object> record() {
--- a/src/test/java/org/astershift/controller/OvertakenAnswerTest.java
+++ b/src/test/java/org/astershift/controller/OvertakenAnswerTest.java
@@ -7,10 +7,7 @@
 import org.astershift.emulator.Await;
 import org.astershift.emulator.WorkerEmulator;
 import org.astershift.scheduler.Heartbeat;
-import org.astershift.scheduler.JobSpec;
-import org.astershift.scheduler.Priority;
 import org.astershift.scheduler.Scheduler;
-import org.astershift.simulation.JobDraft;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -42,7 +39,7 @@
     worker.holdNextAnswer();
     // An answer to an earlier request may settle the first suspicion.
     Await.until("the machine to be asked", () -> suspectRestart(term, worker));
-    assertEquals(201, node.jobService.submit(array(job)).status());
+    assertEquals(201, node.jobService.submit(job(job, 1)).status());
     Await.until("a heartbeat to show the task", () -> runningTasks(term, job) == 1);
     worker.releaseAnswer();
     long untilNs = System.nanoTime() + LOOK_NS;
@@ -73,10 +70,6 @@
     Await.until("the job to be cancelled", () -> node.jobService.cancel(job, true).status() == 200);
   }
 
-  private static JobSpec array(String job) {
-    return JobDraft.array(job, 1).of("demo").in("c", Priority.LOW).estimate(1).spec();
-  }
-
   private static int runningTasks(LeaderTerm term, String job) {
     Scheduler.JobProgress progress = term.scheduler.progress(job);
     return progress == null ? 0 : progress.runningTasks();
--- a/src/test/java/org/astershift/simulation/DelayedHeartbeats.java
+++ b/src/test/java/org/astershift/simulation/DelayedHeartbeats.java
@@ -169,16 +169,25 @@
     boolean withCurrentToken =
         simulation.mutations.contains(Mutation.DUPLICATES_CARRY_CURRENT_TOKEN);
     long token = withCurrentToken ? simulation.latestToken() : heartbeat.fencingToken();
-    return new Heartbeat(
-        heartbeat.machineName(),
-        heartbeat.address(),
-        heartbeat.typeName(),
-        heartbeat.zone(),
-        heartbeat.spot(),
+    return copy(
+        heartbeat,
         heartbeat.epoch(),
         asNew ? worker.sequence() + 1 : heartbeat.sequence(),
-        asNew ? worker.fencingToken() : token,
-        heartbeat.preemptionNoticeS(),
-        heartbeat.tasks());
+        asNew ? worker.fencingToken() : token);
+  }
+
+  /** The message with another position and fencing token. */
+  static Heartbeat copy(Heartbeat message, long epoch, long sequence, long fencingToken) {
+    return new Heartbeat(
+        message.machineName(),
+        message.address(),
+        message.typeName(),
+        message.zone(),
+        message.spot(),
+        epoch,
+        sequence,
+        fencingToken,
+        message.preemptionNoticeS(),
+        message.tasks());
   }
 }
--- a/src/test/java/org/astershift/simulation/MessageQueueing.java
+++ b/src/test/java/org/astershift/simulation/MessageQueueing.java
@@ -44,17 +44,8 @@
     if (newest == null || !newest.newerThan(answer.epoch(), answer.sequence())) {
       return answer;
     }
-    return new Heartbeat(
-        answer.machineName(),
-        answer.address(),
-        answer.typeName(),
-        answer.zone(),
-        answer.spot(),
-        newest.epoch(),
-        newest.sequence() + 1,
-        answer.fencingToken(),
-        answer.preemptionNoticeS(),
-        answer.tasks());
+    return DelayedHeartbeats.copy(
+        answer, newest.epoch(), newest.sequence() + 1, answer.fencingToken());
   }
 
   /** A leader handles a message now. */
