--- a/review/lib/LateStartCase.java
+++ b/review/lib/LateStartCase.java
@@ -90,7 +90,7 @@
             return false;
           };
     }
-    cloud.durations.put(JOB, 40_000L);
+    cloud.durations.put(JOB, 30_000L);
     cloud.durations.put(JOB + "/0", 3000L);
     cloud.durations.put(JOB + "/1", 3000L);
     if (!submit(site, cloud, JOB, 4, "img-02")) {
@@ -128,11 +128,13 @@
     if (!isBack) {
       site.start(0);
     }
-    start.worker().restart();
-    Thread.sleep(20);
     log.line("held up for " + (log.seconds() - start.atS()) + " s");
-    start.worker().deliver(start.request());
-    double untilS = log.seconds() + 20;
+    synchronized (start.worker()) {
+      // The held command arrives before the first report of the worker that begins anew.
+      start.worker().restart();
+      start.worker().deliver(start.request());
+    }
+    double untilS = log.seconds() + 10;
     while (log.seconds() < untilS) {
       Thread.sleep(100);
     }
