--- a/review/lib/LateStartCase.java
+++ b/review/lib/LateStartCase.java
@@ -24,7 +24,7 @@
     try (Site site = new Site(3, log)) {
       Store store = new Store(new Store.Limits(12, 32, 100, 250), log);
       List<Cloud.Hull> hulls =
-          List.of(new Cloud.Hull("pieni", 4, 0, 16, 1.0, 0.2, 0.06, 2, LimitsCase.ZONES));
+          List.of(new Cloud.Hull("pieni", 4, 0, 16, 2.0, 0.2, 0.06, 2, LimitsCase.ZONES));
       Cloud cloud = new Cloud(hulls, 2, 3, 14, 2.5, site.names, rules, log);
       cloud.controllerPorts = site.publicPorts;
       int[] storePorts = {store.open(0), store.open(1), store.open(2)};
@@ -53,7 +53,7 @@
   private static boolean submit(Site site, Cloud cloud, String id, int shards, String image)
       throws InterruptedException {
     String body =
-        LimitsCase.job(id, "sweep", shards, 1.0, image).replace("[\"kattila\"]", "null");
+        LimitsCase.job(id, "sweep", shards, 0.5, image).replace("[\"kattila\"]", "null");
     cloud.jobs.put(id, Json.object(body));
     int status = site.submit(1, id, body).status();
     return status == 201 || status == 200;
