Review: the stand-in of the cloud no longer deadlocks with its workers

A return of a machine took the lock of the worker under that of the cloud; a worker that moves a running task on asked the cloud under its own lock. State of gangs has a lock of its own now.

--- a/review/lib/Cloud.java
+++ b/review/lib/Cloud.java
@@ -51,6 +51,13 @@
   private final Map<String, Long> goneMs = new HashMap<>();
   private final Map<String, Worker> goneMachines = new HashMap<>();
   private final Map<String, List<String>> charters = new LinkedHashMap<>();
+
+  /**
+   * Guards the state of gangs. Workers ask for it under their own lock, which a return of their machine
+   * takes under that of the cloud, so the cloud's would deadlock.
+   */
+  private final Object gangLock = new Object();
+
   private final Map<String, Set<String>> gathered = new HashMap<>();
   private final Set<String> startedGangs = new HashSet<>();
   private final Map<String, Long> brokenGangs = new HashMap<>();
@@ -93,29 +100,37 @@
   }
 
   /** A task of a gang waits for the others of its attempt. */
-  synchronized void gather(String job, long launch, String shard) {
-    Set<String> shards = gathered.computeIfAbsent(job + "#" + launch, k -> new HashSet<>());
-    shards.add(shard);
-    if (shards.size() >= Json.integer(jobs.get(job).get("shards"))) {
-      startedGangs.add(job + "#" + launch);
+  void gather(String job, long launch, String shard) {
+    synchronized (gangLock) {
+      Set<String> shards = gathered.computeIfAbsent(job + "#" + launch, k -> new HashSet<>());
+      shards.add(shard);
+      if (shards.size() >= Json.integer(jobs.get(job).get("shards"))) {
+        startedGangs.add(job + "#" + launch);
+      }
     }
   }
 
-  synchronized boolean isGangStarted(String job, long launch) {
-    return startedGangs.contains(job + "#" + launch);
+  boolean isGangStarted(String job, long launch) {
+    synchronized (gangLock) {
+      return startedGangs.contains(job + "#" + launch);
+    }
   }
 
   /** Returns since when a task of the started gang is gone that was not done; -1 if none is. */
-  synchronized long gangBrokenSinceMs(String job, long launch) {
-    return brokenGangs.getOrDefault(job + "#" + launch, -1L);
+  long gangBrokenSinceMs(String job, long launch) {
+    synchronized (gangLock) {
+      return brokenGangs.getOrDefault(job + "#" + launch, -1L);
+    }
   }
 
   /** A task of a gang is off its machine. */
-  synchronized void leaveGang(String job, long launch, String shard, boolean done) {
-    String key = job + "#" + launch;
-    gathered.getOrDefault(key, new HashSet<>()).remove(shard);
-    if (startedGangs.contains(key) && !done) {
-      brokenGangs.putIfAbsent(key, now());
+  void leaveGang(String job, long launch, String shard, boolean done) {
+    synchronized (gangLock) {
+      String key = job + "#" + launch;
+      gathered.getOrDefault(key, new HashSet<>()).remove(shard);
+      if (startedGangs.contains(key) && !done) {
+        brokenGangs.putIfAbsent(key, now());
+      }
     }
   }
 
