--- a/review/lib/Cloud.java
+++ b/review/lib/Cloud.java
@@ -21,8 +21,17 @@
   private final long listLagMs;
   final long leaseMs;
   final long reportMs;
+  final long gangWaitMs = 30_000;
+  final long gangPeerMs = 4_000;
   final List<String> nodeNames;
   int[] controllerPorts;
+
+  /** Decides whether a direct command is held up on its way, unanswered. */
+  interface Interceptor {
+    boolean holds(Worker worker, Map<String, Object> request);
+  }
+
+  volatile Interceptor interceptor;
   volatile double lateReportShare;
   volatile double lateCommandShare;
   private final Map<Integer, Long> cutNodesUntilMs = new ConcurrentHashMap<>();
@@ -31,15 +40,20 @@
   /** The jobs that users have uploaded, by id, as submitted. */
   final Map<String, Map<String, Object>> jobs = new ConcurrentHashMap<>();
 
-  /** How long tasks run, in milliseconds, by job; 0 until they are stopped. */
+  /** How long tasks run, in milliseconds, by task or job; 0 until they are stopped. */
   final Map<String, Long> durations = new ConcurrentHashMap<>();
 
+  /** Tasks that have completed; their results are kept, so they exit at once if started again. */
+  final Set<String> doneShards = ConcurrentHashMap.newKeySet();
+
   private final TreeMap<String, Worker> machines = new TreeMap<>();
   private final Map<String, Long> rentedMs = new HashMap<>();
   private final Map<String, Long> goneMs = new HashMap<>();
   private final Map<String, Worker> goneMachines = new HashMap<>();
   private final Map<String, List<String>> charters = new LinkedHashMap<>();
-  private final Map<String, Set<Worker>> gathered = new HashMap<>();
+  private final Map<String, Set<String>> gathered = new HashMap<>();
+  private final Set<String> startedGangs = new HashSet<>();
+  private final Map<String, Long> brokenGangs = new HashMap<>();
   private int machineCount;
 
   Cloud(
@@ -72,17 +86,37 @@
     return now() < cutNodesUntilMs.getOrDefault(node, 0L);
   }
 
-  long durationMs(String job) {
-    return durations.getOrDefault(job, 0L);
+  /** Returns the run time of a task: that of the task itself, or else of its job. */
+  long durationMs(String shard) {
+    Long own = durations.get(shard);
+    return own != null ? own : durations.getOrDefault(shard.split("/")[0], 0L);
+  }
+
+  /** A task of a gang waits for the others of its attempt. */
+  synchronized void gather(String job, long launch, String shard) {
+    Set<String> shards = gathered.computeIfAbsent(job + "#" + launch, k -> new HashSet<>());
+    shards.add(shard);
+    if (shards.size() >= Json.integer(jobs.get(job).get("shards"))) {
+      startedGangs.add(job + "#" + launch);
+    }
   }
 
-  synchronized void gather(String job, long launch, Worker worker) {
-    gathered.computeIfAbsent(job + "#" + launch, k -> new HashSet<>()).add(worker);
+  synchronized boolean isGangStarted(String job, long launch) {
+    return startedGangs.contains(job + "#" + launch);
   }
 
-  synchronized boolean isGathered(String job, long launch) {
-    return gathered.getOrDefault(job + "#" + launch, Set.of()).size()
-        >= Json.integer(jobs.get(job).get("shards"));
+  /** Returns since when a task of the started gang is gone that was not done; -1 if none is. */
+  synchronized long gangBrokenSinceMs(String job, long launch) {
+    return brokenGangs.getOrDefault(job + "#" + launch, -1L);
+  }
+
+  /** A task of a gang is off its machine. */
+  synchronized void leaveGang(String job, long launch, String shard, boolean done) {
+    String key = job + "#" + launch;
+    gathered.getOrDefault(key, new HashSet<>()).remove(shard);
+    if (startedGangs.contains(key) && !done) {
+      brokenGangs.putIfAbsent(key, now());
+    }
   }
 
   synchronized List<Worker> machines() {
--- a/review/lib/LimitsCase.java
+++ b/review/lib/LimitsCase.java
@@ -36,7 +36,6 @@
       value_kb = 32.0
       txn_ops = 12
       [facts.state.next]
-      rps = 250.0
       write_rps = 70.0
       value_kb = 2.0
       txn_ops = 4
@@ -54,7 +53,7 @@
   static final List<Cloud.Hull> HULLS =
       List.of(
           new Cloud.Hull("pieni", 4, 0, 16, 0.5, 0.2, 0.06, 15, ZONES),
-          new Cloud.Hull("kattila", 64, 0, 256, 1.0, 3.34, 0.9, 20, ZONES));
+          new Cloud.Hull("kattila", 64, 0, 256, 1.0, 3.34, 0.9, 6, ZONES));
 
   static String job(String id, String shape, int shards, double imageGb, String image) {
     return Json.write(
--- a/review/lib/Site.java
+++ b/review/lib/Site.java
@@ -23,6 +23,10 @@
   final List<String> names = new ArrayList<>();
   final int[] publicPorts;
   final int[] internalPorts;
+
+  /** The ports at which one controller reaches another: internalPorts, or those of a proxy. */
+  final int[][] peerPorts;
+
   final int size;
 
   Site(int size, Log log) throws IOException {
@@ -37,6 +41,7 @@
     this.command = List.of(run.group(1).trim().split(" +"));
     this.publicPorts = new int[size];
     this.internalPorts = new int[size];
+    this.peerPorts = new int[size][];
     for (int node = 0; node < size; node++) {
       names.add("berth-" + node);
       publicPorts[node] = Net.freePort();
@@ -44,6 +49,9 @@
       processes.add(null);
       startCounts.add(0);
     }
+    for (int node = 0; node < size; node++) {
+      peerPorts[node] = internalPorts.clone();
+    }
     Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
   }
 
@@ -63,7 +71,7 @@
         if (other != node) {
           text.append("[[others]]\nmember = \"").append(names.get(other)).append("\"\n");
           text.append("domain = \"").append(zones.get(other % zones.size())).append("\"\n");
-          text.append("endpoint = \"127.0.0.1:").append(internalPorts[other]).append("\"\n");
+          text.append("endpoint = \"127.0.0.1:").append(peerPorts[node][other]).append("\"\n");
         }
       }
       text.append("[external]\ncloud = \"127.0.0.1:").append(cloudPort).append("\"\n");
--- a/review/lib/Worker.java
+++ b/review/lib/Worker.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.Set;
 
 /** A worker of PROTOCOL-astershift.md, "Workers -> controller nodes", on a machine of the cloud. */
 final class Worker {
@@ -19,7 +18,9 @@
     long imageReadyMs;
     long endsMs;
     long savedMs;
+    long gatheringSinceMs;
     boolean counted;
+    boolean done;
 
     boolean exited() {
       return phase.equals("exited");
@@ -36,13 +37,15 @@
   private HttpServer server;
   private int port;
   private final Map<String, Task> tasks = new LinkedHashMap<>();
-  private final Set<String> doneShards = new java.util.HashSet<>();
   private final Map<String, Long> imageReadyMs = new HashMap<>();
   private long watch = 1;
   private long tick;
   private long helm;
   private long leaseFromMs;
   private long lastReportMs;
+
+  /** Counts the starts of the worker; an answer to an earlier one's report reaches nobody. */
+  private long life;
   private boolean changed;
   private int node;
   private volatile boolean gone;
@@ -111,6 +114,45 @@
     deafUntilMs = now() + forMs;
   }
 
+  /**
+   * The machine stops and is back at once under its name and address: its worker begins anew, without
+   * tasks, in session 1 and without a token, and reports to the first controller of its list.
+   */
+  synchronized void restart() {
+    log.line("machine " + name + " stops and is back; lost " + tasks.keySet());
+    tasks.values().forEach(this::leave);
+    tasks.clear();
+    imageReadyMs.clear();
+    watch = 1;
+    tick = 0;
+    helm = 0;
+    node = 0;
+    leaseFromMs = now();
+    changed = true;
+    lastReportMs = now();
+    life++;
+  }
+
+  /** Carries out a direct command that was held up, if token and session still match. */
+  synchronized boolean deliver(Map<String, Object> request) {
+    advance();
+    boolean executed =
+        !gone && Json.integer(request.get("watch")) == watch && accept(request);
+    log.line(
+        "machine " + name + ": the held command " + request + " arrives; the machine's token is "
+            + helm + (executed ? "; carried out" : "; refused"));
+    return executed;
+  }
+
+  synchronized boolean isOn(String shard) {
+    for (Task task : tasks.values()) {
+      if (task.counted && task.shard.equals(shard)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** The machine is gone, with all that is on it. */
   void end() {
     HttpServer toStop;
@@ -131,6 +173,7 @@
     if (task.counted) {
       task.counted = false;
       cloud.rules.onGone(task.shard, this, cloud.jobs.get(task.job));
+      cloud.leaveGang(task.job, task.launch, task.shard, task.done);
     }
   }
 
@@ -188,23 +231,32 @@
       cloud.rules.onStart(task.shard, this, cloud.jobs.get(task.job));
       log.line("machine " + name + ": " + task.shard + "#" + task.launch + " starts");
       Map<String, Object> spec = cloud.jobs.get(task.job);
-      if (doneShards.contains(task.shard)) {
+      if (cloud.doneShards.contains(task.shard)) {
         exit(task, "done");
       } else if (spec.get("shape").equals("gang")) {
         task.phase = "gathering";
-        cloud.gather(task.job, task.launch, this);
+        task.gatheringSinceMs = now();
+        cloud.gather(task.job, task.launch, task.shard);
       } else {
         task.phase = "running";
-        task.endsMs = cloud.durationMs(task.job) == 0 ? 0 : now() + cloud.durationMs(task.job);
+        task.endsMs = cloud.durationMs(task.shard) == 0 ? 0 : now() + cloud.durationMs(task.shard);
       }
       changed = true;
-    } else if (task.phase.equals("gathering") && cloud.isGathered(task.job, task.launch)) {
+    } else if (task.phase.equals("gathering") && cloud.isGangStarted(task.job, task.launch)) {
       task.phase = "running";
-      task.endsMs = cloud.durationMs(task.job) == 0 ? 0 : now() + cloud.durationMs(task.job);
+      task.endsMs = cloud.durationMs(task.shard) == 0 ? 0 : now() + cloud.durationMs(task.shard);
       changed = true;
+    } else if (task.phase.equals("gathering")
+        && now() - task.gatheringSinceMs > cloud.gangWaitMs) {
+      exit(task, "incomplete");
+    } else if (task.phase.equals("running")
+        && cloud.gangBrokenSinceMs(task.job, task.launch) >= 0
+        && now() - cloud.gangBrokenSinceMs(task.job, task.launch) > cloud.gangPeerMs / 2) {
+      exit(task, "peers");
     } else if (task.phase.equals("running") && task.endsMs > 0 && now() >= task.endsMs) {
       cloud.rules.onDone(task.shard);
-      doneShards.add(task.shard);
+      task.done = true;
+      cloud.doneShards.add(task.shard);
       log.line("machine " + name + ": " + task.shard + "#" + task.launch + " is done");
       exit(task, "done");
     } else if (task.phase.equals("saving") && now() >= task.savedMs) {
@@ -260,8 +312,10 @@
     String body;
     long sentMs;
     long session;
+    long sender;
     synchronized (this) {
       advance();
+      sender = life;
       changed = false;
       lastReportMs = now();
       sentMs = now();
@@ -286,7 +340,7 @@
     awaitAwake();
     if (answer.status() == 200 && now() - sentMs < 4000) {
       synchronized (this) {
-        if (session == watch && !gone) {
+        if (session == watch && sender == life && !gone) {
           advance();
           if (session == watch && accept(Json.object(answer.body()))) {
             leaseFromMs = Math.max(leaseFromMs, sentMs);
@@ -458,6 +512,9 @@
         return new Net.Answer(200, Json.write(status()));
       }
       Map<String, Object> request = Json.object(body);
+      if (cloud.interceptor != null && cloud.interceptor.holds(this, request)) {
+        return null;
+      }
       if (random.nextDouble() < cloud.lateCommandShare && request.get("helm") != null) {
         lateCommand(request);
         return null;
