--- a/src/test/java/org/astershift/emulator/WorkerEmulator.java
+++ b/src/test/java/org/astershift/emulator/WorkerEmulator.java
@@ -17,6 +17,7 @@
 /** A worker that speaks the published protocol. Its tasks take a fixed time and fetch no image. */
 public final class WorkerEmulator implements AutoCloseable {
   private static final long HEARTBEAT_INTERVAL_MS = 150;
+  private static final int REDELIVERY_TIMEOUT_MS = 5000;
   private final String name;
   private final String zone;
   private final List<Integer> controllers;
@@ -33,8 +34,8 @@
 
   private final List<Integer> respondingPorts = new ArrayList<>();
 
-  /** A start of a task, and its time by {@link System#nanoTime}. */
-  public record Start(String task, long atNs) {}
+  /** A start of a task's attempt, and its time by {@link System#nanoTime}. */
+  public record Start(String task, long attempt, long atNs) {}
 
   /** Heartbeats that were answered so far, for replay. */
   private final List<String> sentHeartbeats = new ArrayList<>();
@@ -52,6 +53,17 @@
 
   private boolean isResponseHeld;
 
+  /** Bodies of the direct requests that were executed, for redelivery. */
+  private final List<byte[]> executedRequests = new ArrayList<>();
+
+  /** Whether copies of all executed direct requests arrive each time a task was forgotten. */
+  private boolean redeliversAfterForget;
+
+  /** Whether each task exits with an error as soon as it is reported. */
+  private boolean tasksFail;
+
+  private int forgottenTasks;
+
   WorkerEmulator(String name, String zone, List<Integer> controllers, long taskMs)
       throws IOException {
     this.name = name;
@@ -120,6 +132,39 @@
     notifyAll();
   }
 
+  /**
+   * Makes copies of all executed direct requests arrive each time the worker has forgotten a task,
+   * before its next heartbeat.
+   */
+  public synchronized void redeliverAfterForget() {
+    redeliversAfterForget = true;
+  }
+
+  /** Sets whether each task exits with an error as soon as it is reported. */
+  public synchronized void failTasks(boolean active) {
+    tasksFail = active;
+  }
+
+  /** Returns how many tasks the worker has forgotten on command. */
+  public synchronized int forgottenTasks() {
+    return forgottenTasks;
+  }
+
+  /** Delivers copies of all executed direct requests; returns the statuses of the responses. */
+  public List<Integer> redeliverExecutedRequests() throws IOException {
+    List<byte[]> copies;
+    synchronized (this) {
+      copies = List.copyOf(executedRequests);
+    }
+    List<Integer> statuses = new ArrayList<>();
+    try (HttpClient client = new HttpClient("127.0.0.1", http.port(), 1)) {
+      for (byte[] copy : copies) {
+        statuses.add(client.call("POST", "/orders", copy, REDELIVERY_TIMEOUT_MS).status());
+      }
+    }
+    return statuses;
+  }
+
   /**
    * Records a later fencing token and stops sending heartbeats, so that no heartbeat reports the
    * token.
@@ -187,6 +232,10 @@
         (key, task) -> {
           // Tasks of jobs numbered from 900000 run until they are stopped.
           boolean service = taskMs <= 0 || String.valueOf(task.get("shard")).startsWith("wk-9");
+          if (tasksFail && task.get("phase").equals("running")) {
+            task.put("phase", "exited");
+            task.put("cause", "error");
+          }
           if (task.get("phase").equals("running")
               && !service
               && nowMs - startedMs.get(key) >= taskMs) {
@@ -221,6 +270,7 @@
       return Response.of(409, heartbeat());
     }
     executeCommands(fields);
+    executedRequests.add(request.body());
     Response response = Response.of(200, heartbeat());
     if (holdNextResponse) {
       holdNextResponse = false;
@@ -250,7 +300,7 @@
             task.put("phase", "running");
             tasks.put(key, task);
             startedMs.put(key, System.nanoTime() / 1_000_000);
-            starts.add(new Start(taskName, System.nanoTime()));
+            starts.add(new Start(taskName, Json.integer(command, "launch"), System.nanoTime()));
           }
         }
         case "stop" -> {
@@ -260,7 +310,7 @@
             task.put("cause", "halted");
           }
         }
-        default -> tasks.remove(key);
+        default -> forgottenTasks += tasks.remove(key) == null ? 0 : 1;
       }
     }
   }
@@ -293,7 +343,11 @@
         byte[] heartbeat = Json.encode(heartbeat());
         HttpClient.Response response = client.call("POST", "/agent/beat", heartbeat, 2000);
         if (response.status() == 200) {
+          int forgottenBefore = forgottenTasks();
           onResponse(new String(heartbeat, StandardCharsets.UTF_8), response);
+          if (redeliversAfterForget && forgottenTasks() > forgottenBefore) {
+            redeliverExecutedRequests();
+          }
         } else {
           controllerIndex++;
         }
