Stop a task that runs again after its reported exit

Cause: an action on stale knowledge. HeartbeatReconciler.updateAttempt took a reported exit for the last word on an attempt: as long as the entry stood, a newer heartbeat that showed the attempt running was passed over. The worker had been told to forget the attempt and had carried out a copy of its start before its next heartbeat. Each response then carried a forget, which has no effect on a running task; the machine counted as empty, its team's usage lacked the task, and it was released as idle.

Now an attempt that a newer message shows as not exited is known anew from that message: it is adopted, counts for machine and team, and is stopped in the same answer unless its job wants it and nothing else holds the task. Machine release, quota and the confirmation of a cancellation count adopted attempts already.

--- a/src/main/java/org/astershift/scheduler/HeartbeatReconciler.java
+++ b/src/main/java/org/astershift/scheduler/HeartbeatReconciler.java
@@ -170,6 +170,11 @@
               new TaskAttempt.Key(status.jobId(), status.index(), status.attemptNumber()));
       if (attempt == null) {
         unknownTasks.add(status);
+      } else if (attempt.isExited() && status.phase() != Heartbeat.TaskPhase.EXITED) {
+        // The worker forgot the attempt and executed a copy of its start.
+        cluster.reconciliationLog.onExitContradicted(attempt, status.phase(), nowMs);
+        cluster.attempts.drop(attempt);
+        unknownTasks.add(status);
       } else {
         attempt.lastReportedSequence = heartbeat.sequence();
         updateAttempt(attempt, status, nowMs);
@@ -190,9 +195,6 @@
   }
 
   private void updateAttempt(TaskAttempt attempt, Heartbeat.TaskStatus status, long nowMs) {
-    if (attempt.isExited() && status.phase() != Heartbeat.TaskPhase.EXITED) {
-      cluster.reconciliationLog.onExitContradicted(attempt, status.phase(), nowMs);
-    }
     if (attempt.isExited() || attempt.phase == status.phase()) {
       return;
     }
