--- a/src/test/java/org/astershift/controller/LateCopyTest.java
+++ b/src/test/java/org/astershift/controller/LateCopyTest.java
@@ -54,6 +54,28 @@
     assertEquals(CONFLICT, statuses.get(0), "the start sent to the earlier incarnation");
   }
 
+  /** The job is over, so nothing else tells the machine that its former tasks must not start. */
+  @Test
+  void lateCopyIsRefusedByRestartedMachineWithoutToken() throws Exception {
+    WorkerEmulator worker = startJobOnOneMachine();
+    cancelJob();
+    Await.until("the task to be forgotten", () -> worker.forgottenTasks() > 0);
+    assertEquals(CONFLICT, worker.restartWithCopies().get(0));
+  }
+
+  @Test
+  void lateCopyAtRestartedMachineRunsItsTaskNowhereElse() throws Exception {
+    WorkerEmulator worker = startJobOnOneMachine();
+    worker.restartWithCopies();
+    Await.until("the leader to show the task", () -> controller.jobService.poll(ID, true) != null);
+    awaitHeartbeats(worker, 10);
+    assertEquals(List.of(ID + "/0"), runningTasks());
+  }
+
+  private List<String> runningTasks() {
+    return cloud.workers().stream().flatMap(worker -> worker.runningTasks().stream()).toList();
+  }
+
   /** Returns the worker that runs the only task of the job, started by a direct command. */
   private WorkerEmulator startJobOnOneMachine() throws Exception {
     controller.listen(portBlock.ports(1).get(0)).start();
--- a/src/test/java/org/astershift/emulator/WorkerEmulator.java
+++ b/src/test/java/org/astershift/emulator/WorkerEmulator.java
@@ -188,6 +188,19 @@
     return lost;
   }
 
+  /**
+   * Restarts the worker, and delivers copies of all direct requests executed before to the new
+   * incarnation before it sends or gets anything else; returns the statuses of the responses.
+   */
+  public synchronized List<Integer> restartWithCopies() throws Exception {
+    restart();
+    List<Integer> statuses = new ArrayList<>();
+    for (byte[] copy : executedRequests) {
+      statuses.add(executeDirectRequest(copy).status());
+    }
+    return statuses;
+  }
+
   /**
    * Returns the ports of the controllers whose responses the worker accepted since the last call.
    */
@@ -265,13 +278,11 @@
     if (!request.path().equals("/orders")) {
       return Response.of(200, heartbeat());
     }
-    Map<String, Object> fields = Json.object(request.body());
-    if (Json.integer(fields, "helm") < token || Json.integer(fields, "watch") != 1) {
-      return Response.of(409, heartbeat());
+    Response response = executeDirectRequest(request.body());
+    if (response.status() != 200) {
+      return response;
     }
-    executeCommands(fields);
     executedRequests.add(request.body());
-    Response response = Response.of(200, heartbeat());
     if (holdNextResponse) {
       holdNextResponse = false;
       isResponseHeld = true;
@@ -282,6 +293,15 @@
     return response;
   }
 
+  private synchronized Response executeDirectRequest(byte[] body) throws Exception {
+    Map<String, Object> fields = Json.object(body);
+    if (Json.integer(fields, "helm") < token || Json.integer(fields, "watch") != 1) {
+      return Response.of(409, heartbeat());
+    }
+    executeCommands(fields);
+    return Response.of(200, heartbeat());
+  }
+
   private synchronized void executeCommands(Map<String, Object> fields) throws JsonFormatException {
     if (fields.get("helm") == null || Json.integer(fields, "helm") < token) {
       return;
--- a/src/test/java/org/astershift/scheduler/FuzzNetwork.java
+++ b/src/test/java/org/astershift/scheduler/FuzzNetwork.java
@@ -1,13 +1,46 @@
 package org.astershift.scheduler;
 
 import java.util.List;
+import java.util.Random;
 
-/** Carries direct commands from a controller to a machine, and the answers back. */
+/**
+ * Carries direct commands from a controller to a machine, and the answers back. Under every second
+ * seed copies of executed commands arrive later; their draws come from a stream of their own.
+ */
 final class FuzzNetwork {
+  private static final double COPY_SHARE = 0.4;
+  private static final int SHORT_COPY_DELAY_MS = 3000;
+  private static final int LONG_COPY_DELAY_MS = 90_000;
+
   private final FuzzSimulation sim;
+  private final Random copyRandom;
+  private final double copyShare;
 
-  FuzzNetwork(FuzzSimulation sim) {
+  FuzzNetwork(FuzzSimulation sim, long seed) {
     this.sim = sim;
+    this.copyRandom = new Random(seed);
+    this.copyShare = seed % 2 == 0 ? COPY_SHARE : 0;
+  }
+
+  /**
+   * Delivers a copy of executed commands later, if drawn, to any incarnation of the machine but one
+   * that restarted and has no token yet (docs/design.md, "A start under an earlier token").
+   */
+  private void copyIfDrawn(FuzzWorker worker, Decision.SendCommands decision, List<Command> sent) {
+    if (copyShare == 0 || copyRandom.nextDouble() >= copyShare) {
+      return;
+    }
+    int incarnation = worker.incarnation;
+    int maxDelayMs = copyRandom.nextBoolean() ? SHORT_COPY_DELAY_MS : LONG_COPY_DELAY_MS;
+    sim.after(
+        copyRandom.nextInt(maxDelayMs),
+        () -> {
+          if (worker.alive && (worker.incarnation == incarnation || worker.token > 0)) {
+            sim.count("copy of commands");
+            worker.runOrDefer(
+                () -> worker.onDirectCommands(decision.fencingToken(), decision.epoch(), sent));
+          }
+        });
   }
 
   /** Sends commands to a machine and reports the answer, or the lack of one, to the controller. */
@@ -77,6 +110,7 @@
                       Heartbeat heartbeat =
                           worker.onDirectCommands(
                               decision.fencingToken(), decision.epoch(), commands);
+                      copyIfDrawn(worker, decision, commands);
                       long backMs = controller.linkDelayMs(worker.name, "up");
                       if (backMs >= 0) {
                         sim.after(
--- a/src/test/java/org/astershift/scheduler/FuzzSimulation.java
+++ b/src/test/java/org/astershift/scheduler/FuzzSimulation.java
@@ -44,7 +44,7 @@
   final Map<String, FuzzWorker> workers = new TreeMap<>();
   final FuzzStore store = new FuzzStore(this);
   final FuzzCloud cloud = new FuzzCloud(this);
-  final FuzzNetwork network = new FuzzNetwork(this);
+  final FuzzNetwork network;
   final FuzzUsers users = new FuzzUsers(this);
   final Map<String, JobSpec> specs = new LinkedHashMap<>();
 
@@ -92,6 +92,7 @@
 
   FuzzSimulation(long seed, boolean story) {
     this.logsEvents = story;
+    this.network = new FuzzNetwork(this, seed);
     this.random = new Random(seed * 0x9E3779B97F4A7C15L + 1);
     copies = drawProbability(0.3);
     slow = drawProbability(0.15);
--- /dev/null
+++ b/src/test/java/org/astershift/simulation/CommandCopies.java
@@ -0,0 +1,112 @@
+package org.astershift.simulation;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.astershift.scheduler.Command;
+
+/**
+ * Delivers copies of direct commands that were executed and answered: at any time, right after an
+ * attempt that they start was forgotten, and after a restart of the machine. All draws come from a
+ * stream of their own.
+ */
+final class CommandCopies {
+  private static final long FORGET_WINDOW_MS = 300;
+  private static final long RESTART_WINDOW_MS = 3000;
+  private static final long MAX_DELAY_MS = 60_000;
+
+  /** Share of the occasions on which a copy is delivered. */
+  double share;
+
+  /** Whether copies also reach a restarted machine that has no token yet. */
+  boolean reachUnfencedIncarnations;
+
+  /** Copies that were refused, because their token or epoch did not match. */
+  int refused;
+
+  /** Of these, copies sent right after an attempt was forgotten. */
+  int refusedAfterForget;
+
+  /** Of these, copies that reached a later incarnation. */
+  int refusedAfterRestart;
+
+  /** Copies that were executed, most of them without an effect. */
+  int executed;
+
+  private final Simulation simulation;
+  private final Random random;
+  private final Map<String, List<Execution>> executions = new HashMap<>();
+
+  /** Direct commands that a machine has executed. */
+  private record Execution(int incarnation, long token, long epoch, List<Command> commands) {
+    boolean starts(String job, int index, long attempt) {
+      return commands.stream()
+          .anyMatch(
+              command ->
+                  command.kind() == Command.Kind.START
+                      && command.jobId().equals(job)
+                      && command.index() == index
+                      && command.attemptNumber() == attempt);
+    }
+  }
+
+  CommandCopies(Simulation simulation) {
+    this.simulation = simulation;
+    this.random = new Random(simulation.seed);
+  }
+
+  void onExecuted(WorkerModel worker, long token, long epoch, List<Command> commands) {
+    if (share == 0 || commands.stream().noneMatch(c -> c.kind() == Command.Kind.START)) {
+      return;
+    }
+    Execution execution = new Execution(worker.incarnation(), token, epoch, commands);
+    executions.computeIfAbsent(worker.name, name -> new ArrayList<>()).add(execution);
+    deliverIfDrawn(worker, execution, MAX_DELAY_MS, false);
+  }
+
+  void onForgotten(WorkerModel worker, Command forget) {
+    for (Execution execution : executionsAt(worker)) {
+      if (execution.starts(forget.jobId(), forget.index(), forget.attemptNumber())) {
+        deliverIfDrawn(worker, execution, FORGET_WINDOW_MS, true);
+      }
+    }
+  }
+
+  void onRestarted(WorkerModel worker) {
+    for (Execution execution : executionsAt(worker)) {
+      deliverIfDrawn(worker, execution, RESTART_WINDOW_MS, false);
+    }
+  }
+
+  private List<Execution> executionsAt(WorkerModel worker) {
+    return List.copyOf(executions.getOrDefault(worker.name, List.of()));
+  }
+
+  private void deliverIfDrawn(
+      WorkerModel worker, Execution execution, long withinMs, boolean afterForget) {
+    if (share > 0 && random.nextDouble() < share) {
+      simulation.after(
+          1 + random.nextLong(withinMs),
+          () -> worker.serve(() -> deliver(worker, execution, afterForget)));
+    }
+  }
+
+  private void deliver(WorkerModel worker, Execution execution, boolean afterForget) {
+    boolean laterIncarnation = worker.incarnation() != execution.incarnation();
+    if (laterIncarnation && worker.fencingToken() == 0 && !reachUnfencedIncarnations) {
+      return;
+    }
+    simulation.log(worker.name, "gets a copy of " + execution);
+    if (worker
+        .executeCommands(execution.token(), execution.epoch(), execution.commands())
+        .accepted()) {
+      executed++;
+      return;
+    }
+    refused++;
+    refusedAfterForget += afterForget ? 1 : 0;
+    refusedAfterRestart += laterIncarnation ? 1 : 0;
+  }
+}
--- a/src/test/java/org/astershift/simulation/CommandSenderModel.java
+++ b/src/test/java/org/astershift/simulation/CommandSenderModel.java
@@ -109,7 +109,10 @@
             worker.serve(
                 () ->
                     answer.accept(
-                        worker.onCommands(decision.fencingToken(), decision.epoch(), commands)));
+                        worker.onCommands(
+                            term.tokenToSend(decision.fencingToken()),
+                            decision.epoch(),
+                            commands)));
           }
         },
         (WorkerModel.CommandAnswer answer) ->
--- a/src/test/java/org/astershift/simulation/RandomizedScenario.java
+++ b/src/test/java/org/astershift/simulation/RandomizedScenario.java
@@ -24,6 +24,9 @@
   private static final long PREEMPTION_NOTICE_MS = 20_000;
   private static final double MESSAGE_WAITING_SHARE = 0.4;
 
+  /** One of this many seeds has copies of direct commands. */
+  private static final int SEEDS_PER_COPYING_SEED = 4;
+
   final Simulation simulation;
   private final RandomSetup randomSetup;
   private final RandomizedWorkload workload;
@@ -52,6 +55,7 @@
   }
 
   private void playFaults() {
+    simulation.commandCopies.share = simulation.seed % SEEDS_PER_COPYING_SEED == 0 ? 0.3 : 0;
     simulation.delayedHeartbeats.keepShare = randomSetup.duplicateKeepShare;
     simulation.runTo(FAULTS_FROM_S);
     simulation.delayedHeartbeats.holdShare = randomSetup.heartbeatHoldShare;
@@ -147,6 +151,7 @@
   private void heal() {
     simulation.workers.values().forEach(machine -> machine.faulty = false);
     simulation.healAll();
+    simulation.commandCopies.share = 0;
     simulation.store.lateShare = 0;
     simulation.store.unansweredShare = 0;
     simulation.store.answerDelayMs = 0;
--- a/src/test/java/org/astershift/simulation/Simulation.java
+++ b/src/test/java/org/astershift/simulation/Simulation.java
@@ -37,6 +37,7 @@
   final UserModel users;
   final GangModel gangs = new GangModel(this);
   final DelayedHeartbeats delayedHeartbeats = new DelayedHeartbeats(this);
+  final CommandCopies commandCopies;
   final MessageQueueing messageQueueing = new MessageQueueing(this);
   final Set<Mutation> mutations = EnumSet.noneOf(Mutation.class);
   final Map<String, WorkerModel> workers = new LinkedHashMap<>();
@@ -102,6 +103,7 @@
     this.setup = setup;
     this.random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
     this.checker = new InvariantChecker(this);
+    this.commandCopies = new CommandCopies(this);
     this.starvationCheck = new StarvationCheck(this);
     this.users = new UserModel(this);
     this.store = new StoreModel(this);
--- a/src/test/java/org/astershift/simulation/WorkerModel.java
+++ b/src/test/java/org/astershift/simulation/WorkerModel.java
@@ -142,6 +142,7 @@
           if (endedIncarnation == incarnation()) {
             simulation.markConnectivityChanged(); // no controller can know yet
             start();
+            simulation.commandCopies.onRestarted(this);
           }
         });
   }
@@ -370,6 +371,14 @@
 
   /** Handles commands sent directly, possibly minutes ago, under this token to this epoch. */
   CommandAnswer onCommands(long senderToken, long senderEpoch, List<Command> commands) {
+    CommandAnswer answer = executeCommands(senderToken, senderEpoch, commands);
+    if (answer.accepted()) {
+      simulation.commandCopies.onExecuted(this, senderToken, senderEpoch, commands);
+    }
+    return answer;
+  }
+
+  CommandAnswer executeCommands(long senderToken, long senderEpoch, List<Command> commands) {
     expireLease();
     if (senderToken < fencingToken || senderEpoch != epoch) {
       return new CommandAnswer(false, heartbeat());
--- a/src/test/java/org/astershift/simulation/WorkerTasks.java
+++ b/src/test/java/org/astershift/simulation/WorkerTasks.java
@@ -46,6 +46,7 @@
       case FORGET -> {
         if (task != null && task.isExited()) {
           tasks.remove(key);
+          simulation.commandCopies.onForgotten(worker, command);
         }
       }
       default -> throw new IllegalArgumentException("unsupported command: " + command);
