--- a/src/test/java/org/astershift/simulation/HealthyMachinesTest.java
+++ b/src/test/java/org/astershift/simulation/HealthyMachinesTest.java
@@ -19,6 +19,7 @@
   private static final long HEARTBEAT_MS = Setup.of(3, MACHINES).heartbeatMs();
   private static final long STEP_MS = 100;
   private static final long SEED_OF_WAITING_MESSAGES = 781;
+  private static final long SEED_OF_RECONNECTED_ZONE = 770;
 
   /**
    * A machine restarts within a second, at any moment between two of its heartbeats, and then no
@@ -49,6 +50,13 @@
     assertEquals(List.of(), simulation.checker.healthyReleased, simulation.recentLog());
   }
 
+  /** As before, for a machine of a zone that the leader reaches again. */
+  @Test
+  void machineOfReconnectedZoneIsNotReleasedWhileItsMessagesWait() {
+    Simulation simulation = RandomizedScenario.play(SEED_OF_RECONNECTED_ZONE).simulation;
+    assertEquals(List.of(), simulation.checker.healthyReleased, simulation.recentLog());
+  }
+
   /** A scenario that is played under a seed, with restarts {@code atMs} after a fixed moment. */
   private interface Scenario {
     Simulation play(long seed, long atMs);
