KNOWN-RED.txt takes scripts of review as a kind of their own

review/1/run.sh stood there as a trace with a path out of the traces' folder, which the check of the names let through.

--- a/src/test/java/org/astershift/knownfailures/KnownFailure.java
+++ b/src/test/java/org/astershift/knownfailures/KnownFailure.java
@@ -8,13 +8,15 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
 /**
  * One line of KNOWN-RED.txt: a test case that fails because of a fault of the product that is not
  * fixed yet.
  *
- * @param test the case as {@code Class#method}, or {@code Class/display name} for a dynamic test
+ * @param test the case as {@code Class#method}, {@code Class/display name} for a dynamic test, or
+ *     {@code review/N/run.sh} for a script, which the build does not play
  * @param reproduction command and seed that show the failure
  * @param observed what was observed
  * @param cause the cause, or "suspected: ..." while no evidence names it
@@ -27,6 +29,8 @@
   private static final int FIELDS = 5;
   private static final char METHOD = '#';
   private static final char DYNAMIC = '/';
+  private static final Pattern SCRIPT = Pattern.compile("review/[0-9]+/run\\.sh");
+  private static final Pattern TRACE = Pattern.compile("[a-z0-9-]+\\.trace");
 
   /** Reads the file; returns an empty list if there is none. */
   static List<KnownFailure> read() {
@@ -66,10 +70,13 @@
   }
 
   /**
-   * Returns whether the entry names an existing test method, or an existing trace file of a dynamic
-   * test.
+   * Returns whether the entry names an existing test method, an existing trace file of a dynamic
+   * test, or an existing script.
    */
   boolean namesExistingTest() {
+    if (SCRIPT.matcher(test).matches()) {
+      return Files.isRegularFile(Path.of(test));
+    }
     int method = test.indexOf(METHOD);
     int dynamic = test.indexOf(DYNAMIC);
     if (method > 0) {
@@ -77,6 +84,7 @@
     }
     return dynamic > 0
         && classFile(test.substring(0, dynamic)) != null
+        && TRACE.matcher(test.substring(dynamic + 1)).matches()
         && Files.exists(TRACES.resolve(test.substring(dynamic + 1)));
   }
 
