--- a/src/main/java/org/astershift/scheduler/CommandReconciler.java
+++ b/src/main/java/org/astershift/scheduler/CommandReconciler.java
@@ -73,16 +73,16 @@
     return commands;
   }
 
-  /**
-   * Drops unwanted attempts whose start was not executed and can no longer be. Also called after an
-   * answer to direct commands, because only such answers show the state of a machine that restarted
-   * in this term; an attempt kept there would hold resources and team quota indefinitely.
-   */
-  void dropNeverStarted(Machine machine) {
+  /** Drops unwanted attempts whose start was not executed and can no longer be. */
+  private void dropNeverStarted(Machine machine) {
     drop(machine, attempt -> !attempt.isStartPending());
   }
 
-  /** Drops unwanted attempts like {@link #dropNeverStarted}, and those whose start is refused. */
+  /**
+   * Drops unwanted attempts like {@link #dropNeverStarted}, and those whose start the machine
+   * refuses by now. Only answers to direct commands show the state of a machine that restarted in
+   * this term; an attempt kept there would hold resources and team quota indefinitely.
+   */
   void dropNeverStartedOrRefused(Machine machine, Heartbeat answer) {
     drop(machine, attempt -> !attempt.isStartPending() || !attempt.mayBeStartedLate(answer));
   }
--- a/src/test/java/org/astershift/ConsistentAnswersTest.java
+++ b/src/test/java/org/astershift/ConsistentAnswersTest.java
@@ -98,11 +98,12 @@
       assertNotEquals(secondLeader, nodes.leader(), "leaders changed during the test");
       List<ConcurrentUsers> rounds = new ArrayList<>(List.of(users));
       while (nodes.store.readsOfUnansweredKeys() <= 10 && rounds.size() < MAX_ROUNDS) {
-        ConcurrentUsers further = new ConcurrentUsers(nodes, 1001 + 1000 * rounds.size(), 50, 2);
-        rounds.add(further);
-        further.start(further.jobs().size());
-        further.join();
-        further.close();
+        int first = 1001 + 1000 * rounds.size();
+        try (ConcurrentUsers further = new ConcurrentUsers(nodes, first, 50, 2)) {
+          rounds.add(further);
+          further.start(further.jobs().size());
+          further.join();
+        }
       }
       assertTrue(
           nodes.store.lostResponses("l/j/") > 20,
--- a/src/test/java/org/astershift/controller/FencingTest.java
+++ b/src/test/java/org/astershift/controller/FencingTest.java
@@ -455,8 +455,7 @@
     final LeaderTerm term = controller.awaitLeadership();
     submitJob();
     Await.until("the job to run", () -> startedTasks().contains(ID + "/0"));
-    Await.until(
-        "the job to be cancelled", () -> controller.jobService.cancel(ID, true).status() == 200);
+    cancelJob(ID);
     WorkerEmulator worker = cloud.workersEverProvisioned().get(0);
     Command late = new Command(Command.Kind.START, ID, 0, 77, 0);
     String address = worker.sentHeartbeats().get(0).replaceAll(".*\"addr\":\"([^\"]+)\".*", "$1");
@@ -641,15 +640,12 @@
     assertEquals(List.of(ID + "/0"), startedTasks());
     controller.runtime.commands().send(term, both);
     assertEquals(List.of(ID + "/0", ID + "/0"), startedTasks());
-    Await.until(
-        "the job to be cancelled", () -> controller.jobService.cancel(ID, true).status() == 200);
+    cancelJob(ID);
     controller.runtime.commands().send(term, again);
     assertEquals(List.of(ID + "/0", ID + "/0"), startedTasks());
   }
 
   private List<String> startedTasks() {
-    return cloud.workersEverProvisioned().stream()
-        .flatMap(worker -> worker.startedTasks().stream())
-        .toList();
+    return starts().stream().map(WorkerEmulator.Start::task).toList();
   }
 }
--- a/src/test/java/org/astershift/controller/FencingTestCase.java
+++ b/src/test/java/org/astershift/controller/FencingTestCase.java
@@ -6,12 +6,14 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import org.astershift.emulator.Await;
 import org.astershift.emulator.CloudEmulator;
 import org.astershift.emulator.Emulators;
 import org.astershift.emulator.PortBlock;
 import org.astershift.emulator.StoreEmulator;
+import org.astershift.emulator.WorkerEmulator;
 import org.astershift.http.HttpServer;
 import org.astershift.scheduler.JobSpec;
 import org.astershift.scheduler.Priority;
@@ -111,6 +113,18 @@
     assertEquals(201, controller.jobService.submit(job()).status());
   }
 
+  void cancelJob(String id) throws Exception {
+    Await.until(
+        "the job to be cancelled", () -> controller.jobService.cancel(id, true).status() == 200);
+  }
+
+  /** Returns all starts of tasks so far, machine by machine. */
+  List<WorkerEmulator.Start> starts() {
+    return cloud.workersEverProvisioned().stream()
+        .flatMap(worker -> worker.starts().stream())
+        .toList();
+  }
+
   void endJobElsewhere(boolean cancelled) throws InterruptedException {
     RecordCodec.JobEnd end = new RecordCodec.JobEnd(cancelled, 1);
     StoreClient.Transaction transaction =
--- a/src/test/java/org/astershift/controller/LateCopyTest.java
+++ b/src/test/java/org/astershift/controller/LateCopyTest.java
@@ -2,11 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import org.astershift.emulator.Await;
 import org.astershift.emulator.WorkerEmulator;
 import org.junit.jupiter.api.Test;
@@ -21,7 +19,7 @@
   void lateCopyDoesNotStartCancelledTask() throws Exception {
     WorkerEmulator worker = startJobOnOneMachine();
     worker.redeliverAfterForget();
-    cancelJob();
+    cancelJob(ID);
     Await.until("the task to be forgotten", () -> worker.forgottenTasks() > 0);
     awaitHeartbeats(worker, 3);
     assertEquals(List.of(ID + "/0"), worker.startedTasks());
@@ -34,21 +32,17 @@
     worker.failTasks(true);
     Await.until("the attempt to be forgotten", () -> worker.forgottenTasks() > 0);
     worker.failTasks(false);
-    Await.until("the next attempt to run", () -> startedAttempts().size() > 1);
+    Await.until("the next attempt to run", () -> starts().size() > 1);
     awaitHeartbeats(worker, 3);
-    Set<WorkerEmulator.Start> distinctAttempts = new HashSet<>();
-    for (WorkerEmulator.Start start : startedAttempts()) {
-      assertTrue(
-          distinctAttempts.add(new WorkerEmulator.Start(start.task(), start.attempt(), 0)),
-          "attempt " + start.attempt() + " was started twice");
-    }
+    List<Long> attempts = starts().stream().map(WorkerEmulator.Start::attempt).toList();
+    assertEquals(new HashSet<>(attempts).size(), attempts.size(), "started twice: " + attempts);
   }
 
   @Test
   void lateCopyDoesNotStartTaskOnRestartedMachineOnceItWasMoved() throws Exception {
     WorkerEmulator worker = startJobOnOneMachine();
     worker.restart();
-    Await.until("the task to be started anew", () -> startedAttempts().size() > 1);
+    Await.until("the task to be started anew", () -> starts().size() > 1);
     List<Integer> statuses = worker.redeliverExecutedRequests();
     assertFalse(statuses.isEmpty(), "no direct request was executed");
     assertEquals(CONFLICT, statuses.get(0), "the start sent to the earlier incarnation");
@@ -58,7 +52,7 @@
   @Test
   void lateCopyIsRefusedByRestartedMachineWithoutToken() throws Exception {
     WorkerEmulator worker = startJobOnOneMachine();
-    cancelJob();
+    cancelJob(ID);
     Await.until("the task to be forgotten", () -> worker.forgottenTasks() > 0);
     assertEquals(CONFLICT, worker.restartWithCopies().get(0));
   }
@@ -80,17 +74,12 @@
     controller.listen(portBlock.ports(1).get(0)).start();
     controller.awaitLeadership();
     submitJob();
-    Await.until("the job to run", () -> !startedAttempts().isEmpty());
+    Await.until("the job to run", () -> !starts().isEmpty());
     WorkerEmulator worker = workerOfFirstStart();
     Await.until("its start to be answered", () -> worker.sentHeartbeats().size() > 2);
     return worker;
   }
 
-  private void cancelJob() throws Exception {
-    Await.until(
-        "the job to be cancelled", () -> controller.jobService.cancel(ID, true).status() == 200);
-  }
-
   private WorkerEmulator workerOfFirstStart() {
     return cloud.workersEverProvisioned().stream()
         .filter(worker -> !worker.starts().isEmpty())
@@ -98,12 +87,6 @@
         .orElseThrow();
   }
 
-  private List<WorkerEmulator.Start> startedAttempts() {
-    return cloud.workersEverProvisioned().stream()
-        .flatMap(worker -> worker.starts().stream())
-        .toList();
-  }
-
   private static void awaitHeartbeats(WorkerEmulator worker, int count) throws Exception {
     int before = worker.sentHeartbeats().size();
     Await.until("heartbeats", () -> worker.sentHeartbeats().size() >= before + count);
--- a/src/test/java/org/astershift/controller/OvertakenAnswerTest.java
+++ b/src/test/java/org/astershift/controller/OvertakenAnswerTest.java
@@ -31,7 +31,7 @@
     LeaderTerm term = controller.awaitLeadership();
     submitJob();
     Await.until("a task to run", () -> runningTasks(term, ID) == 1);
-    cancel(ID);
+    cancelJob(ID);
     WorkerEmulator worker = cloud.workersEverProvisioned().get(0);
     for (int i = 0; i < MAX_ATTEMPTS && overtakenAnswerCount(term) == 0; i++) {
       Await.until("the machine to be empty", () -> isEmpty(worker));
@@ -52,7 +52,7 @@
     do {
       assertEquals(1, runningTasks(term, job), "the task keeps running");
     } while (System.nanoTime() < untilNs);
-    cancel(job);
+    cancelJob(job);
   }
 
   /**
@@ -72,11 +72,6 @@
     return said.get(said.size() - 1).contains("\"shards\":[]");
   }
 
-  private void cancel(String job) throws Exception {
-    Await.until(
-        "the job to be cancelled", () -> controller.jobService.cancel(job, true).status() == 200);
-  }
-
   private static int runningTasks(LeaderTerm term, String job) {
     Scheduler.JobProgress progress = term.scheduler.progress(job);
     return progress == null ? 0 : progress.runningTasks();
--- a/src/test/java/org/astershift/emulator/WorkerEmulator.java
+++ b/src/test/java/org/astershift/emulator/WorkerEmulator.java
@@ -345,13 +345,16 @@
     } while (silent && !closed);
   }
 
-  private synchronized void onResponse(String heartbeat, HttpClient.Response response)
+  /** Handles the response to a heartbeat; returns whether copies of direct requests are due. */
+  private synchronized boolean onResponse(String heartbeat, HttpClient.Response response)
       throws JsonFormatException {
+    int forgottenBefore = forgottenTasks;
     sentHeartbeats.add(heartbeat);
     if (!inboundPartitioned) {
       respondingPorts.add(controllers.get(controllerIndex % controllers.size()));
       executeCommands(Json.object(response.body()));
     }
+    return redeliversAfterForget && forgottenTasks > forgottenBefore;
   }
 
   private void sendHeartbeats() {
@@ -363,9 +366,7 @@
         byte[] heartbeat = Json.encode(heartbeat());
         HttpClient.Response response = client.call("POST", "/agent/beat", heartbeat, 2000);
         if (response.status() == 200) {
-          int forgottenBefore = forgottenTasks();
-          onResponse(new String(heartbeat, StandardCharsets.UTF_8), response);
-          if (redeliversAfterForget && forgottenTasks() > forgottenBefore) {
+          if (onResponse(new String(heartbeat, StandardCharsets.UTF_8), response)) {
             redeliverExecutedRequests();
           }
         } else {
--- a/src/test/java/org/astershift/scheduler/TracePlayer.java
+++ b/src/test/java/org/astershift/scheduler/TracePlayer.java
@@ -157,7 +157,8 @@
         scheduler.onCommandResult(words.get(2), false, heartbeat(event), nowMs, nowMs);
       }
       case "copied" -> {
-        return List.of(receiveCopy(words.get(2), (long) event.number("token", TOKEN)));
+        boolean refused = event.number("token", TOKEN) < shownToken(words.get(2));
+        return List.of(refused ? "refused" : "executed");
       }
       case "unanswered" -> scheduler.onCommandResult(words.get(2), true, null, nowMs, nowMs);
       case "unsent" -> scheduler.onCommandResult(words.get(2), false, null, nowMs, nowMs);
@@ -174,19 +175,19 @@
       }
       case "process_resumed" -> scheduler.onProcessResumed(nowMs);
       case "opened" -> {
-        scheduler.onLeadershipConfirmed(++revision);
+        confirmLeadership();
         scheduler.onJobOpened(words.get(2));
       }
       case "placement" -> scheduler.restorePlacement(words.get(2), words.subList(3, words.size()));
-      case "confirmed" -> scheduler.onLeadershipConfirmed(++revision);
+      case "confirmed" -> confirmLeadership();
       case "registered" -> {
         if (!event.hasFlag("unconfirmed")) {
-          scheduler.onLeadershipConfirmed(++revision);
+          confirmLeadership();
         }
         scheduler.onMachineRegistered(words.get(2));
       }
       case "ended" -> {
-        scheduler.onLeadershipConfirmed(++revision);
+        confirmLeadership();
         scheduler.onJobEnded(words.get(2), event.hasFlag("cancelled"), nowMs);
       }
       case "cancel" -> {
@@ -202,7 +203,7 @@
             new Decision.ProvisionMachines(words.get(3), words.get(4), event.hasFlag("spot"), 1),
             nowMs);
         if (!event.hasFlag("unregistered")) {
-          scheduler.onLeadershipConfirmed(++revision);
+          confirmLeadership();
           scheduler.onMachineRegistered(words.get(2));
         }
       }
@@ -215,7 +216,7 @@
       case "saved" -> {
         BitSet done = new BitSet();
         done.set((int) event.number("task", 0));
-        scheduler.onLeadershipConfirmed(++revision);
+        confirmLeadership();
         scheduler.onProgressPersisted(words.get(2), done);
       }
       case "list" -> scheduler.onMachineList(listedMachines(event), nowMs, nowMs);
@@ -245,12 +246,13 @@
     return List.of();
   }
 
-  /**
-   * Describes what a machine does with a copy of direct commands under this token, in its present
-   * epoch.
-   */
-  private String receiveCopy(String machineName, long token) {
-    return token < shownTokens.getOrDefault(machineName, 0L) ? "refused" : "executed";
+  /** Reports a committed write of the leader, whose condition was its leader key. */
+  private void confirmLeadership() {
+    scheduler.onLeadershipConfirmed(++revision);
+  }
+
+  private long shownToken(String machineName) {
+    return shownTokens.getOrDefault(machineName, TOKEN);
   }
 
   /** Repeats the last heartbeat of each of these machines, with the next sequence number. */
@@ -266,7 +268,7 @@
               previous.spot(),
               previous.epoch(),
               previous.sequence() + 1,
-              Math.max(TOKEN, shownTokens.getOrDefault(name, TOKEN)),
+              shownToken(name),
               previous.preemptionNoticeS(),
               previous.tasks());
       lastHeartbeats.put(name, next);
@@ -404,7 +406,7 @@
         event.hasFlag("spot"),
         (long) event.number("epoch", 1),
         (long) event.number("sequence", 1),
-        (long) event.number("token", shownTokens.getOrDefault(name, TOKEN)),
+        (long) event.number("token", shownToken(name)),
         notice == null ? null : Double.valueOf(notice),
         statuses);
   }
--- a/src/test/java/org/astershift/simulation/CommandCopies.java
+++ b/src/test/java/org/astershift/simulation/CommandCopies.java
@@ -23,18 +23,12 @@
   /** Whether copies also reach a restarted machine that has no token yet. */
   boolean reachUnfencedIncarnations;
 
-  /** Copies that were refused, because their token or epoch did not match. */
-  int refused;
-
-  /** Of these, copies sent right after an attempt was forgotten. */
+  /** Copies that were refused right after an attempt was forgotten. */
   int refusedAfterForget;
 
-  /** Of these, copies that reached a later incarnation. */
+  /** Copies that a later incarnation of the machine refused. */
   int refusedAfterRestart;
 
-  /** Copies that were executed, most of them without an effect. */
-  int executed;
-
   private final Simulation simulation;
   private final Random random;
   private final Map<String, List<Execution>> executions = new HashMap<>();
@@ -99,14 +93,9 @@
       return;
     }
     simulation.log(worker.name, "gets a copy of " + execution);
-    if (worker
-        .executeCommands(execution.token(), execution.epoch(), execution.commands())
-        .accepted()) {
-      executed++;
-      return;
-    }
-    refused++;
-    refusedAfterForget += afterForget ? 1 : 0;
-    refusedAfterRestart += laterIncarnation ? 1 : 0;
+    WorkerModel.CommandAnswer answer =
+        worker.executeCommands(execution.token(), execution.epoch(), execution.commands());
+    refusedAfterForget += afterForget && !answer.accepted() ? 1 : 0;
+    refusedAfterRestart += laterIncarnation && !answer.accepted() ? 1 : 0;
   }
 }
--- a/src/test/java/org/astershift/simulation/RandomizedScenario.java
+++ b/src/test/java/org/astershift/simulation/RandomizedScenario.java
@@ -24,6 +24,8 @@
   private static final long PREEMPTION_NOTICE_MS = 20_000;
   private static final double MESSAGE_WAITING_SHARE = 0.4;
 
+  private static final double COPY_SHARE = 0.3;
+
   /** One of this many seeds has copies of direct commands. */
   private static final int SEEDS_PER_COPYING_SEED = 4;
 
@@ -55,7 +57,7 @@
   }
 
   private void playFaults() {
-    simulation.commandCopies.share = simulation.seed % SEEDS_PER_COPYING_SEED == 0 ? 0.3 : 0;
+    simulation.commandCopies.share = simulation.seed % SEEDS_PER_COPYING_SEED == 0 ? COPY_SHARE : 0;
     simulation.delayedHeartbeats.keepShare = randomSetup.duplicateKeepShare;
     simulation.runTo(FAULTS_FROM_S);
     simulation.delayedHeartbeats.holdShare = randomSetup.heartbeatHoldShare;
