--- a/review/lib-2/Cases.java
+++ b/review/lib-2/Cases.java
@@ -244,6 +244,70 @@
     return done;
   }
 
+  /** A late copy of a start reaches a machine that is back, after the job was cancelled. */
+  static boolean copy(Day day, boolean trouble) throws Exception {
+    day.open();
+    day.cloud.type(new Cloud.Type("pieni", 4, 0, 16, 1.0, 0.2, 0.06, 15, ZONES));
+    for (String zone : ZONES) {
+      day.cloud.capacity("pieni", zone, 4);
+      day.cloud.up("pieni", zone);
+    }
+    day.startAll();
+    day.awaitReady(20_000);
+    Jobs.Job portal =
+        day.jobs.add("wk-000001", "service", 2, i -> Long.MAX_VALUE, "berth_class", "portal",
+            "rank", "critical", "apart", true, "expect_s", 0.0);
+    require(day, day.submit(portal) <= 201, "the service was not accepted");
+    await(day, 20_000, () -> day.startsOf("wk-000001") == 2, "the service runs in both zones");
+    String id = null;
+    Worker machine = null;
+    List<String> starts = List.of();
+    for (int k = 0; k < 8 && starts.isEmpty(); k++) {
+      id = "wk-00030" + k;
+      Jobs.Job job =
+          day.jobs.add(id, "sweep", 1, i -> Long.MAX_VALUE, "berth_class", "simulation",
+              "expect_s", 60.0);
+      require(day, day.submit(job) <= 201, "the array was not accepted");
+      String name = id;
+      await(day, 10_000, () -> day.startsOf(name) == 1, name + " runs");
+      for (Worker worker : day.cloud.workers()) {
+        if (!worker.executedStarts(id + "/0").isEmpty()) {
+          machine = worker;
+          starts = worker.executedStarts(id + "/0");
+        }
+      }
+    }
+    require(day, machine != null, "no task was started by a direct command");
+    Util.sleep(6000);
+    String cancelled = id;
+    await(day, 20_000, () -> day.withdraw(cancelled), cancelled + " is withdrawn");
+    long toldMs = Util.ms();
+    await(day, 20_000, () -> !day.isOnMachine(cancelled + "/0"), cancelled + "/0 is gone");
+    Util.sleep(toldMs + (long) (day.cancelS * 1000) + 2000 - Util.ms());
+    int before = day.startsOf(cancelled);
+    day.record.line(
+        "%.1f s after the confirmation: starts of %s so far %d", (Util.ms() - toldMs) / 1000.0,
+        cancelled, before);
+    if (trouble) {
+      machine.restart();
+      day.record.line("%s ended and is back: no token, session 1", machine.name);
+      Util.sleep(100);
+      for (String body : starts) {
+        Http.Response answer = Http.once(machine.port(), "POST", "/orders", body, 2000);
+        day.record.line(
+            "a copy of a direct command reaches %s: %s, answered with %d %s", machine.name, body,
+            answer.status(), answer.body());
+      }
+    }
+    Util.sleep(4000);
+    int after = day.startsOf(cancelled);
+    day.record.line(
+        "starts of %s since: %d; now %s a machine; poll: %s", cancelled, after - before,
+        day.isOnMachine(cancelled + "/0") ? "on" : "on no", day.pollText(0, cancelled));
+    day.recordLog("leads with token", 6);
+    return after == before && !day.isOnMachine(cancelled + "/0");
+  }
+
   interface Condition {
     boolean holds() throws Exception;
   }
--- a/review/lib-2/Day.java
+++ b/review/lib-2/Day.java
@@ -272,6 +272,10 @@
     onMachine.remove(task.shard, worker.name);
   }
 
+  synchronized boolean isOnMachine(String shard) {
+    return onMachine.containsKey(shard);
+  }
+
   void done(Worker.Task task) {
     doneCounts.merge(task.job.id, 1, Integer::sum);
   }
--- a/review/lib-2/Main.java
+++ b/review/lib-2/Main.java
@@ -31,6 +31,7 @@
             case "window" -> Cases::window;
             case "plan" -> Cases::plan;
             case "progress" -> Cases::progress;
+            case "copy" -> Cases::copy;
             default -> throw new IllegalArgumentException(args[0]);
           };
       boolean held = test.run(day, trouble);
--- a/review/lib-2/Worker.java
+++ b/review/lib-2/Worker.java
@@ -37,8 +37,10 @@
   private boolean changed;
   private int node;
   private volatile boolean gone;
-  private volatile boolean hung;
-  volatile boolean mute;
+  /** Bodies of the direct commands that were carried out and answered, the oldest first. */
+  private final List<String> executed = new ArrayList<>();
+
+  private int incarnation;
 
   Worker(String name, Cloud.Type type, String zone, boolean spot, Day day) throws Exception {
     this.name = name;
@@ -61,24 +63,43 @@
   synchronized void take() {
     gone = true;
     for (Task task : tasks.values()) {
-      day.offMachine(this, task);
+      if (task.phase.equals("running")) {
+        day.offMachine(this, task);
+      }
     }
     tasks.clear();
     server.close();
     notifyAll();
   }
 
-  void hang(boolean active) {
-    hung = active;
-    synchronized (this) {
-      notifyAll();
+  /** The machine ends and is back at once: its tasks, its token and its counts are lost. */
+  synchronized void restart() {
+    for (Task task : tasks.values()) {
+      if (task.phase.equals("running")) {
+        day.offMachine(this, task);
+      }
     }
+    tasks.clear();
+    watch = 1;
+    tick = 0;
+    helm = 0;
+    incarnation++;
+    changed = false;
+    lastBeatMs = Util.ms();
+    nextBeatMs = lastBeatMs + 500;
+    leaseFromMs = lastBeatMs;
+    notifyAll();
   }
 
-  private void awaitAwake() throws InterruptedException {
-    while (hung && !gone) {
-      Thread.sleep(20);
-    }
+  /** Returns the direct commands, carried out before, that start this task. */
+  synchronized List<String> executedStarts(String shard) {
+    return executed.stream()
+        .filter(body -> body.contains("\"run\"") && body.contains("\"" + shard + "\""))
+        .toList();
+  }
+
+  int port() {
+    return server.port();
   }
 
   synchronized int live() {
@@ -113,7 +134,6 @@
     try {
       while (!gone) {
         Thread.sleep(40);
-        awaitAwake();
         synchronized (this) {
           checkLease();
           long now = Util.ms();
@@ -207,34 +227,27 @@
           }
           changed = false;
         }
-        awaitAwake();
         if (gone) {
           return;
         }
         long sentMs;
         long session;
+        int life;
         String body;
         synchronized (this) {
           checkLease();
           sentMs = Util.ms();
           session = watch;
+          life = incarnation;
           lastBeatMs = sentMs;
           nextBeatMs = sentMs + (long) (day.reportS * 1000 * (0.75 + random.nextDouble() / 2));
           body = report();
         }
         String move = null;
         try {
-          if (mute) {
-            Thread.sleep(1000);
-            throw new java.io.IOException("cut");
-          }
           Http.Response response = client.call("POST", "/agent/beat", body, 4000);
-          awaitAwake();
-          if (mute) {
-            throw new java.io.IOException("cut");
-          }
           if (response.status() == 200) {
-            accept(Json.map(response.body()), sentMs, session);
+            accept(Json.map(response.body()), sentMs, session, life);
             continue;
           }
           if (response.status() == 421) {
@@ -263,8 +276,9 @@
     }
   }
 
-  private synchronized void accept(Map<String, Object> response, long sentMs, long session) {
-    if (gone || session != watch || response.get("helm") == null) {
+  private synchronized void accept(
+      Map<String, Object> response, long sentMs, long session, int life) {
+    if (gone || life != incarnation || session != watch || response.get("helm") == null) {
       return;
     }
     long token = Json.num(response, "helm");
@@ -277,7 +291,6 @@
   }
 
   private Http.Response handle(Http.Request request) throws Exception {
-    awaitAwake();
     synchronized (this) {
       checkLease();
       if (gone) {
@@ -298,6 +311,7 @@
         change();
       }
       execute(Json.list(body, "orders"));
+      executed.add(request.body());
       return new Http.Response(200, report());
     }
   }
