review/8: a service waits beside a machine with accelerators that has room

Tried: 32 replicas fill the machines without accelerators, the cloud has no more of them; one more service of the highest rank comes.

--- a/review/lib-2/Cases.java
+++ b/review/lib-2/Cases.java
@@ -308,6 +308,62 @@
     return after == before && !day.isOnMachine(cancelled + "/0");
   }
 
+  /** A service waits beside a machine with accelerators while the other machines are full. */
+  static boolean accelerators(Day day, boolean trouble) throws Exception {
+    day.open();
+    List<String> zones = List.of("zagreb");
+    day.cloud.type(new Cloud.Type("srednji", 16, 0, 64, 1.0, 0.77, 0.18, 25, zones));
+    day.cloud.type(new Cloud.Type("munja", 24, 4, 96, 1.0, 14.16, 2.9, 35, zones));
+    day.cloud.capacity("srednji", "zagreb", 2);
+    day.cloud.capacity("munja", "zagreb", 1);
+    day.cloud.up("srednji", "zagreb");
+    day.cloud.up("srednji", "zagreb");
+    day.cloud.up("munja", "zagreb");
+    day.startAll();
+    day.awaitReady(20_000);
+    Jobs.Job align =
+        day.jobs.add("wk-000001", "gang", 1, i -> Long.MAX_VALUE, "berth_class", "speech-align",
+            "vcpus", 10.0, "gpus", 2.0, "mem_gb", 40.0, "one_zone", true, "expect_s", 200.0);
+    require(day, day.submit(align) <= 201, "the gang was not accepted");
+    await(day, 20_000, () -> day.startsOf("wk-000001") == 1, "the gang runs on munja");
+    if (trouble) {
+      for (int k = 0; k < 8; k++) {
+        Jobs.Job portal =
+            day.jobs.add("wk-00010" + k, "service", 4, i -> Long.MAX_VALUE, "berth_class",
+                "review-portal", "rank", "critical", "expect_s", 0.0);
+        require(day, day.submit(portal) <= 201, "a service was not accepted");
+      }
+      await(day, 30_000, () -> day.totalStarts() == 33, "32 replicas fill both srednji");
+    }
+    Jobs.Job one =
+        day.jobs.add("wk-000200", "service", 1, i -> Long.MAX_VALUE, "berth_class",
+            "review-portal", "rank", "critical", "expect_s", 0.0);
+    require(day, day.submit(one) <= 201, "the last service was not accepted");
+    long acceptedMs = Util.ms();
+    double leastRoom = Double.MAX_VALUE;
+    for (int s = 0; Util.ms() - acceptedMs < 91_000 && day.startsOf("wk-000200") == 0; s++) {
+      Util.sleep(500);
+      double room = 0;
+      for (Worker worker : day.cloud.workers()) {
+        room = Math.max(room, Math.min(worker.freeCpus(), worker.freeMemory()));
+      }
+      leastRoom = Math.min(leastRoom, room);
+      if (s % 20 == 19) {
+        day.record.line(
+            "starts of the last service %d; machines up %d, the emptiest with room for %.0f"
+                + " replicas; poll: %s",
+            day.startsOf("wk-000200"), day.cloud.workers().size(), room,
+            day.pollText(0, "wk-000200"));
+      }
+    }
+    boolean started = day.startsOf("wk-000200") > 0;
+    day.record.line(
+        "%.1f s after it was accepted the last service has %s; in all that time one machine had"
+            + " room for at least %.0f replicas",
+        (Util.ms() - acceptedMs) / 1000.0, started ? "started" : "not started", leastRoom);
+    return started || leastRoom < 1;
+  }
+
   interface Condition {
     boolean holds() throws Exception;
   }
--- a/review/lib-2/Main.java
+++ b/review/lib-2/Main.java
@@ -32,6 +32,7 @@
             case "plan" -> Cases::plan;
             case "progress" -> Cases::progress;
             case "copy" -> Cases::copy;
+            case "idle" -> Cases::accelerators;
             default -> throw new IllegalArgumentException(args[0]);
           };
       boolean held = test.run(day, trouble);
