--- a/review/lib-2/Day.java
+++ b/review/lib-2/Day.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -55,14 +56,22 @@
   Day(Record record) throws Exception {
     this.record = record;
     this.dir = Files.createTempDirectory("astershift-review");
-    List<ServerSocket> held = new ArrayList<>();
-    for (int i = 0; i < 2 * nodes; i++) {
-      ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
-      held.add(socket);
-      ports.add(socket.getLocalPort());
+    // Below the range from which the system takes ports for others, so that none is taken meanwhile.
+    Random random = new Random(System.nanoTime() ^ ProcessHandle.current().pid());
+    while (ports.size() < 2 * nodes) {
+      int port = 12_000 + random.nextInt(20_000);
+      if (!ports.contains(port) && isFree(port)) {
+        ports.add(port);
+      }
     }
-    for (ServerSocket socket : held) {
-      socket.close();
+  }
+
+  private static boolean isFree(int port) {
+    try (ServerSocket socket =
+        new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+      return true;
+    } catch (IOException e) {
+      return false;
     }
   }
 
