--- a/review/lib-2/Cases.java
+++ b/review/lib-2/Cases.java
@@ -1,4 +1,5 @@
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -195,25 +196,33 @@
     }
     long lastStarts = 0;
     long sinceMs = Util.ms();
-    long leastRoom = Long.MAX_VALUE;
+    long[] leastRoom = new long[pools.size()]; // on one machine of the pool, since the last start
+    Arrays.fill(leastRoom, Long.MAX_VALUE);
     boolean done = false;
     for (int s = 0; Util.ms() - sinceMs < 91_000 && !done && day.record.seconds() < 115; s++) {
       Util.sleep(500);
       long starts = day.totalStarts();
       int exited = 0;
       double freeCpus = 0;
-      double freeMemory = 0;
+      long[] room = new long[pools.size()];
       for (Worker worker : day.cloud.workers()) {
         exited += worker.exited();
         freeCpus += worker.freeCpus();
-        freeMemory += worker.freeMemory();
+        for (int k = 0; k < room.length; k++) {
+          if (worker.type.name().equals(pools.get(k)[0]) && worker.zone.equals(pools.get(k)[1])) {
+            double fits = Math.min(worker.freeCpus() / 0.002, worker.freeMemory() / 0.01);
+            room[k] = Math.max(room[k], (long) fits);
+          }
+        }
       }
       if (starts > lastStarts) {
         lastStarts = starts;
         sinceMs = Util.ms();
-        leastRoom = Long.MAX_VALUE;
+        Arrays.fill(leastRoom, Long.MAX_VALUE);
+      }
+      for (int k = 0; k < room.length; k++) {
+        leastRoom[k] = Math.min(leastRoom[k], room[k]);
       }
-      leastRoom = Math.min(leastRoom, (long) Math.min(freeCpus / 0.002, freeMemory / 0.01));
       StringBuilder phases = new StringBuilder();
       done = true;
       if (s % 8 == 7) {
@@ -235,13 +244,19 @@
     double waitedS = (Util.ms() - sinceMs) / 1000.0;
     day.recordLog("store rejected a page", 3);
     day.recordLog("leads with token", 6);
-    day.record.line(
-        "%s; no task has started for %.1f s, while the machines had room for at least %d more",
-        done ? "all arrays are done" : "arrays wait", waitedS, leastRoom);
+    boolean left = false;
+    for (int k = 0; k < arrays; k++) {
+      String phase = day.poll(k % day.nodes, "wk-00001" + k);
+      left |= !phase.equals("done") && leastRoom[k] >= 1;
+      day.record.line(
+          "wk-00001%d is %s; no task has started for %.1f s, and all that time one machine of its"
+              + " type and zone had room for at least %d of its tasks",
+          k, phase, waitedS, leastRoom[k]);
+    }
     if (!done && waitedS < 90) {
       throw new Day.NotRun("not enough time to wait for 90 s");
     }
-    return done;
+    return done || !left;
   }
 
   /** A late copy of a start reaches a machine that is back, after the job was cancelled. */
