--- a/src/main/java/org/astershift/api/PublicApi.java
+++ b/src/main/java/org/astershift/api/PublicApi.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import org.astershift.controller.ControllerRuntime;
+import org.astershift.controller.HeartbeatResult;
 import org.astershift.controller.JobService;
 import org.astershift.http.HttpServer.Handler;
 import org.astershift.http.HttpServer.Request;
@@ -166,7 +167,8 @@
    * Handles a heartbeat when its turn comes. After a failover, hundreds of heartbeats arrive at
    * once; only a few are handled at the same time, so that their threads do not starve the renewal
    * of the leader's lease. A heartbeat that has waited too long is rejected: its worker has given
-   * up, and processing a stale backlog would let all leases expire.
+   * up, and processing a stale backlog would let all leases expire. A response that waits for
+   * commands does not count.
    */
   private Response handleHeartbeat(Request request) throws InterruptedException {
     long receivedMs = ControllerRuntime.nowMs();
@@ -174,23 +176,21 @@
       heartbeatStatistics.onRejected();
       return Response.error(503, "too many reports");
     }
+    HeartbeatResult result;
     try {
       heartbeatStatistics.onHandled(ControllerRuntime.nowMs() - receivedMs);
-      return processHeartbeat(request, receivedMs);
+      Heartbeat heartbeat = WorkerCodec.readHeartbeat(request.body());
+      result = controller.onHeartbeat(heartbeat, controller.token(), receivedMs);
+    } catch (JsonFormatException e) {
+      LOG.info("invalid heartbeat rejected: {}", e.getMessage());
+      return Response.error(400, e.getMessage());
     } finally {
       heartbeatGate.leave();
     }
+    return heartbeatResponse(result.awaitResponse());
   }
 
-  private Response processHeartbeat(Request request, long receivedMs) {
-    Heartbeat heartbeat;
-    try {
-      heartbeat = WorkerCodec.readHeartbeat(request.body());
-    } catch (JsonFormatException e) {
-      LOG.info("invalid heartbeat rejected: {}", e.getMessage());
-      return Response.error(400, e.getMessage());
-    }
-    HeartbeatResponse response = controller.onHeartbeat(heartbeat, controller.token(), receivedMs);
+  private Response heartbeatResponse(HeartbeatResponse response) {
     if (response == null) {
       String leader = controller.remoteLeader();
       return Response.of(421, leader == null ? Map.of() : Map.of("harbormaster", leader));
--- a/src/main/java/org/astershift/config/ThreadBudget.java
+++ b/src/main/java/org/astershift/config/ThreadBudget.java
@@ -46,6 +46,12 @@
   /** Threads that provision machines; the cloud's rate limit allows only a few calls per second. */
   public static final int PROVISION_THREADS = 2;
 
+  /**
+   * Share of the incoming connections whose heartbeats may wait for commands. There may be more
+   * machines than connections, which then give up theirs with each response.
+   */
+  private static final double DEFERRED_RESPONSES_SHARE = 0.5;
+
   private ThreadBudget() {}
 
   /** Returns the number of threads left for incoming connections. */
@@ -69,4 +75,12 @@
   public static int maxConnections(int sockets) {
     return Math.min(connectionThreads(), (int) (sockets * INCOMING_SOCKETS_SHARE));
   }
+
+  /**
+   * Returns how many heartbeats may wait for commands at the same time in a controller that may
+   * have {@code sockets} sockets.
+   */
+  public static int maxDeferredResponses(int sockets) {
+    return (int) (maxConnections(sockets) * DEFERRED_RESPONSES_SHARE);
+  }
 }
--- a/src/main/java/org/astershift/controller/CommandDispatcher.java
+++ b/src/main/java/org/astershift/controller/CommandDispatcher.java
@@ -50,7 +50,7 @@
               request.address(),
               request.fencingToken(),
               request.epoch(),
-              () -> term.scheduler.commandsToSend(request),
+              request.commands(),
               request.timeoutMs());
     } finally {
       // The result is reported after a failure too: a request that stayed in flight indefinitely
--- a/src/main/java/org/astershift/controller/ControllerRuntime.java
+++ b/src/main/java/org/astershift/controller/ControllerRuntime.java
@@ -9,7 +9,6 @@
 import org.astershift.http.TaskPool;
 import org.astershift.http.Threads;
 import org.astershift.scheduler.Heartbeat;
-import org.astershift.scheduler.HeartbeatResponse;
 import org.astershift.scheduler.MachineType;
 import org.astershift.scheduler.Scheduler;
 import org.astershift.scheduler.SchedulingPolicy;
@@ -277,12 +276,15 @@
   }
 
   /**
-   * Returns the response to a heartbeat that reached this controller at {@code receivedMs}; null if
-   * this controller does not lead with {@code token}, or its term may no longer answer workers.
+   * Returns the response to a heartbeat that reached this controller at {@code receivedMs}, which
+   * may be deferred; rejected if this controller does not lead with {@code token}, or its term may
+   * no longer answer workers.
    */
-  public HeartbeatResponse onHeartbeat(Heartbeat heartbeat, long token, long receivedMs) {
+  public HeartbeatResult onHeartbeat(Heartbeat heartbeat, long token, long receivedMs) {
     LeaderTerm term = currentTerm;
-    return term == null || term.token != token ? null : term.onHeartbeat(heartbeat, receivedMs);
+    return term == null || term.token != token
+        ? HeartbeatResult.REJECTED
+        : term.onHeartbeat(heartbeat, receivedMs);
   }
 
   /** Returns the time of the monotonic clock in milliseconds. */
@@ -324,8 +326,8 @@
     }
 
     @Override
-    public boolean isLeaseCertain() {
-      return elector.isLeaseCertain(token);
+    public int maxDeferredResponses() {
+      return ThreadBudget.maxDeferredResponses(settings.maxSockets());
     }
 
     @Override
--- a/src/main/java/org/astershift/controller/DecisionExecutor.java
+++ b/src/main/java/org/astershift/controller/DecisionExecutor.java
@@ -63,6 +63,11 @@
     commands.dispatch(term, decision);
   }
 
+  @Override
+  public void visit(Decision.SendDeferredResponse decision) {
+    term.scheduler.sendDeferredResponse(decision.machineName());
+  }
+
   @Override
   public void visit(Decision.FinishJob decision) {
     term.completions.add(decision.jobId());
--- a/src/main/java/org/astershift/controller/LeaderTerm.java
+++ b/src/main/java/org/astershift/controller/LeaderTerm.java
@@ -10,7 +10,6 @@
 import org.astershift.http.JsonFormatException;
 import org.astershift.scheduler.Decision;
 import org.astershift.scheduler.Heartbeat;
-import org.astershift.scheduler.HeartbeatResponse;
 import org.astershift.scheduler.Scheduler;
 import org.astershift.store.RecordCodec;
 import org.astershift.store.StoreClient;
@@ -78,8 +77,8 @@
     return context.leaseCertainUntilMs();
   }
 
-  /** Returns the response; null if the term may no longer answer workers. */
-  HeartbeatResponse onHeartbeat(Heartbeat heartbeat, long receivedMs) {
+  /** Returns the response, which may be deferred; rejected if the term may not answer workers. */
+  HeartbeatResult onHeartbeat(Heartbeat heartbeat, long receivedMs) {
     return scheduler.onHeartbeat(heartbeat, receivedMs);
   }
 
--- a/src/main/java/org/astershift/controller/LockedScheduler.java
+++ b/src/main/java/org/astershift/controller/LockedScheduler.java
@@ -4,7 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
-import org.astershift.scheduler.Command;
+import java.util.concurrent.ConcurrentHashMap;
 import org.astershift.scheduler.Decision;
 import org.astershift.scheduler.Heartbeat;
 import org.astershift.scheduler.HeartbeatResponse;
@@ -22,6 +22,10 @@
   private final Object lock = new Object();
   private final Scheduler scheduler;
   private final TermContext context;
+
+  /** The responses that wait for commands, by machine. */
+  private final Map<String, DeferredHeartbeat> deferredHeartbeats = new ConcurrentHashMap<>();
+
   private volatile boolean isClosed;
 
   LockedScheduler(Scheduler scheduler, TermContext context) {
@@ -47,34 +51,74 @@
    */
   void close() {
     isClosed = true;
+    deferredHeartbeats.values().forEach(DeferredHeartbeat::release);
   }
 
   boolean isClosed() {
     return isClosed;
   }
 
-  /** Returns the response; null if the term may no longer answer workers. */
-  HeartbeatResponse onHeartbeat(Heartbeat heartbeat, long receivedMs) {
+  /** Returns the response, which may be deferred; rejected if the term may not answer workers. */
+  HeartbeatResult onHeartbeat(Heartbeat heartbeat, long receivedMs) {
     HeartbeatResponse response;
+    DeferredHeartbeat deferred;
     boolean deposed;
     boolean passNeeded;
     synchronized (lock) {
       if (isClosed) {
-        return null;
+        return HeartbeatResult.REJECTED;
       }
       scheduler.extendLeaseCertainty(context.leaseCertainUntilMs());
       response = scheduler.onHeartbeat(heartbeat, receivedMs, LeaderTerm.nowMs());
+      deferred = deferIfUseful(heartbeat, response);
       deposed = scheduler.isDeposed();
       passNeeded = scheduler.isPassRequested();
     }
     if (deposed) {
       context.stepDown("machine " + heartbeat.machineName() + " has seen a higher fencing token");
-      return null;
+      return HeartbeatResult.REJECTED;
     }
     if (passNeeded) {
       context.requestPass();
     }
-    return response;
+    return new HeartbeatResult(response, deferred);
+  }
+
+  /** Defers the response if it may wait for commands; returns null if it is to be sent at once. */
+  private DeferredHeartbeat deferIfUseful(Heartbeat heartbeat, HeartbeatResponse response) {
+    if (response == null
+        || response.maxDelayMs() == 0
+        || deferredHeartbeats.size() >= context.maxDeferredResponses()) {
+      return null;
+    }
+    scheduler.deferResponse(heartbeat);
+    DeferredHeartbeat deferred = new DeferredHeartbeat(this, heartbeat, response.maxDelayMs());
+    DeferredHeartbeat previous = deferredHeartbeats.put(heartbeat.machineName(), deferred);
+    if (previous != null) {
+      previous.release();
+    }
+    return deferred;
+  }
+
+  /** Lets the deferred response to the machine's newest heartbeat be sent. */
+  void sendDeferredResponse(String machineName) {
+    DeferredHeartbeat deferred = deferredHeartbeats.get(machineName);
+    if (deferred != null) {
+      deferred.release();
+    }
+  }
+
+  /** Returns the deferred response; null if the heartbeat must not be answered any more. */
+  HeartbeatResponse completeDeferredResponse(DeferredHeartbeat deferred) {
+    Heartbeat heartbeat = deferred.heartbeat();
+    deferredHeartbeats.remove(heartbeat.machineName(), deferred);
+    synchronized (lock) {
+      if (isClosed) {
+        return null;
+      }
+      scheduler.extendLeaseCertainty(context.leaseCertainUntilMs());
+      return scheduler.completeDeferredResponse(heartbeat, LeaderTerm.nowMs());
+    }
   }
 
   /** Handles the result of a direct request; {@code heartbeat} is null if no response arrived. */
@@ -103,17 +147,6 @@
     }
   }
 
-  /**
-   * Returns the commands to send over a connection that has been established. The lease is checked
-   * only at this point: however long connecting took or this process was paused, a start that was
-   * decided earlier must not reach a worker that may already follow the next leader.
-   */
-  List<Command> commandsToSend(Decision.SendCommands request) {
-    synchronized (lock) {
-      return scheduler.selectSendableCommands(request, context.isLeaseCertain());
-    }
-  }
-
   /** Handles a committed write whose condition was the leader key of this term. */
   void onLeadershipConfirmed(long revision) {
     synchronized (lock) {
@@ -123,7 +156,7 @@
 
   void onJobOpened(String jobId) {
     synchronized (lock) {
-      scheduler.onJobOpened(jobId);
+      scheduler.onJobOpened(jobId, LeaderTerm.nowMs());
     }
   }
 
--- a/src/main/java/org/astershift/controller/TermContext.java
+++ b/src/main/java/org/astershift/controller/TermContext.java
@@ -8,8 +8,8 @@
   /** Returns the monotonic time, in milliseconds, before which no other controller can lead. */
   long leaseCertainUntilMs();
 
-  /** Returns whether no other controller can have become leader since the term began. */
-  boolean isLeaseCertain();
+  /** Returns how many heartbeats may wait for their responses at the same time. */
+  int maxDeferredResponses();
 
   /** Ends the term, since another controller leads or the term cannot go on. */
   void stepDown(String reason);
--- a/src/main/java/org/astershift/http/HttpClient.java
+++ b/src/main/java/org/astershift/http/HttpClient.java
@@ -7,7 +7,6 @@
 import java.net.SocketTimeoutException;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.function.Supplier;
 
 /**
  * Sends requests to one address over pooled connections. Each call has one deadline for connecting,
@@ -56,23 +55,11 @@
    * request had no effect; after any other {@link IOException} its effect is unknown.
    */
   public Response call(String method, String path, byte[] body, int timeoutMs) throws IOException {
-    return callWithBodySupplier(method, path, () -> body, timeoutMs);
-  }
-
-  /**
-   * Same as {@link #call}, but creates the body only once the connection is established, which may
-   * be long after the call if connecting is slow or this process is paused. The request reaches the
-   * process that accepted the connection or none: a process restarted at the same address does not
-   * receive it.
-   */
-  public Response callWithBodySupplier(
-      String method, String path, Supplier<byte[]> bodySupplier, int timeoutMs) throws IOException {
     long deadlineNs = System.nanoTime() + timeoutMs * 1_000_000L;
     Connection reused = takeIdle();
     Connection connection = reused == null ? connect(timeoutMs) : reused;
     boolean reusable = false;
     try {
-      byte[] body = bodySupplier.get();
       writeMessage(
           connection.socket, requestHead(method, path, body), body == null ? new byte[0] : body);
       int remainingMs = (int) Math.max(1, (deadlineNs - System.nanoTime()) / 1_000_000);
--- a/src/main/java/org/astershift/scheduler/AttemptAdoption.java
+++ b/src/main/java/org/astershift/scheduler/AttemptAdoption.java
@@ -61,10 +61,6 @@
     attempt.phase = status.phase();
     attempt.exitReason = ExitReason.of(status.exitReason());
     attempt.lastReportedSequence = sequence;
-    if (cluster.attemptNumbers.isOfThisTerm(attempt.attemptNumber)) {
-      attempt.directStartToken = cluster.fencingTokens.of(machine); // it may be a copy's
-      attempt.startEpoch = machine.epoch;
-    }
     return attempt;
   }
 
--- a/src/main/java/org/astershift/scheduler/AttemptRegistry.java
+++ b/src/main/java/org/astershift/scheduler/AttemptRegistry.java
@@ -104,16 +104,11 @@
     attempts.forEach(this::drop);
   }
 
-  /**
-   * Drops the attempts of a machine that provably runs none, except pending starts. These may still
-   * arrive and stay held until a later epoch of the machine is seen or the machine is gone. Returns
-   * the number of dropped attempts.
-   */
-  int dropExceptPendingStarts(Machine machine, DropReason reason) {
+  /** Drops the attempts of a machine that runs none, except those whose start may still arrive. */
+  void dropExceptPendingStarts(Machine machine, DropReason reason) {
     List<TaskAttempt> nonPending = new ArrayList<>(machine.attempts.values());
     nonPending.removeIf(TaskAttempt::isStartPending);
     dropAll(machine, nonPending, reason);
-    return nonPending.size();
   }
 
   /** Drops all attempts of a machine that is provably gone. */
--- a/src/main/java/org/astershift/scheduler/ClusterState.java
+++ b/src/main/java/org/astershift/scheduler/ClusterState.java
@@ -66,6 +66,7 @@
   final AttemptNumberGenerator attemptNumbers;
   final AttemptRegistry attempts = new AttemptRegistry(this);
   final ReconciliationLog reconciliationLog = new ReconciliationLog();
+  final StartStatistics startStatistics = new StartStatistics();
 
   /** Checks of a job against a machine so far; tests bound the cost of a pass by this count. */
   long candidateChecks;
@@ -252,14 +253,8 @@
    * Treats a machine as restarted because a restart cannot be excluded. Starts sent in heartbeat
    * responses stay held, since they may still arrive.
    */
-  void onPossibleRestart(Machine machine, Heartbeat answer, long nowMs) {
-    for (TaskAttempt attempt : machine.attempts.values()) {
-      if (attempt.phase == null && attempt.startInHeartbeatResponse) {
-        attempt.startUnconfirmed = true;
-        attempt.startEpoch = Math.max(1, machine.epoch);
-      }
-    }
-    onMachineRestarted(machine, answer, nowMs);
+  void onPossibleRestart(Machine machine, long nowMs) {
+    enterNewIncarnation(machine, nowMs);
   }
 
   /**
@@ -279,21 +274,23 @@
   }
 
   /** Handles a restart of the machine: its tasks are gone, and it has to be reconciled again. */
-  void onMachineRestarted(Machine machine, Heartbeat answer, long nowMs) {
+  void onMachineRestarted(Machine machine, long nowMs) {
+    for (TaskAttempt attempt : machine.attempts.values()) {
+      attempt.startInHeartbeatResponse = false; // a response ends with its connection
+    }
+    enterNewIncarnation(machine, nowMs);
+  }
+
+  private void enterNewIncarnation(Machine machine, long nowMs) {
     int heldBefore = machine.heldAttemptCount();
-    machine.heldAttempts().forEach(attempt -> attempt.retainIfMayBeStartedLate(answer));
     attempts.dropExceptPendingStarts(machine, DropReason.NEW_INCARNATION);
     LOG.info(
         "machine restarted: machine={} tasks_lost={} starts_pending={}",
         machine.name,
         heldBefore - machine.heldAttemptCount(),
         machine.heldAttemptCount());
-    for (TaskAttempt attempt : machine.attempts.values()) {
-      attempt.startSent = false; // sent again once the machine may get tasks again
-      attempt.startLeaseExpired = false; // the new incarnation may execute the start
-      attempt.startInHeartbeatResponse = false; // a response ends with its connection
-    }
     boolean alreadyCounted = machine.inherited && !machine.fenced;
+    machine.token.minOfIncarnation = fencingTokens.lowestUnseenByEarlierIncarnations(machine);
     machine.resetAfterRestart();
     machine.leaseFromMs = nowMs;
     machine.unreconciledSinceMs = nowMs;
--- a/src/main/java/org/astershift/scheduler/CommandReconciler.java
+++ b/src/main/java/org/astershift/scheduler/CommandReconciler.java
@@ -2,12 +2,16 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Predicate;
 
 /**
  * Turns the difference between the attempts wanted on a machine and those that it reports into
- * commands. The commands are sent in the response to the machine's heartbeat, or as direct commands
- * if they should not wait for the next heartbeat.
+ * commands. Stops are also sent as direct commands if they should not wait for the next heartbeat.
+ *
+ * <p>Starts are sent in responses to heartbeats only. A worker that has just restarted accepts any
+ * direct command, since it is in its first epoch and has seen no token. So a direct start that is
+ * delayed or repeated could run a task that has been moved or cancelled meanwhile, whereas a
+ * response reaches only the incarnation that sent the heartbeat, within the heartbeat's timeout.
+ * For a start that is due, the machine is asked to send a heartbeat at once.
  */
 final class CommandReconciler {
   /**
@@ -32,17 +36,20 @@
   private static final int COMMAND_TIMEOUT_MS = 2500;
 
   private final ClusterState cluster;
+  private final HeartbeatRequests heartbeatRequests;
   private final CommandConcurrencyLimit concurrencyLimit = new CommandConcurrencyLimit();
 
   CommandReconciler(ClusterState cluster) {
     this.cluster = cluster;
+    this.heartbeatRequests = new HeartbeatRequests(cluster);
   }
 
   /**
    * Returns the commands of the response to the newest heartbeat: all commands whose effect is not
    * visible yet. Records the starts among them in their attempts.
    */
-  List<Command> createHeartbeatResponse(Machine machine, long nowMs) {
+  List<Command> createHeartbeatResponse(
+      Machine machine, StartStatistics.Carrier carrier, long nowMs) {
     List<Command> commands = new ArrayList<>(4);
     for (TaskAttempt attempt : machine.attempts.values()) {
       // A worker sends one heartbeat at a time: the previous response has arrived or never will.
@@ -52,19 +59,15 @@
     boolean usable = cluster.incarnations.isUsable(machine, nowMs);
     for (TaskAttempt attempt : machine.attempts.values()) {
       if (attempt.isExited()) {
-        // A start that arrives after its attempt was forgotten would run the task a second time.
-        if (canForget(attempt)
-            && cluster.fencingTokens.excludesLateStart(machine, attempt, nowMs)) {
+        if (canForget(attempt)) {
           commands.add(Command.forget(attempt));
         }
       } else if (attempt.isUnwanted()) {
-        if (attempt.phase == null && usable) {
-          // With this start the worker remembers the attempt, so a late start has no effect.
-          attempt.startInHeartbeatResponse = true;
-          commands.add(Command.start(attempt));
-        }
         commands.add(Command.stop(attempt, attempt.gracePeriodS()));
       } else if (attempt.phase == null && attempt.job.opened && machine.registered && usable) {
+        if (!attempt.startSent) {
+          cluster.startStatistics.onFirstSent(carrier, attempt, nowMs);
+        }
         attempt.startSent = true;
         attempt.startInHeartbeatResponse = true;
         commands.add(Command.start(attempt));
@@ -74,26 +77,10 @@
   }
 
   /** Drops unwanted attempts whose start was not executed and can no longer be. */
-  private void dropNeverStarted(Machine machine) {
-    drop(machine, attempt -> !attempt.isStartPending());
-  }
-
-  /**
-   * Drops unwanted attempts like {@link #dropNeverStarted}, and those whose start the machine
-   * refuses by now. Only answers to direct commands show the state of a machine that restarted in
-   * this term; an attempt kept there would hold resources and team quota indefinitely.
-   */
-  void dropNeverStartedOrRefused(Machine machine, Heartbeat answer) {
-    drop(machine, attempt -> !attempt.isStartPending() || !attempt.mayBeStartedLate(answer));
-  }
-
-  private void drop(Machine machine, Predicate<TaskAttempt> isStartExcluded) {
+  void dropNeverStarted(Machine machine) {
     List<TaskAttempt> neverStarted = new ArrayList<>(0);
     for (TaskAttempt attempt : machine.attempts.values()) {
-      if (attempt.isUnwanted()
-          && attempt.phase == null
-          && isStartExcluded.test(attempt)
-          && !attempt.startInHeartbeatResponse) {
+      if (attempt.isUnwanted() && attempt.phase == null && !attempt.isStartPending()) {
         neverStarted.add(attempt);
       }
     }
@@ -132,30 +119,51 @@
         || attempt.job.persistedDoneTasks.get(attempt.index);
   }
 
-  /** Returns whether some command should not wait for the machine's next heartbeat. */
-  static boolean isUrgentCommandDue(Machine machine) {
+  /** Returns whether some command should not wait for the machine's next regular heartbeat. */
+  static boolean isUrgentCommandDue(Machine machine, long nowMs) {
+    return hasStopDue(machine)
+        || (hasStartDue(machine) && HeartbeatRequests.isIntervalOver(machine, nowMs));
+  }
+
+  private static boolean hasStartDue(Machine machine) {
+    return machine.attempts.values().stream().anyMatch(CommandReconciler::isStartDue);
+  }
+
+  private static boolean hasStopDue(Machine machine) {
+    return machine.attempts.values().stream().anyMatch(CommandReconciler::isStopDue);
+  }
+
+  /**
+   * Returns whether the response to the machine's newest heartbeat waits for a command that is due
+   * now. The response is then to be sent; also for a stop, as the worker does not report the exit
+   * before it has the response.
+   */
+  boolean isDeferredResponseDue(Machine machine) {
+    return machine.response.deferred != null
+        && !machine.response.deferred.isReleased()
+        && (hasStartDue(machine) || hasStopDue(machine));
+  }
+
+  /**
+   * Records that the deferred response is about to be sent. The stops of preempted tasks go with it
+   * alone. Others are sent directly, too: those of gangs have to arrive together, and a
+   * cancellation waits for the answer.
+   */
+  void releaseDeferredResponse(Machine machine) {
+    machine.response.deferred.release();
     for (TaskAttempt attempt : machine.attempts.values()) {
-      if (isStartDue(attempt) || isStopDue(attempt)) {
-        return true;
-      }
+      attempt.stopSent |=
+          isStopDue(attempt) && attempt.stopping && attempt.job.spec.kind() != JobKind.GANG;
     }
-    return false;
   }
 
   /**
    * Returns whether the machine's urgent commands may be sent now. Stops may always be sent, since
-   * the stops of a gang have to arrive together; starts only within the concurrency limit.
+   * the stops of a gang have to arrive together; heartbeats are requested only within the
+   * concurrency limit.
    */
   boolean canSendNow(Machine machine) {
-    if (concurrencyLimit.hasCapacity()) {
-      return true;
-    }
-    for (TaskAttempt attempt : machine.attempts.values()) {
-      if (isStopDue(attempt)) {
-        return true;
-      }
-    }
-    return false;
+    return concurrencyLimit.hasCapacity() || hasStopDue(machine);
   }
 
   /** Returns the limit of direct commands in flight. */
@@ -164,8 +172,8 @@
   }
 
   /**
-   * Returns whether a direct start is due. The machine has to be registered: after a restart it may
-   * hold an unconfirmed start, so it is registered again first.
+   * Returns whether the attempt waits for a heartbeat of its machine to be started. The machine has
+   * to be registered again after a restart.
    */
   private static boolean isStartDue(TaskAttempt attempt) {
     return attempt.phase == null
@@ -175,20 +183,22 @@
         && attempt.machine.registered;
   }
 
+  /**
+   * Returns whether a stop is due, also of a start that may still arrive: if it has arrived, the
+   * answer shows the end of the task, which a cancellation waits for.
+   */
   private static boolean isStopDue(TaskAttempt attempt) {
     return !attempt.isExited()
         && attempt.isUnwanted()
         && attempt.startSent
         && !attempt.stopSent
-        && attempt.phase != null;
+        && (attempt.phase != null || attempt.isStartPending());
   }
 
   /**
    * Returns the commands that should not wait for the machine's next heartbeat, and marks them as
-   * sent; null if there are none. Starts are included only while this leader's lease is certain: a
-   * machine that a later leader fenced and that then restarts has no fencing token, so it would
-   * execute a direct start of a leader that was suspended meanwhile. A heartbeat response, in
-   * contrast, reaches only an incarnation that has just shown its token.
+   * sent: the stops that are due, or a request for a heartbeat if a start is due. Returns null if
+   * there is nothing to send.
    */
   Decision.SendCommands createUrgentCommands(Machine machine, boolean leaseCertain, long nowMs) {
     if (machine.directCommands.isInFlight()
@@ -202,16 +212,14 @@
       if (isStopDue(attempt)) {
         commands.add(Command.stop(attempt, attempt.gracePeriodS()));
         attempt.stopSent = true;
-      } else if (leaseCertain
-          && isStartDue(attempt)
-          && !cluster.heartbeatTiming.isOutboundPartitioned(machine, nowMs)) {
-        commands.add(createDirectStart(attempt));
       }
     }
-    if (commands.isEmpty()) {
+    boolean mayRequest = leaseCertain && commands.isEmpty() && hasStartDue(machine);
+    if (commands.isEmpty() && !(mayRequest && heartbeatRequests.prepare(machine, nowMs))) {
       return null;
     }
     concurrencyLimit.onSent(machine.name, nowMs);
+    machine.token.sentOnce = false;
     return createDirectCommands(machine, commands, COMMAND_TIMEOUT_MS, nowMs);
   }
 
@@ -219,7 +227,7 @@
    * Returns a direct command that fences an inherited machine, or probes a machine whose heartbeat
    * is overdue, that may have restarted, or that is inbound-partitioned; null if none is due.
    */
-  Decision.SendCommands createFenceOrProbe(Machine machine, boolean leaseCertain, long nowMs) {
+  Decision.SendCommands createFenceOrProbe(Machine machine, long nowMs) {
     if (!canFenceOrProbe(machine, nowMs)) {
       return null;
     }
@@ -232,15 +240,11 @@
     if (!fence && !probe && !restartCheck) {
       return null;
     }
-    if (machine.staleMessageSeen || machine.restartSuspected) {
-      // The answer then shows a token that excludes earlier starts.
-      cluster.fencingTokens.raise(machine);
-    }
+    machine.token.sentOnce =
+        (machine.staleMessageSeen || machine.restartSuspected)
+            && cluster.fencingTokens.raise(machine);
     return createDirectCommands(
-        machine,
-        repeatUnacknowledgedCommands(machine, leaseCertain, nowMs),
-        Scheduler.MACHINE_PROBE_TIMEOUT_MS,
-        nowMs);
+        machine, repeatStops(machine), Scheduler.MACHINE_PROBE_TIMEOUT_MS, nowMs);
   }
 
   private static boolean canFenceOrProbe(Machine machine, long nowMs) {
@@ -257,37 +261,17 @@
   }
 
   /**
-   * Returns the commands that were sent without a visible effect. While no heartbeats arrive, no
-   * response repeats these commands, so a probe does. Heartbeats of a machine that restarted in
-   * this term prove nothing, so the probe also repeats unconfirmed starts. The start of an attempt
-   * that is unwanted by now is sent with a stop, so that the worker remembers the attempt;
-   * otherwise a cancellation would wait for it indefinitely.
+   * Returns the stops that were sent without a visible effect. While no heartbeats arrive, no
+   * response repeats these stops, so a probe does.
    */
-  private List<Command> repeatUnacknowledgedCommands(
-      Machine machine, boolean leaseCertain, long nowMs) {
-    List<Command> commands = new ArrayList<>(0);
-    boolean startsAllowed =
-        leaseCertain
-            && machine.restartedInTerm
-            && machine.registered
-            && machine.state == Machine.State.LIVE;
+  private static List<Command> repeatStops(Machine machine) {
+    List<Command> stops = new ArrayList<>(0);
     for (TaskAttempt attempt : machine.attempts.values()) {
-      if (startsAllowed
-          && attempt.phase == null
-          && attempt.startUnconfirmed
-          && attempt.job.state == Job.State.LIVE) {
-        if (attempt.isUnwanted()) {
-          commands.add(createDirectStart(attempt));
-          commands.add(Command.stop(attempt, attempt.gracePeriodS()));
-        } else if (attempt.job.opened
-            && !cluster.heartbeatTiming.isOutboundPartitioned(machine, nowMs)) {
-          commands.add(createDirectStart(attempt));
-        }
-      } else if (!attempt.isExited() && attempt.isUnwanted() && attempt.stopSent) {
-        commands.add(Command.stop(attempt, attempt.gracePeriodS()));
+      if (!attempt.isExited() && attempt.isUnwanted() && attempt.stopSent) {
+        stops.add(Command.stop(attempt, attempt.gracePeriodS()));
       }
     }
-    return commands;
+    return stops;
   }
 
   /**
@@ -307,26 +291,15 @@
     return !machine.fenced && machine.inherited && nowMs - sinceMs >= waitMs;
   }
 
-  /** Returns whether a queued fence or probe is still of use. */
-  boolean isFenceOrProbeStillDue(Machine machine, long nowMs) {
+  /** Returns whether a queued direct command without commands is still of use. */
+  boolean isEmptyCommandStillDue(Machine machine, long nowMs) {
     return isFenceDue(machine, nowMs)
+        || hasStartDue(machine)
         || machine.staleMessageSeen
         || machine.isInboundPartitioned()
         || (machine.fenced && cluster.heartbeatTiming.isHeartbeatOverdue(machine, nowMs));
   }
 
-  /**
-   * Returns a start to send in a direct command for the machine's current epoch. Marks it as in
-   * flight, since the attempt must not be dropped while the start may still arrive.
-   */
-  private Command createDirectStart(TaskAttempt attempt) {
-    attempt.startSent = true;
-    attempt.startInFlight = true;
-    attempt.directStartToken = cluster.fencingTokens.of(attempt.machine);
-    attempt.startEpoch = Math.max(1, attempt.machine.epoch);
-    return Command.start(attempt);
-  }
-
   private Decision.SendCommands createDirectCommands(
       Machine machine, List<Command> commands, int timeoutMs, long nowMs) {
     boolean silent =
@@ -344,27 +317,4 @@
         commands,
         timeoutMs);
   }
-
-  /**
-   * Handles the answer to a direct command. If the answer is {@code overtaken} by a newer message,
-   * a start that no message has reported may have been executed by a later incarnation than the
-   * known one.
-   */
-  static void onAnswered(Machine machine, boolean overtaken) {
-    machine.directCommands.onSettled();
-    for (TaskAttempt attempt : machine.attempts.values()) {
-      attempt.onDirectStartSettled(overtaken && attempt.phase == null);
-    }
-  }
-
-  /**
-   * Handles a direct command without an answer; if {@code outcomeUnknown}, it may still be
-   * executed.
-   */
-  static void onUnanswered(Machine machine, boolean outcomeUnknown) {
-    machine.directCommands.onSettled();
-    for (TaskAttempt attempt : machine.attempts.values()) {
-      attempt.onDirectStartSettled(outcomeUnknown);
-    }
-  }
 }
--- a/src/main/java/org/astershift/scheduler/Decision.java
+++ b/src/main/java/org/astershift/scheduler/Decision.java
@@ -20,6 +20,9 @@
     /** Sends direct commands to a machine. */
     void visit(SendCommands decision);
 
+    /** Sends a deferred response to a machine. */
+    void visit(SendDeferredResponse decision);
+
     /** Records that a job is done. */
     void visit(FinishJob decision);
 
@@ -66,7 +69,8 @@
 
   /**
    * Sends these commands directly to the machine, under this term's token for the machine; without
-   * commands it only fences or probes.
+   * commands it fences or probes the machine, or requests a heartbeat. No start is among them, as a
+   * restarted worker would also execute one that is delayed or repeated.
    */
   record SendCommands(
       String machineName,
@@ -76,6 +80,23 @@
       List<Command> commands,
       int timeoutMs)
       implements Decision {
+    /** Throws {@link IllegalArgumentException} if a start is among the commands. */
+    public SendCommands {
+      for (Command command : commands) {
+        if (command.kind() == Command.Kind.START) {
+          throw new IllegalArgumentException("direct start of " + command);
+        }
+      }
+    }
+
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.visit(this);
+    }
+  }
+
+  /** Sends the response to the machine's newest heartbeat, which waits for commands. */
+  record SendDeferredResponse(String machineName) implements Decision {
     @Override
     public void accept(Visitor visitor) {
       visitor.visit(this);
--- a/src/main/java/org/astershift/scheduler/DirectCommands.java
+++ b/src/main/java/org/astershift/scheduler/DirectCommands.java
@@ -1,6 +1,5 @@
 package org.astershift.scheduler;
 
-import java.util.List;
 import org.astershift.scheduler.MessageClassifier.Evidence;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -36,41 +35,14 @@
     Machine machine = cluster.machines.get(decision.machineName());
     if (machine == null
         || !decision.commands().isEmpty()
-        || commandReconciler.isFenceOrProbeStillDue(machine, nowMs)) {
+        || commandReconciler.isEmptyCommandStillDue(machine, nowMs)) {
       return true;
     }
-    CommandReconciler.onUnanswered(machine, false);
-    requeueUrgentCommands(machine);
+    machine.directCommands.onSettled();
+    requeueUrgentCommands(machine, nowMs);
     return false;
   }
 
-  /** Returns the commands of the decision without starts that must no longer be sent. */
-  List<Command> selectSendableCommands(Decision.SendCommands decision, boolean leaseCertain) {
-    return decision.commands().stream()
-        .filter(
-            command ->
-                command.kind() != Command.Kind.START
-                    || (leaseCertain
-                        && (isStartWanted(command.jobId())
-                            || isAccompaniedByStop(decision, command))))
-        .toList();
-  }
-
-  /** Returns whether a start is sent with its stop, for a job whose end is not confirmed yet. */
-  private boolean isAccompaniedByStop(Decision.SendCommands decision, Command start) {
-    return cluster.jobs.containsKey(start.jobId())
-        && decision.commands().stream()
-            .filter(command -> command.kind() == Command.Kind.STOP)
-            .anyMatch(
-                command ->
-                    command.jobId().equals(start.jobId()) && command.index() == start.index());
-  }
-
-  private boolean isStartWanted(String jobId) {
-    Job job = cluster.jobs.get(jobId);
-    return job != null && job.state == Job.State.LIVE && !job.cancellationRequested;
-  }
-
   /** Handles the result of a direct command; {@code heartbeat} is null if there was no answer. */
   void onResult(
       String machineName,
@@ -87,19 +59,19 @@
     if (heartbeat != null && heartbeat.machineName().equals(machineName)) {
       onAnswer(machine, heartbeat, nowMs - receivedMs, nowMs);
     } else {
-      CommandReconciler.onUnanswered(machine, outcomeUnknown);
+      machine.directCommands.onSettled();
       if (machine.epoch > 0 || machine.state == Machine.State.UNRECONCILED) {
         onNoAnswer(machine, outcomeUnknown, nowMs);
       }
     }
-    requeueUrgentCommands(machine);
+    requeueUrgentCommands(machine, nowMs);
     if (machine.heldAttemptCount() < heldBefore) {
       cluster.requestPass();
     }
   }
 
   private void onAnswer(Machine machine, Heartbeat answer, long waitedMs, long nowMs) {
-    CommandReconciler.onAnswered(machine, MessageClassifier.isOvertaken(machine, answer));
+    machine.directCommands.onSettled();
     heartbeatReconciler.resolveSender(answer, nowMs);
     if (heartbeatReconciler.isDeposed()) {
       return;
@@ -114,33 +86,37 @@
       return;
     }
     machine.staleMessageSeen = false;
-    resolveRestartSuspicion(machine, evidence, answer, nowMs);
+    resolveRestartSuspicion(machine, evidence, nowMs);
     heartbeatReconciler.recordIncarnation(machine, answer, true, nowMs);
     heartbeatReconciler.recordContact(machine, answer, nowMs);
+    machine.token.onShown(answer.fencingToken(), nowMs);
     heartbeatReconciler.reconcile(machine, answer, false, nowMs);
-    commandReconciler.dropNeverStartedOrRefused(machine, answer);
+    commandReconciler.dropNeverStarted(machine);
   }
 
-  private void resolveRestartSuspicion(
-      Machine machine, Evidence evidence, Heartbeat answer, long nowMs) {
+  private void resolveRestartSuspicion(Machine machine, Evidence evidence, long nowMs) {
     if (evidence == Evidence.RESTARTED) {
       cluster.reconciliationLog.onRestartConfirmed();
-      cluster.onMachineRestarted(machine, answer, nowMs);
+      cluster.onMachineRestarted(machine, nowMs);
     } else if (evidence == Evidence.MAYBE_RESTARTED) {
       cluster.reconciliationLog.onRestartPresumed();
-      cluster.onPossibleRestart(machine, answer, nowMs);
+      cluster.onPossibleRestart(machine, nowMs);
     } else if (machine.restartSuspected) {
       cluster.reconciliationLog.onRestartRefuted();
     }
     machine.restartSuspected = false;
-    if (evidence != Evidence.CURRENT
-        && machine.attempts.values().stream().anyMatch(TaskAttempt::isStartPending)) {
-      // The next probe carries a token under which the machine refuses these starts.
+    if (answerLacksIncarnationToken(machine, evidence)) {
+      // The next probe carries a token that identifies the new incarnation.
       machine.staleMessageSeen = true;
       machine.directCommands.permitImmediateProbe();
     }
   }
 
+  private boolean answerLacksIncarnationToken(Machine machine, Evidence evidence) {
+    return evidence != Evidence.CURRENT
+        && cluster.fencingTokens.of(machine) < machine.token.minOfIncarnation;
+  }
+
   private void onNoAnswer(Machine machine, boolean outcomeUnknown, long nowMs) {
     machine.directCommands.onUnanswered(outcomeUnknown);
     machine.history.add(
@@ -152,8 +128,8 @@
   }
 
   /** Makes the next pass send commands that became due while another one was in flight. */
-  private void requeueUrgentCommands(Machine machine) {
-    if (CommandReconciler.isUrgentCommandDue(machine)) {
+  private void requeueUrgentCommands(Machine machine, long nowMs) {
+    if (CommandReconciler.isUrgentCommandDue(machine, nowMs)) {
       cluster.machinesWithPendingCommands.add(machine);
       cluster.requestPass();
     }
--- a/src/main/java/org/astershift/scheduler/FencingTokens.java
+++ b/src/main/java/org/astershift/scheduler/FencingTokens.java
@@ -9,8 +9,9 @@
  * place. All of these are lower than a successor's token, which is the revision of a later
  * creation.
  *
- * <p>A machine refuses commands with a lower token than the highest that it has seen. So a machine
- * whose token is raised executes no direct command sent before, neither a delayed one nor a copy.
+ * <p>A machine's token is raised for two reasons. A token that no earlier incarnation can have seen
+ * identifies the incarnation that shows it. And a worker that sees a higher token sends a heartbeat
+ * at once, at most once in half of its lease.
  */
 final class FencingTokens {
   private static final Logger LOG = LoggerFactory.getLogger(FencingTokens.class);
@@ -46,7 +47,7 @@
 
   /** Returns the token for commands and responses to the machine. */
   long of(Machine machine) {
-    return Math.max(termToken, machine.raisedToken);
+    return Math.max(termToken, machine.token.raised);
   }
 
   /**
@@ -58,33 +59,33 @@
     if (latestToken <= previous) {
       return false;
     }
-    machine.raisedToken = previous + 1;
+    machine.token.raised = previous + 1;
     raisedCount++;
     LOG.debug("token raised: machine={} to={} latest={}", machine.name, previous + 1, latestToken);
     return true;
   }
 
   /**
-   * Returns whether a response to the machine excludes that a start of the attempt is executed
-   * later. Raises the machine's token if that is needed. A direct command in flight has the
-   * previous token and must not be refused, so the token is not raised then.
+   * Returns the lowest token that no incarnation can have seen before the one that has answered the
+   * machine's last direct command.
    */
-  boolean excludesLateStart(Machine machine, TaskAttempt attempt, long nowMs) {
-    if (attempt.startUnconfirmed || attempt.startInFlight) {
-      return false;
-    }
-    if (attempt.directStartToken < of(machine)) {
-      return true;
-    }
-    if (machine.directCommands.isInFlight()) {
-      return false;
+  long lowestUnseenByEarlierIncarnations(Machine machine) {
+    return machine.token.sentOnce ? of(machine) : of(machine) + 1;
+  }
+
+  /**
+   * Raises the token of a restarted machine so that its heartbeats identify its incarnation, unless
+   * it is high enough. A direct command in flight has the previous token and must not be refused,
+   * so the token is not raised then.
+   */
+  void raiseToIdentifyIncarnation(Machine machine, long nowMs) {
+    if (of(machine) >= machine.token.minOfIncarnation || machine.directCommands.isInFlight()) {
+      return;
     }
-    boolean raised = raise(machine);
-    if (!raised && waitingMachine == null) {
+    if (!raise(machine) && waitingMachine == null) {
       waitingMachine = machine;
       waitingSinceMs = nowMs;
     }
-    return raised;
   }
 
   /**
--- a/src/main/java/org/astershift/scheduler/HeartbeatReconciler.java
+++ b/src/main/java/org/astershift/scheduler/HeartbeatReconciler.java
@@ -115,8 +115,14 @@
     if (!machine.isNewestMessage(heartbeat)) {
       return false;
     }
+    if (machine.epoch > 0 && heartbeat.epoch() > machine.epoch) {
+      onNewEpoch(machine, previousAnswered);
+    }
     if (heartbeat.epoch() > machine.epoch) {
-      onNewEpoch(machine, heartbeat, previousAnswered, nowMs);
+      // The lease of the new epoch counts from the start of that epoch, possibly long after the
+      // last heartbeat that arrived here. Counted from that heartbeat, the lease would appear
+      // expired while tasks of the new epoch are running.
+      machine.leaseFromMs = Math.max(machine.leaseFromMs, nowMs);
     }
     machine.epoch = heartbeat.epoch();
     machine.sequence = heartbeat.sequence();
@@ -136,19 +142,12 @@
   }
 
   /** Handles a later epoch: the worker's lease has expired, so tasks of earlier epochs are gone. */
-  private void onNewEpoch(
-      Machine machine, Heartbeat heartbeat, boolean previousAnswered, long nowMs) {
-    if (machine.epoch > 0 && previousAnswered) {
+  private void onNewEpoch(Machine machine, boolean previousAnswered) {
+    if (previousAnswered) {
       machine.staleMessageSeen = true; // lease expired despite the answer: responses may be lost
     }
     List<TaskAttempt> ended = new ArrayList<>(machine.attempts.values());
-    // A pending start sent to an earlier incarnation may also match this epoch number.
-    ended.removeIf(attempt -> attempt.isStartPending() && attempt.startEpoch >= heartbeat.epoch());
     cluster.attempts.dropAll(machine, ended, DropReason.NEW_EPOCH);
-    // The lease of the new epoch counts from the start of that epoch, possibly long after the last
-    // heartbeat that arrived here. Counted from that heartbeat, the lease would appear expired
-    // while tasks of the new epoch are running.
-    machine.leaseFromMs = Math.max(machine.leaseFromMs, nowMs);
   }
 
   private void recordPreemptionNotice(Machine machine, Heartbeat heartbeat) {
@@ -171,7 +170,7 @@
       if (attempt == null) {
         unknownTasks.add(status);
       } else if (attempt.isExited() && status.phase() != Heartbeat.TaskPhase.EXITED) {
-        // The worker forgot the attempt and executed a copy of its start.
+        // A direct start of an earlier version's leader was executed once more.
         cluster.reconciliationLog.onExitContradicted(attempt, status.phase(), nowMs);
         cluster.attempts.drop(attempt);
         unknownTasks.add(status);
@@ -191,7 +190,6 @@
         absentAttempts.add(attempt);
       }
     }
-    absentAttempts.removeIf(attempt -> attempt.retainIfMayBeStartedLate(heartbeat));
     cluster.attempts.dropAll(machine, absentAttempts, DropReason.NOT_LISTED);
   }
 
--- a/src/main/java/org/astershift/scheduler/IncarnationTracker.java
+++ b/src/main/java/org/astershift/scheduler/IncarnationTracker.java
@@ -95,16 +95,16 @@
             || sequenceExcludesRestart(machine, heartbeat, nowMs));
   }
 
-  /** Returns whether a reported task's start cannot have reached another incarnation as well. */
+  /**
+   * Returns whether the message reports a task that this incarnation has reported before. Starts
+   * are sent in heartbeat responses only, so no other incarnation can have executed them.
+   */
   private static boolean reportsKnownAttempt(Machine machine, Heartbeat heartbeat) {
     for (Heartbeat.TaskStatus status : heartbeat.tasks()) {
       TaskAttempt attempt =
           machine.attempts.get(
               new TaskAttempt.Key(status.jobId(), status.index(), status.attemptNumber()));
-      if (attempt != null
-          && attempt.phase != null
-          && !attempt.startUnconfirmed
-          && !attempt.startInFlight) {
+      if (attempt != null && attempt.phase != null) {
         return true;
       }
     }
--- a/src/main/java/org/astershift/scheduler/Job.java
+++ b/src/main/java/org/astershift/scheduler/Job.java
@@ -41,6 +41,9 @@
   /** Whether this or an earlier leader made the opening durable, so commands may have been sent. */
   boolean opened;
 
+  /** When the job was opened in this term, in milliseconds of the monotonic clock. */
+  long openedMs;
+
   /** Whether an earlier leader opened the job, so that unreconciled machines may hold its tasks. */
   boolean inherited;
 
--- a/src/main/java/org/astershift/scheduler/LeaseExpiry.java
+++ b/src/main/java/org/astershift/scheduler/LeaseExpiry.java
@@ -1,5 +1,7 @@
 package org.astershift.scheduler;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.astershift.config.ClockBounds;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -46,11 +48,9 @@
     if (!leaseMatters || !machine.fenced || silentMs <= leaseMs(cluster.limits)) {
       return;
     }
-    int dropped = cluster.attempts.dropExceptPendingStarts(machine, DropReason.LEASE_EXPIRED);
-    for (TaskAttempt attempt : machine.attempts.values()) {
-      attempt.startLeaseExpired = true;
-    }
-    if (machine.state == Machine.State.LIVE || dropped > 0) {
+    List<TaskAttempt> ended = new ArrayList<>(machine.attempts.values());
+    cluster.attempts.dropAll(machine, ended, DropReason.LEASE_EXPIRED);
+    if (machine.state == Machine.State.LIVE || !ended.isEmpty()) {
       LOG.info("lease expired: machine={} silent_ms={}", machine.name, silentMs);
     }
     // A machine being released keeps its state: it must not be used while the cloud is unavailable.
--- a/src/main/java/org/astershift/scheduler/Machine.java
+++ b/src/main/java/org/astershift/scheduler/Machine.java
@@ -70,8 +70,9 @@
 
   final DirectCommandState directCommands = new DirectCommandState();
 
-  /** The token of this term to which the machine's was raised; 0 if it was not. */
-  long raisedToken;
+  final MachineToken token = new MachineToken();
+
+  final MachineResponse response = new MachineResponse();
 
   /** Time from which the machine may hold unknown tasks: the term's start or its own restart. */
   long unreconciledSinceMs;
@@ -94,9 +95,6 @@
   /** Whether a lower token or a missing task suggests a restart; the message may be stale. */
   boolean restartSuspected;
 
-  /** Whether the machine restarted in this term; heartbeats then do not prove their incarnation. */
-  boolean restartedInTerm;
-
   /** Whether an outdated message arrived, so only an answer can tell if the machine restarted. */
   boolean staleMessageSeen;
 
@@ -195,7 +193,8 @@
    * registered again before use, so no leader that it followed in between considers it reconciled.
    */
   void resetAfterRestart() {
-    restartedInTerm = true;
+    token.onRestart();
+    response.reset();
     incarnation = new MachineIncarnation();
     epoch = 0;
     sequence = 0;
--- a/src/main/java/org/astershift/scheduler/MessageClassifier.java
+++ b/src/main/java/org/astershift/scheduler/MessageClassifier.java
@@ -63,7 +63,9 @@
     if (!machine.messageOrder.isNewestHeartbeat(heartbeat) || heartbeat.epoch() < machine.epoch) {
       return Evidence.STALE;
     }
-    return machine.restartedInTerm ? Evidence.LIVENESS_ONLY : Evidence.CURRENT;
+    return machine.token.isOfCurrentIncarnation(heartbeat)
+        ? Evidence.CURRENT
+        : Evidence.LIVENESS_ONLY;
   }
 
   /**
@@ -118,7 +120,7 @@
    * messages than before the restart.
    */
   private static boolean lacksReportedAttempt(Machine machine, Heartbeat heartbeat) {
-    if (machine.restartedInTerm
+    if (!machine.token.isOfCurrentIncarnation(heartbeat)
         || heartbeat.epoch() != machine.epoch
         || !machine.isNewestMessage(heartbeat)) {
       return false;
--- a/src/main/java/org/astershift/scheduler/Scheduler.java
+++ b/src/main/java/org/astershift/scheduler/Scheduler.java
@@ -154,11 +154,12 @@
   }
 
   /** Handles the durable opening of a job: its commands may be sent from now on. */
-  public void onJobOpened(String jobId) {
+  public void onJobOpened(String jobId, long nowMs) {
     outstandingDecisions.onSettled(Kind.OPEN_JOB, jobId);
     Job job = cluster.jobs.get(jobId);
     if (job != null) {
       job.opened = true;
+      job.openedMs = nowMs;
       cluster.jobsToOpen.remove(job);
       for (TaskAttempt attempt : job.attempts.values()) {
         cluster.machinesWithPendingCommands.add(attempt.machine);
@@ -285,22 +286,21 @@
     return heartbeatHandler.onHeartbeat(heartbeat, receivedMs, nowMs);
   }
 
+  /** Records that the response just returned waits; see {@link HeartbeatResponse#maxDelayMs}. */
+  public void deferResponse(Heartbeat heartbeat) {
+    heartbeatHandler.deferResponse(heartbeat);
+  }
+
+  /** Returns the response to send in place of a deferred one; null if it must not be sent. */
+  public HeartbeatResponse completeDeferredResponse(Heartbeat heartbeat, long nowMs) {
+    return heartbeatHandler.completeDeferredResponse(heartbeat, nowMs);
+  }
+
   /** Returns whether queued direct commands are still due; settles them if not. */
   public boolean areDirectCommandsStillDue(Decision.SendCommands decision, long nowMs) {
     return directCommands.isStillDue(decision, nowMs);
   }
 
-  /**
-   * Returns the commands of the decision to send once its connection exists. Omits starts of jobs
-   * that are over or being cancelled, and all starts unless {@code leaseCertain}: only then did the
-   * connected incarnation exist before any later leader. Heartbeat responses carry the omitted
-   * commands.
-   */
-  public List<Command> selectSendableCommands(
-      Decision.SendCommands decision, boolean leaseCertain) {
-    return directCommands.selectSendableCommands(decision, leaseCertain);
-  }
-
   /** Handles the result of direct commands; {@code heartbeat} is null if there was no answer. */
   public void onCommandResult(
       String machineName,
@@ -368,9 +368,9 @@
 
   /** Returns a log line with counts of what messages of machines proved. */
   public String reconciliationSummary() {
-    return cluster.reconciliationLog.summary()
-        + " tokens_raised="
-        + cluster.fencingTokens.raisedCount();
+    String starts = cluster.startStatistics.summary();
+    long raised = cluster.fencingTokens.raisedCount();
+    return cluster.reconciliationLog.summary() + " tokens_raised=" + raised + " " + starts;
   }
 
   /** Returns a log line on service per class and team; warns about unstarted jobs. */
@@ -393,7 +393,7 @@
     return cluster;
   }
 
-  /** For tests: returns a live job, or null. */
+  /** For tests: a live job, or null. */
   Job job(String jobId) {
     return cluster.jobs.get(jobId);
   }
--- a/src/main/java/org/astershift/scheduler/SchedulingPass.java
+++ b/src/main/java/org/astershift/scheduler/SchedulingPass.java
@@ -65,7 +65,7 @@
     placement.runPass(nowMs);
     sendUrgentCommands(decisions, leaseCertain, nowMs);
     if (sweepDue) {
-      fenceAndProbeMachines(decisions, leaseCertain, nowMs);
+      fenceAndProbeMachines(decisions, nowMs);
     }
     registerMachines(decisions, nowMs);
     openJobs(decisions);
@@ -103,6 +103,10 @@
     List<Machine> machinesWithCommands = new ArrayList<>(cluster.machinesWithPendingCommands);
     cluster.machinesWithPendingCommands.clear();
     for (Machine machine : machinesWithCommands) {
+      if (commandReconciler.isDeferredResponseDue(machine)) {
+        commandReconciler.releaseDeferredResponse(machine);
+        decisions.add(new Decision.SendDeferredResponse(machine.name));
+      }
       if (!commandReconciler.canSendNow(machine)) {
         cluster.machinesWithPendingCommands.add(machine);
         continue;
@@ -117,11 +121,10 @@
     }
   }
 
-  private void fenceAndProbeMachines(List<Decision> decisions, boolean leaseCertain, long nowMs) {
+  private void fenceAndProbeMachines(List<Decision> decisions, long nowMs) {
     commandReconciler.concurrencyLimit().removeLost(nowMs);
     for (Machine machine : cluster.allMachines()) {
-      Decision.SendCommands fenceOrProbe =
-          commandReconciler.createFenceOrProbe(machine, leaseCertain, nowMs);
+      Decision.SendCommands fenceOrProbe = commandReconciler.createFenceOrProbe(machine, nowMs);
       if (fenceOrProbe != null) {
         decisions.add(fenceOrProbe);
       }
--- a/src/main/java/org/astershift/scheduler/TaskAttempt.java
+++ b/src/main/java/org/astershift/scheduler/TaskAttempt.java
@@ -18,31 +18,9 @@
   /** Sequence number of the newest message that reported the attempt; -1 if none did. */
   long lastReportedSequence = -1;
 
-  /** Whether a start was sent, as a direct command or in a heartbeat response. */
+  /** Whether a start was sent in a heartbeat response. */
   boolean startSent;
 
-  /**
-   * Whether a direct start got no answer and may still be executed while fencing token and epoch
-   * match. Until the epoch is over the worker must not forget the attempt, because a late start
-   * would then run the task a second time.
-   */
-  boolean startUnconfirmed;
-
-  /** Whether a direct start is in flight. */
-  boolean startInFlight;
-
-  /**
-   * Whether the lease of the incarnation to which an unconfirmed start was sent has expired, so
-   * that only a restarted machine could execute it now.
-   */
-  boolean startLeaseExpired;
-
-  /** The epoch for which the last direct start was sent; it has no effect in a later epoch. */
-  long startEpoch;
-
-  /** The token of the last direct start; -1 if there was none. */
-  long directStartToken = -1;
-
   /**
    * Whether the newest heartbeat response contained a start. Only the next heartbeat shows whether
    * it arrived, since a worker may receive a response just before its deadline.
@@ -75,52 +53,17 @@
     return phase == Heartbeat.TaskPhase.EXITED;
   }
 
-  /**
-   * Records that the direct start, if any, is no longer in flight; if {@code unconfirmed}, the
-   * start may still be executed or have been executed.
-   */
-  void onDirectStartSettled(boolean unconfirmed) {
-    startUnconfirmed |= startInFlight && unconfirmed;
-    startInFlight = false;
-  }
-
-  /**
-   * Returns whether a direct start that the machine has not reported yet may still be executed. An
-   * expired lease does not exclude this: a restarted machine is in its first epoch again and has no
-   * fencing token, so it would execute a delayed start.
-   */
+  /** Returns whether the machine has not reported the attempt and its start may still arrive. */
   boolean isStartPending() {
-    return phase == null && (startUnconfirmed || startInFlight);
-  }
-
-  /**
-   * Returns whether the incarnation of the machine that sent this message may execute an earlier
-   * direct start of the attempt, which is delayed or a copy.
-   */
-  boolean mayBeStartedLate(Heartbeat message) {
-    return directStartToken >= message.fencingToken() && startEpoch >= message.epoch();
-  }
-
-  /**
-   * Makes the start of an attempt that vanished without an exit count as unconfirmed if it
-   * {@linkplain #mayBeStartedLate may be executed late}; returns whether it did so.
-   */
-  boolean retainIfMayBeStartedLate(Heartbeat message) {
-    boolean retained = !isExited() && mayBeStartedLate(message);
-    if (retained) {
-      job.updatePhase(this, null);
-      startUnconfirmed = true;
-    }
-    return retained;
+    return phase == null && startInHeartbeatResponse;
   }
 
   /**
    * Returns whether the task may still start without a further command, because its image is being
-   * fetched or a start, direct or in a heartbeat response, is in flight or unconfirmed.
+   * fetched or the response with its start may still arrive.
    */
   boolean mayStillStart() {
-    return phase == Heartbeat.TaskPhase.FETCHING
-        || (phase == null && (isStartPending() || startInHeartbeatResponse) && !startLeaseExpired);
+    return phase == Heartbeat.TaskPhase.FETCHING || isStartPending();
   }
 
   /** Returns whether the user sees the task as running, which includes saving a checkpoint. */
--- a/src/main/java/org/astershift/worker/CommandSender.java
+++ b/src/main/java/org/astershift/worker/CommandSender.java
@@ -4,7 +4,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Supplier;
 import org.astershift.http.HttpClient;
 import org.astershift.http.JsonFormatException;
 import org.astershift.http.RequestNotSentException;
@@ -79,16 +78,11 @@
   }
 
   /**
-   * Sends commands to one incarnation of a worker's agent. {@code commands} is called only once the
-   * connection is established, since by then the leader's lease may have expired or the agent may
-   * have restarted; without a connection it is not called at all.
+   * Sends commands to a worker's agent. They may reach an agent that has restarted meanwhile, also
+   * minutes later and more than once.
    */
   public Result send(
-      String address,
-      long fencingToken,
-      long epoch,
-      Supplier<List<Command>> commands,
-      int timeoutMs) {
+      String address, long fencingToken, long epoch, List<Command> commands, int timeoutMs) {
     int separator = portSeparator(address);
     if (separator < 0) {
       return new Result(false, null);
@@ -96,10 +90,10 @@
     HttpClient client = client(address, separator);
     try {
       HttpClient.Response response =
-          client.callWithBodySupplier(
+          client.call(
               "POST",
               "/orders",
-              () -> WorkerCodec.encodeCommandRequest(fencingToken, epoch, commands.get()),
+              WorkerCodec.encodeCommandRequest(fencingToken, epoch, commands),
               timeoutMs);
       if (response.status() != 200 && response.status() != 409) {
         LOG.info("commands rejected: address={} status={}", address, response.status());
--- a/src/test/java/org/astershift/EventDigest.java
+++ b/src/test/java/org/astershift/EventDigest.java
@@ -101,6 +101,8 @@
       number(8).text(d.machineName()).text(d.address());
     } else if (decision instanceof Decision.ProbeThroughPeers d) {
       number(9).number(d.probedMs()).addMachines(d.suspects()).addMachines(d.controls());
+    } else if (decision instanceof Decision.SendDeferredResponse d) {
+      number(10).text(d.machineName());
     } else {
       throw new IllegalArgumentException("no code for the decision: " + decision);
     }
