--- a/src/main/java/org/astershift/scheduler/ResponseDelay.java
+++ b/src/main/java/org/astershift/scheduler/ResponseDelay.java
@@ -24,8 +24,8 @@
   }
 
   /**
-   * Returns the time in milliseconds for which the response without commands to a heartbeat of this
-   * age may wait; 0 if it is to be sent at once.
+   * Returns the time in milliseconds for which the response without urgent commands to a heartbeat
+   * of this age may wait; 0 if it is to be sent at once.
    */
   long maxDelayMs(Machine machine, long heartbeatAgeMs) {
     if (!mayGetStart(machine)) {
--- a/src/test/java/org/astershift/simulation/CommandCopies.java
+++ b/src/test/java/org/astershift/simulation/CommandCopies.java
@@ -20,9 +20,6 @@
   /** Share of the occasions on which a copy is delivered. */
   double share;
 
-  /** Copies that the machine executed after it had forgotten an attempt that they start. */
-  int executedAfterForget;
-
   /** Copies that a later incarnation of the machine executed, as it had no token yet. */
   int executedWithoutToken;
 
@@ -57,20 +54,20 @@
     }
     Execution execution = new Execution(worker.incarnation(), token, epoch, commands);
     executions.computeIfAbsent(worker.name, name -> new ArrayList<>()).add(execution);
-    deliverIfDrawn(worker, execution, MAX_DELAY_MS, false);
+    deliverIfDrawn(worker, execution, MAX_DELAY_MS);
   }
 
   void onForgotten(WorkerModel worker, Command forget) {
     for (Execution execution : executionsAt(worker)) {
       if (execution.starts(forget.jobId(), forget.index(), forget.attemptNumber())) {
-        deliverIfDrawn(worker, execution, FORGET_WINDOW_MS, true);
+        deliverIfDrawn(worker, execution, FORGET_WINDOW_MS);
       }
     }
   }
 
   void onRestarted(WorkerModel worker) {
     for (Execution execution : executionsAt(worker)) {
-      deliverIfDrawn(worker, execution, RESTART_WINDOW_MS, false);
+      deliverIfDrawn(worker, execution, RESTART_WINDOW_MS);
     }
   }
 
@@ -78,22 +75,19 @@
     return List.copyOf(executions.getOrDefault(worker.name, List.of()));
   }
 
-  private void deliverIfDrawn(
-      WorkerModel worker, Execution execution, long withinMs, boolean afterForget) {
+  private void deliverIfDrawn(WorkerModel worker, Execution execution, long withinMs) {
     if (share > 0 && random.nextDouble() < share) {
       simulation.after(
-          1 + random.nextLong(withinMs),
-          () -> worker.serve(() -> deliver(worker, execution, afterForget)));
+          1 + random.nextLong(withinMs), () -> worker.serve(() -> deliver(worker, execution)));
     }
   }
 
-  private void deliver(WorkerModel worker, Execution execution, boolean afterForget) {
+  private void deliver(WorkerModel worker, Execution execution) {
     boolean laterIncarnation = worker.incarnation() != execution.incarnation();
     boolean withoutToken = laterIncarnation && worker.fencingToken() == 0;
     simulation.log(worker.name, "gets a copy of " + execution);
     WorkerModel.CommandAnswer answer =
         worker.executeCommands(execution.token(), execution.epoch(), execution.commands());
-    executedAfterForget += afterForget && answer.accepted() ? 1 : 0;
     executedWithoutToken += withoutToken && answer.accepted() ? 1 : 0;
     refusedAfterRestart += laterIncarnation && !answer.accepted() ? 1 : 0;
   }
--- a/src/test/java/org/astershift/simulation/CommandSenderModel.java
+++ b/src/test/java/org/astershift/simulation/CommandSenderModel.java
@@ -25,10 +25,7 @@
   void send(Decision.SendCommands decision) {
     Request request =
         new Request(
-            decision.machineName(),
-            term.tokenToSend(decision.fencingToken()),
-            decision.epoch(),
-            decision.commands());
+            decision.machineName(), decision.fencingToken(), decision.epoch(), decision.commands());
     if (!simulation.connectionOriented) {
       deliver(request, null, decision.timeoutMs());
       return;
--- a/src/test/java/org/astershift/simulation/LeaderTermModel.java
+++ b/src/test/java/org/astershift/simulation/LeaderTermModel.java
@@ -377,15 +377,7 @@
     return wanted == null
         ? new WorkerModel.HeartbeatAnswer(false, token, null, null)
         : new WorkerModel.HeartbeatAnswer(
-            true,
-            tokenToSend(wanted.fencingToken()),
-            commandSender.permitted(wanted.commands()),
-            null);
-  }
-
-  /** Returns the token that a command or response carries, given the one that it should carry. */
-  long tokenToSend(long wanted) {
-    return controller.hasMutation(Mutation.SAME_TOKEN_FOR_WHOLE_TERM) ? token : wanted;
+            true, wanted.fencingToken(), commandSender.permitted(wanted.commands()), null);
   }
 
   /** Returns conditions that hold only while this leader's key exists. */
--- a/src/test/java/org/astershift/simulation/Mutation.java
+++ b/src/test/java/org/astershift/simulation/Mutation.java
@@ -14,8 +14,6 @@
   NO_CATCH_UP,
   /** Peers report every suspect machine as unreachable. */
   PEER_PROBES_ALWAYS_FAIL,
-  /** All commands and responses of a term carry the same token. */
-  SAME_TOKEN_FOR_WHOLE_TERM,
   /** Duplicate heartbeats count as new. */
   ACCEPT_DUPLICATE_HEARTBEATS,
   /** Duplicate heartbeats carry the fencing token of the current leader. */
